Fix the shared interfaces and the platform stand-in

Cause: the parts of the system are built in parallel and need firm interfaces. Change: settings, manifest models with strict JSON reading, the fold of the fleet log, request tables, messages, transport, the platform interface with an in-memory platform, its HTTP adapter and stand-in endpoints. Before: empty repository. Conclusion: the parts can be written against these modules.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,47 @@
+VENV ?= .venv
+PYTHON ?= python3
+RUN = PYTHONPATH=. $(VENV)/bin/python
+SOURCES = magnoliapier tests benchmarks
+
+.PHONY: demo test lint format unit model replay bench bench-request bench-fleet capacity clean
+
+demo: $(VENV)/.installed
+	$(RUN) -m magnoliapier.commands demo
+
+test: lint unit
+
+$(VENV)/.installed: requirements.txt
+	test -x $(VENV)/bin/python || $(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/python -m pip install --quiet --require-hashes -r requirements.txt
+	touch $@
+
+lint: $(VENV)/.installed
+	$(VENV)/bin/black --quiet --check $(SOURCES)
+	$(VENV)/bin/ruff check --quiet $(SOURCES)
+
+format: $(VENV)/.installed
+	$(VENV)/bin/ruff check --quiet --fix $(SOURCES)
+	$(VENV)/bin/black --quiet $(SOURCES)
+
+unit: $(VENV)/.installed
+	$(RUN) -W error::ResourceWarning -m unittest discover -s tests -t .
+
+model: $(VENV)/.installed
+	$(RUN) -m magnoliapier.modelcheck --output build/model.json
+
+replay: $(VENV)/.installed
+	$(RUN) -m magnoliapier.replay --all traces
+
+bench: bench-request bench-fleet
+
+bench-request: $(VENV)/.installed
+	$(RUN) -m benchmarks.request --output build/bench-request.json
+
+bench-fleet: $(VENV)/.installed
+	$(RUN) -m benchmarks.fleet --output build/bench-fleet.json
+
+capacity: $(VENV)/.installed
+	$(RUN) -m benchmarks.slopes --output docs/CAPACITY.md
+
+clean:
+	rm -rf build $(VENV)
--- /dev/null
+++ b/magnoliapier/auth.py
@@ -0,0 +1,54 @@
+"""Authentication of messages between processes and of operators' requests."""
+
+import hashlib
+import hmac
+
+from magnoliapier.exceptions import AuthenticationError
+
+TAG_BYTES = 16
+MAX_CLOCK_SKEW_S = 60.0
+
+
+def seal(key, data):
+    """Return ``data`` with an HMAC-SHA256 tag of 16 bytes in front."""
+    return compute_tag(key, data) + data
+
+
+def open_sealed(key, sealed):
+    """Return the data of a sealed message; raise AuthenticationError if forged."""
+    tag, data = sealed[:TAG_BYTES], sealed[TAG_BYTES:]
+    if not hmac.compare_digest(tag, compute_tag(key, data)):
+        raise AuthenticationError(
+            "A message has a wrong authentication tag; "
+            "give all processes the same auth.peer_key."
+        )
+    return data
+
+
+def compute_tag(key, data):
+    """Return the truncated HMAC-SHA256 of ``data`` under a text key."""
+    return hmac.new(key.encode(), data, hashlib.sha256).digest()[:TAG_BYTES]
+
+
+def make_token(key, name, now):
+    """Return an operator's bearer token for ``name``, valid for a minute."""
+    text = f"{name}:{int(now)}"
+    return f"{text}:{compute_tag(key, text.encode()).hex()}"
+
+
+def check_token(key, token, now):
+    """
+    Return the operator's name of a token made by :func:`make_token`.
+
+    Raise AuthenticationError for a token that is malformed, forged or too old.
+    An empty key accepts nothing.
+    """
+    text, _, tag = token.rpartition(":")
+    name, _, made = text.rpartition(":")
+    if not key or not name or not made.isdecimal():
+        raise AuthenticationError("Send a token made with auth.operator_key.")
+    if not hmac.compare_digest(tag, compute_tag(key, text.encode()).hex()):
+        raise AuthenticationError("The token does not match auth.operator_key.")
+    if abs(now - int(made)) > MAX_CLOCK_SKEW_S:
+        raise AuthenticationError("The token is too old; check the clocks.")
+    return name
--- /dev/null
+++ b/magnoliapier/transport.py
@@ -0,0 +1,81 @@
+"""
+Sealed messages over TCP streams and UDP datagrams.
+
+A TCP frame is a 4-byte big-endian length and a sealed message. A datagram is one
+sealed message.
+"""
+
+import socket
+import struct
+
+from magnoliapier.auth import TAG_BYTES, open_sealed, seal
+from magnoliapier.exceptions import MessageError
+from magnoliapier.messages import MAX_MESSAGE_BYTES, decode, encode
+
+LENGTH = struct.Struct(">I")
+MAX_DATAGRAM_BYTES = 60_000
+
+
+def parse_address(text):
+    """Return ``IP:port`` as the tuple that sockets take."""
+    host, _, port = text.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+def send_message(connection, message, key):
+    """Send one framed message over a connected TCP socket."""
+    sealed = seal(key, encode(message))
+    connection.sendall(LENGTH.pack(len(sealed)) + sealed)
+
+
+def receive_message(connection, key):
+    """
+    Return the next message of a TCP socket, or None at the end of the stream.
+
+    Raise MessageError for a frame that is cut off or too large.
+    """
+    header = receive_exactly(connection, LENGTH.size)
+    if header is None:
+        return None
+    (length,) = LENGTH.unpack(header)
+    if length > MAX_MESSAGE_BYTES + TAG_BYTES:
+        raise MessageError("A frame is too large; check the sender's version.")
+    sealed = receive_exactly(connection, length)
+    if sealed is None:
+        raise MessageError("A frame was cut off; connect again.")
+    return decode(open_sealed(key, sealed))
+
+
+def receive_exactly(connection, count):
+    """Return ``count`` bytes, or None if the stream ends before the first one."""
+    chunks = []
+    missing = count
+    while missing:
+        chunk = connection.recv(min(missing, 65_536))
+        if not chunk:
+            if chunks:
+                raise MessageError("A frame was cut off; connect again.")
+            return None
+        chunks.append(chunk)
+        missing -= len(chunk)
+    return b"".join(chunks)
+
+
+def open_stream(address, timeout_s):
+    """Return a TCP connection to ``IP:port`` without Nagle's delay."""
+    connection = socket.create_connection(parse_address(address), timeout_s)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return connection
+
+
+def pack_datagram(message, key):
+    """Return a message as the bytes of one datagram."""
+    data = seal(key, encode(message))
+    if len(data) > MAX_DATAGRAM_BYTES:
+        raise MessageError("A message does not fit a datagram; send it by TCP.")
+    return data
+
+
+def unpack_datagram(data, key):
+    """Return the message of a datagram."""
+    return decode(open_sealed(key, data))
