Add the ownership rules R1 to R5 as pure functions and tables

Cause: entry process, planner and specifications share one set of rules. Change: allowed_hosts, missing_consents, grant tables of granter and holder, registration order, gap detector and sender table with an injected clock. Conclusion: an expired grant of a silent holder still blocks a drain until the holder reports, because a request sent under it may still run.

--- /dev/null
+++ b/magnoliapier/ownership.py
@@ -0,0 +1,470 @@
+"""
+Rules R1 to R5 of docs/design.md: which sender may send to which host, and when.
+
+The functions are pure. The tables hold what one process knows and take a clock.
+All instants are monotonic seconds of the process that holds the table, except
+``*_ms`` values of another process, which are only compared with each other.
+
+Example::
+
+    hosts = allowed_hosts(state, "dc-1", True, held.usable(state.seq), now)
+"""
+
+import enum
+from dataclasses import dataclass, field
+
+from magnoliapier.messages import Grant
+
+GRANT_S = 3.0
+TICK_S = 0.1
+DROP_GRANTS_GAP_S = 1.0
+# Shorter than LIST_LAG_S, so that a paused sender is stale before its record may go.
+STALE_GAP_S = 20.0
+LIST_LAG_S = 30.0
+# A longer time between two reads of the host list proves nothing about the time
+# between them.
+LIST_READ_GAP_S = 5.0
+# A heartbeat carries a sender's report only while the report is younger than this.
+MAX_REPORT_AGE_S = 1.0
+SENDER_PREFIX = "sender/"
+
+
+@dataclass(frozen=True)
+class HeldGrant:
+    """A grant as its holder keeps it; it may be used before ``expires``."""
+
+    granter: str
+    data_centre: str
+    seq: int
+    expires: float
+
+
+@dataclass(frozen=True)
+class SenderRecord:
+    """The row ``sender/<name>``: the consent of one sender (R3)."""
+
+    name: str
+    data_centre: str
+    incarnation: int
+    applied: int = 0
+    busy: frozenset = frozenset()
+
+    @property
+    def key(self):
+        """The key of the row."""
+        return SENDER_PREFIX + self.name
+
+    def to_row(self):
+        """Return the record as the JSON value of its row."""
+        return {
+            "name": self.name,
+            "data_centre": self.data_centre,
+            "incarnation": self.incarnation,
+            "applied": self.applied,
+            "busy": sorted(self.busy),
+        }
+
+    @classmethod
+    def from_row(cls, value):
+        """Build a record from the JSON value of its row."""
+        return cls(
+            value["name"],
+            value["data_centre"],
+            value["incarnation"],
+            value["applied"],
+            frozenset(value["busy"]),
+        )
+
+
+def allowed_hosts(state, data_centre, eligible, grants, now):
+    """
+    Return the names of the hosts that a sender may send to now (R1 and R2).
+
+    ``state`` is the sender's state in force, ``grants`` a dict from data centre to
+    an object with ``seq`` and ``expires``.
+    """
+    if state.manifest is None:
+        return set()
+    open_centres = {
+        centre
+        for centre, grant in grants.items()
+        if grant.expires > now and state.seq >= grant.seq
+    }
+    if eligible:
+        open_centres.add(data_centre)
+    hosts = state.manifest.hosts
+    return {
+        name
+        for name, assignment in state.assignments.items()
+        if assignment.takes_work and hosts[name].data_centre in open_centres
+    }
+
+
+def consents(record, host, seq):
+    """Return whether a sender's record agrees to the drain of ``host`` at ``seq``."""
+    return record.applied >= seq and host not in record.busy
+
+
+def missing_consents(state, host, records):
+    """
+    Return the names of the senders that still keep ``host`` in its pool (R4).
+
+    ``records`` are all :class:`SenderRecord` of the table, read after the drain was
+    appended. An empty result permits ``host_assign`` or ``host_maintenance``.
+    """
+    data_centre = state.manifest.hosts[host].data_centre
+    seq = state.assignments[host].seq
+    return sorted(
+        record.name
+        for record in records
+        if record.data_centre == data_centre and not consents(record, host, seq)
+    )
+
+
+def consent_record(name, data_centre, report, state, given):
+    """
+    Return the record to write for an attached sender's latest report (R3).
+
+    ``state`` is the control process's own state in force. The applied seq is capped
+    by it, because drains that the control process has not read cannot be checked
+    against the grants it gave.
+    """
+    return SenderRecord(
+        name,
+        data_centre,
+        report.incarnation,
+        min(report.applied_seq, state.seq),
+        frozenset(report.busy_hosts) | given.blocked_hosts(state),
+    )
+
+
+@dataclass
+class SenderTable:
+    """The sender records of the table and how long the host list omits each."""
+
+    clock: object
+    records: dict = field(default_factory=dict)
+    absent_since: dict = field(default_factory=dict)
+    last_read: float | None = None
+
+    def update(self, records):
+        """Replace the records by those just read from the table."""
+        self.records = {record.name: record for record in records}
+
+    def observe_list(self, names):
+        """Take the names of one read of the platform's host list."""
+        now = self.clock.monotonic()
+        if self.last_read is None or now - self.last_read > LIST_READ_GAP_S:
+            self.absent_since.clear()
+        self.last_read = now
+        absent = set(self.records) - set(names)
+        self.absent_since = {
+            name: self.absent_since.get(name, now) for name in sorted(absent)
+        }
+
+    def removable(self):
+        """Return the names of the senders whose records may be removed (R4)."""
+        now = self.clock.monotonic()
+        if self.last_read is None or now - self.last_read > LIST_READ_GAP_S:
+            return []
+        return [
+            name
+            for name, since in self.absent_since.items()
+            if name in self.records and now - since > LIST_LAG_S
+        ]
+
+
+@dataclass
+class HolderReport:
+    """The latest report of a sender that holds grants of this process."""
+
+    incarnation: int
+    seq: int
+    busy: frozenset
+    sent_at_ms: int
+
+
+@dataclass(frozen=True)
+class GivenGrant:
+    """
+    A grant as its granter keeps it.
+
+    ``ends_at_ms`` is its end on the holder's clock, None when that is unknown.
+    """
+
+    holder: str
+    incarnation: int
+    seq: int
+    ends_at_ms: int | None
+    expires: float
+
+
+class GivenGrants:
+    """
+    The grants that one process gave for its sender, and its holders' reports.
+
+    A holder that was granted something blocks the drain of a host until its report
+    shows that it has applied the drain, or was made after the grant's end, and that
+    it has no request in flight to the host. An expired grant of a silent holder
+    blocks on, because a request sent under it may still run. ``forget`` ends this
+    for a holder whose record was removed; a newer incarnation of the holder ends it
+    because the requests of its earlier process ended with that process.
+    """
+
+    def __init__(self, clock, data_centre):
+        self._clock = clock
+        self._data_centre = data_centre
+        self._grants = {}
+        self._reports = {}
+
+    def give(self, holder, incarnation, seq, asked_at_ms):
+        """Record a grant at the granter's seq in force and return its message."""
+        now = self._clock.monotonic()
+        duration_ms = int(GRANT_S * 1000)
+        self._add(
+            GivenGrant(
+                holder, incarnation, seq, asked_at_ms + duration_ms, now + GRANT_S
+            )
+        )
+        return Grant(
+            holder, incarnation, self._data_centre, seq, asked_at_ms, duration_ms
+        )
+
+    def assume_earlier(self, holders):
+        """
+        Assume unknown grants to each (name, incarnation) of ``holders``.
+
+        A process that takes over a sender, or was restarted, does not know what was
+        granted in the sender's name before.
+        """
+        now = self._clock.monotonic()
+        for holder, incarnation in holders:
+            self._add(GivenGrant(holder, incarnation, 0, None, now + GRANT_S))
+
+    def observe(self, holder, incarnation, seq, busy, sent_at_ms):
+        """Take a holder's report; an older incarnation or instant is ignored."""
+        known = self._reports.get(holder)
+        if known and (known.incarnation, known.sent_at_ms) > (incarnation, sent_at_ms):
+            return
+        self._reports[holder] = HolderReport(
+            incarnation, seq, frozenset(busy), sent_at_ms
+        )
+        self._prune(holder)
+
+    def forget(self, holder):
+        """Drop what was granted to a sender whose record was removed."""
+        self._grants.pop(holder, None)
+        self._reports.pop(holder, None)
+
+    def blocked_hosts(self, state):
+        """Return the hosts being drained that a holder may still use (R3)."""
+        if state.manifest is None:
+            return frozenset()
+        hosts = state.manifest.hosts
+        return frozenset(
+            name
+            for name, assignment in state.assignments.items()
+            if not assignment.takes_work
+            and hosts[name].data_centre == self._data_centre
+            and self.blockers(name, assignment.seq)
+        )
+
+    def blockers(self, host, seq):
+        """Return the holders whose grants keep ``host`` from a drain at ``seq``."""
+        return sorted(
+            holder
+            for holder, grants in self._grants.items()
+            if any(self._blocks(grant, host, seq) for grant in grants.values())
+        )
+
+    def _add(self, grant):
+        grants = self._grants.setdefault(grant.holder, {})
+        grants[(grant.incarnation, grant.seq)] = grant
+
+    def _blocks(self, grant, host, seq):
+        if grant.seq >= seq:
+            return False
+        report = self._reports.get(grant.holder)
+        if report is None or report.incarnation < grant.incarnation:
+            return True
+        if report.incarnation > grant.incarnation:
+            return self._clock.monotonic() < grant.expires
+        seen = report.seq >= seq or self._ended(grant, report)
+        return not seen or host in report.busy
+
+    def _ended(self, grant, report):
+        margin_ms = int(MAX_REPORT_AGE_S * 1000)
+        return (
+            grant.ends_at_ms is not None
+            and report.sent_at_ms >= grant.ends_at_ms + margin_ms
+        )
+
+    def _prune(self, holder):
+        # The newest grant stays, so that the holder's later reports are still
+        # compared with hosts that it may be using.
+        report = self._reports[holder]
+        grants = self._grants.get(holder)
+        if not grants:
+            return
+        newest = max(grants)
+        now = self._clock.monotonic()
+        for key, grant in list(grants.items()):
+            ended = self._ended(grant, report) and not report.busy
+            replaced = grant.incarnation < report.incarnation and now >= grant.expires
+            if key != newest and (ended or replaced):
+                del grants[key]
+
+
+class HeldGrants:
+    """
+    The grants that one sender holds.
+
+    A grant is timed from the instant at which it was asked for, which its message
+    echoes, so that a delayed answer never lasts longer than the granter assumes.
+    """
+
+    def __init__(self, clock, holder, incarnation=0):
+        self._clock = clock
+        self._holder = holder
+        self._incarnation = incarnation
+        self._not_before_ms = 0
+        self._grants = {}
+
+    @property
+    def incarnation(self):
+        """The sender's incarnation; a change drops the grants of the earlier one."""
+        return self._incarnation
+
+    @incarnation.setter
+    def incarnation(self, value):
+        if value != self._incarnation:
+            self._incarnation = value
+            self.drop()
+
+    def ask(self):
+        """Return the instant to put into a heartbeat that asks for grants."""
+        return int(self._clock.monotonic() * 1000)
+
+    def receive(self, granter, grant):
+        """Keep a grant; one for another sender or an earlier time is ignored."""
+        if (grant.holder, grant.holder_incarnation) != (
+            self._holder,
+            self._incarnation,
+        ):
+            return
+        if grant.asked_at_ms < self._not_before_ms:
+            return
+        expires = (grant.asked_at_ms + grant.duration_ms) / 1000
+        known = self._grants.get(granter)
+        if known is None or expires > known.expires:
+            self._grants[granter] = HeldGrant(
+                granter, grant.data_centre, grant.seq, expires
+            )
+
+    def drop(self):
+        """Drop all grants and refuse answers to what was asked before (R5)."""
+        self._grants.clear()
+        self._not_before_ms = self.ask() + 1
+
+    def usable(self, applied_seq):
+        """Return the grant to use for each data centre, the longest lasting one."""
+        now = self._clock.monotonic()
+        best = {}
+        for grant in self._grants.values():
+            known = best.get(grant.data_centre)
+            if (
+                grant.expires > now
+                and grant.seq <= applied_seq
+                and (known is None or grant.expires > known.expires)
+            ):
+                best[grant.data_centre] = grant
+        return best
+
+
+class Gap(enum.Enum):
+    """What a process must do after a tick of its clock (R5)."""
+
+    NONE = "none"
+    DROP_GRANTS = "drop_grants"
+    STALE = "stale"
+
+
+class GapDetector:
+    """Compares each tick with the one before; tick it every TICK_S."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._previous = clock.monotonic()
+
+    def tick(self):
+        """Return the :class:`Gap` since the last tick."""
+        now = self._clock.monotonic()
+        gap = now - self._previous
+        self._previous = now
+        if gap > STALE_GAP_S:
+            return Gap.STALE
+        if gap > DROP_GRANTS_GAP_S:
+            return Gap.DROP_GRANTS
+        return Gap.NONE
+
+
+class Registration:
+    """
+    Whether one sender is eligible (R1).
+
+    The order is: the present incarnation is written to the table, the log is read
+    from the table by a read that starts later, and the sender applies what that
+    read returned. Eligibility then lasts, also while the table is unavailable,
+    until the incarnation changes, the process is stale or the record is removed.
+
+    Example::
+
+        registration.begin(incarnation)
+        registration.written(incarnation)
+        registration.log_read(incarnation, seq)
+        assert registration.eligible(incarnation, applied_seq=seq)
+    """
+
+    def __init__(self):
+        self._incarnation = 0
+        self._written = False
+        self._read_seq = None
+
+    @property
+    def incarnation(self):
+        """The incarnation that is being registered, 0 for none."""
+        return self._incarnation
+
+    @property
+    def is_written(self):
+        """Whether the table holds the present incarnation."""
+        return self._written
+
+    @property
+    def wants_log_read(self):
+        """Whether the log must still be read from the table."""
+        return self._written and self._read_seq is None
+
+    def begin(self, incarnation):
+        """Start over for a new incarnation, a stale process or a removed record."""
+        self._incarnation = incarnation
+        self._written = False
+        self._read_seq = None
+
+    def written(self, incarnation):
+        """The record with ``incarnation`` is known to be in the table."""
+        if incarnation == self._incarnation:
+            self._written = True
+
+    def log_read(self, incarnation, seq):
+        """A read of the log that began after the write returned up to ``seq``."""
+        if incarnation == self._incarnation and self._written:
+            self._read_seq = seq
+
+    def eligible(self, incarnation, applied_seq):
+        """Return whether the sender may act without grants."""
+        return (
+            incarnation == self._incarnation
+            and self._read_seq is not None
+            and applied_seq >= self._read_seq
+        )
--- /dev/null
+++ b/tests/test_ownership.py
@@ -0,0 +1,156 @@
+import unittest
+
+from magnoliapier.clock import VirtualClock
+from magnoliapier.fleet_state import LogEntry
+from magnoliapier.messages import EntryReport
+from magnoliapier.ownership import (
+    Gap,
+    GapDetector,
+    GivenGrants,
+    HeldGrant,
+    HeldGrants,
+    Registration,
+    SenderRecord,
+    SenderTable,
+    allowed_hosts,
+    consent_record,
+    missing_consents,
+)
+from tests.samples import sample_state
+
+
+def drained_state(host="wire-0"):
+    state = sample_state()
+    body = {"host": host, "epoch": 2, "target": "archive"}
+    state.apply(LogEntry(state.seq + 1, "host_drain", body, "d", "test", 0.0))
+    return state
+
+
+class AllowedHostsTests(unittest.TestCase):
+    def test_own_centre_needs_eligibility_and_others_a_grant(self):
+        """Guards against sends that the host's data centre cannot know of."""
+        state = drained_state()
+        own = allowed_hosts(state, "dc-1", True, {}, 0.0)
+        self.assertIn("wire-2", own)
+        self.assertNotIn("wire-0", own)
+        self.assertNotIn("wire-1", own)
+        self.assertEqual(allowed_hosts(state, "dc-1", False, {}, 0.0), set())
+        grants = {"dc-2": HeldGrant("e", "dc-2", state.seq, 3.0)}
+        self.assertIn("wire-1", allowed_hosts(state, "dc-1", True, grants, 2.9))
+        self.assertNotIn("wire-1", allowed_hosts(state, "dc-1", True, grants, 3.0))
+        ahead = {"dc-2": HeldGrant("e", "dc-2", state.seq + 1, 3.0)}
+        self.assertNotIn("wire-1", allowed_hosts(state, "dc-1", True, ahead, 0.0))
+
+
+class ConsentTests(unittest.TestCase):
+    def setUp(self):
+        self.clock = VirtualClock(100.0)
+        self.given = GivenGrants(self.clock, "dc-1")
+        self.state = drained_state()
+
+    def missing(self, busy=()):
+        report = EntryReport("entry-1", 1, self.state.seq, busy_hosts=list(busy))
+        record = consent_record("entry-1", "dc-1", report, self.state, self.given)
+        return missing_consents(self.state, "wire-0", [record])
+
+    def test_busy_or_behind_sender_withholds_consent(self):
+        """Guards against a move under a request that is still running."""
+        self.assertEqual(self.missing(), [])
+        self.assertEqual(self.missing(busy=["wire-0"]), ["entry-1"])
+        behind = SenderRecord("entry-1", "dc-1", 1, self.state.seq - 1)
+        self.assertEqual(missing_consents(self.state, "wire-0", [behind]), ["entry-1"])
+
+    def test_holder_of_earlier_grant_blocks_until_it_reports(self):
+        """Guards against a remote sender that still uses a drained host."""
+        self.given.give("entry-9", 5, self.state.seq - 1, 50_000)
+        self.assertEqual(self.missing(), ["entry-1"])
+        self.clock.advance(60)
+        self.assertEqual(self.missing(), ["entry-1"])
+        self.given.observe("entry-9", 5, self.state.seq, ["wire-0"], 51_000)
+        self.assertEqual(self.missing(), ["entry-1"])
+        self.given.observe("entry-9", 5, self.state.seq, [], 52_000)
+        self.assertEqual(self.missing(), [])
+
+    def test_report_from_before_the_end_of_the_grant_proves_nothing(self):
+        """Guards against a delayed heartbeat that hides a later send."""
+        self.given.give("entry-9", 5, self.state.seq - 1, 50_000)
+        self.given.observe("entry-9", 5, self.state.seq - 1, [], 53_500)
+        self.assertEqual(self.missing(), ["entry-1"])
+        self.given.observe("entry-9", 5, self.state.seq - 1, [], 54_000)
+        self.assertEqual(self.missing(), [])
+
+    def test_restarted_holder_blocks_until_the_grant_expires(self):
+        self.given.give("entry-9", 5, self.state.seq - 1, 50_000)
+        self.given.observe("entry-9", 6, 0, [], 10)
+        self.assertEqual(self.missing(), ["entry-1"])
+        self.clock.advance(3)
+        self.assertEqual(self.missing(), [])
+
+    def test_unknown_grants_of_earlier_process_block(self):
+        """Guards against a restarted granter that forgot what it granted."""
+        self.given.assume_earlier([("entry-9", 5)])
+        self.clock.advance(60)
+        self.assertEqual(self.missing(), ["entry-1"])
+        self.given.forget("entry-9")
+        self.assertEqual(self.missing(), [])
+
+
+class HeldGrantTests(unittest.TestCase):
+    def test_grant_is_timed_from_the_question(self):
+        """Guards against a delayed answer that outlives the granter's record."""
+        clock = VirtualClock(10.0)
+        held = HeldGrants(clock, "entry-9", 5)
+        given = GivenGrants(clock, "dc-2")
+        grant = given.give("entry-9", 5, 4, held.ask())
+        clock.advance(2.9)
+        held.receive("entry-1", grant)
+        self.assertIn("dc-2", held.usable(4))
+        self.assertEqual(held.usable(3), {})
+        clock.advance(0.1)
+        self.assertEqual(held.usable(4), {})
+
+    def test_dropped_grants_stay_dropped(self):
+        """Guards against a paused process that reads its old mail after R5."""
+        clock = VirtualClock(10.0)
+        held = HeldGrants(clock, "entry-9", 5)
+        grant = GivenGrants(clock, "dc-2").give("entry-9", 5, 4, held.ask())
+        held.drop()
+        held.receive("entry-1", grant)
+        self.assertEqual(held.usable(4), {})
+
+
+class SenderTests(unittest.TestCase):
+    def test_order_of_registration(self):
+        """Guards against an eligible sender that missed a drain."""
+        registration = Registration()
+        registration.begin(7)
+        registration.log_read(7, 5)
+        self.assertFalse(registration.eligible(7, 5))
+        registration.written(7)
+        registration.log_read(7, 6)
+        self.assertFalse(registration.eligible(7, 5))
+        self.assertTrue(registration.eligible(7, 6))
+        self.assertFalse(registration.eligible(8, 6))
+
+    def test_gap(self):
+        clock = VirtualClock()
+        gaps = GapDetector(clock)
+        for seconds, gap in ((0.1, Gap.NONE), (2, Gap.DROP_GRANTS), (21, Gap.STALE)):
+            clock.advance(seconds)
+            self.assertIs(gaps.tick(), gap)
+
+    def test_record_is_removed_only_after_the_lag(self):
+        """Guards against removal while the list merely was not read."""
+        clock = VirtualClock()
+        table = SenderTable(clock)
+        table.update([SenderRecord("entry-1", "dc-1", 1)])
+        table.observe_list([])
+        clock.advance(60)
+        table.observe_list([])
+        self.assertEqual(table.removable(), [])
+        for _ in range(31):
+            clock.advance(1)
+            table.observe_list([])
+        self.assertEqual(table.removable(), ["entry-1"])
+        table.observe_list(["entry-1"])
+        self.assertEqual(table.removable(), [])
