--- a/magnoliapier/ownership.py
+++ b/magnoliapier/ownership.py
@@ -186,16 +186,11 @@
 
 @dataclass(frozen=True)
 class GivenGrant:
-    """
-    A grant as its granter keeps it.
-
-    ``ends_at_ms`` is its end on the holder's clock, None when that is unknown.
-    """
+    """A grant as its granter keeps it; ``expires`` is on the granter's clock."""
 
     holder: str
     incarnation: int
     seq: int
-    ends_at_ms: int | None
     expires: float
 
 
@@ -203,12 +198,13 @@
     """
     The grants that one process gave for its sender, and its holders' reports.
 
-    A holder that was granted something blocks the drain of a host until its report
-    shows that it has applied the drain, or was made after the grant's end, and that
-    it has no request in flight to the host. An expired grant of a silent holder
-    blocks on, because a request sent under it may still run. ``forget`` ends this
-    for a holder whose record was removed; a newer incarnation of the holder ends it
-    because the requests of its earlier process ended with that process.
+    A holder that was granted something before a drain blocks the drain until its
+    report shows that it has applied the drain and has no request in flight to the
+    host. An expired grant of a silent holder blocks on, because a request sent under
+    it may still run. ``forget`` ends this for a holder whose record was removed; a
+    newer incarnation of the holder ends it once the grant has expired, because the
+    requests of the earlier process ended with that process. Reports need to name
+    only those busy hosts that do not take work in the holder's state.
     """
 
     def __init__(self, clock, data_centre):
@@ -217,15 +213,14 @@
         self._grants = {}
         self._reports = {}
 
+    def __len__(self):
+        return sum(len(grants) for grants in self._grants.values())
+
     def give(self, holder, incarnation, seq, asked_at_ms):
         """Record a grant at the granter's seq in force and return its message."""
         now = self._clock.monotonic()
         duration_ms = int(GRANT_S * 1000)
-        self._add(
-            GivenGrant(
-                holder, incarnation, seq, asked_at_ms + duration_ms, now + GRANT_S
-            )
-        )
+        self._add(GivenGrant(holder, incarnation, seq, now + GRANT_S))
         return Grant(
             holder, incarnation, self._data_centre, seq, asked_at_ms, duration_ms
         )
@@ -239,7 +234,7 @@
         """
         now = self._clock.monotonic()
         for holder, incarnation in holders:
-            self._add(GivenGrant(holder, incarnation, 0, None, now + GRANT_S))
+            self._add(GivenGrant(holder, incarnation, 0, now + GRANT_S))
 
     def observe(self, holder, incarnation, seq, busy, sent_at_ms):
         """Take a holder's report; an older incarnation or instant is ignored."""
@@ -289,30 +284,30 @@
             return True
         if report.incarnation > grant.incarnation:
             return self._clock.monotonic() < grant.expires
-        seen = report.seq >= seq or self._ended(grant, report)
-        return not seen or host in report.busy
-
-    def _ended(self, grant, report):
-        margin_ms = int(MAX_REPORT_AGE_S * 1000)
-        return (
-            grant.ends_at_ms is not None
-            and report.sent_at_ms >= grant.ends_at_ms + margin_ms
-        )
+        return report.seq < seq or host in report.busy
 
     def _prune(self, holder):
-        # The newest grant stays, so that the holder's later reports are still
-        # compared with hosts that it may be using.
+        # Two grants of one incarnation block the same drains after the later one.
+        # Drains between them are settled by a report that has applied the later
+        # grant's seq and is busy with no host that leaves its pool.
         report = self._reports[holder]
-        grants = self._grants.get(holder)
-        if not grants:
-            return
-        newest = max(grants)
+        grants = self._grants.get(holder, {})
+        covered = max(
+            (
+                seq
+                for incarnation, seq in grants
+                if incarnation == report.incarnation and seq <= report.seq
+            ),
+            default=0,
+        )
         now = self._clock.monotonic()
-        for key, grant in list(grants.items()):
-            ended = self._ended(grant, report) and not report.busy
-            replaced = grant.incarnation < report.incarnation and now >= grant.expires
-            if key != newest and (ended or replaced):
-                del grants[key]
+        for (incarnation, seq), grant in list(grants.items()):
+            settled = (
+                incarnation == report.incarnation and seq < covered and not report.busy
+            )
+            replaced = incarnation < report.incarnation and now >= grant.expires
+            if settled or replaced:
+                del grants[(incarnation, seq)]
 
 
 class HeldGrants:
