--- a/tests/samples.py
+++ b/tests/samples.py
@@ -14,9 +14,10 @@
     }
     for index, pool in enumerate((*services, "spare")):
         for number in range(hosts):
+            centre = number % data_centres + 1
             values["hosts"][f"{pool}-{number}"] = {
-                "data_centre": f"dc-{number % data_centres + 1}",
-                "rack": f"rack-{index}-{number // 4}",
+                "data_centre": f"dc-{centre}",
+                "rack": f"rack-{centre}-{index}-{number // (4 * data_centres)}",
                 "pool": pool,
                 "address": f"127.0.0.1:{20000 + index * 100 + number}",
             }
