--- /dev/null
+++ b/magnoliapier/planner_tables.py
@@ -0,0 +1,259 @@
+"""
+The tables that the planner's systems run over: inputs, output and one tick's view.
+
+A :class:`PlanTables` is built anew on each tick from the inputs and the
+platform's task list, so no system carries decisions from tick to tick.
+"""
+
+import math
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+from magnoliapier.exceptions import PlatformError
+from magnoliapier.fleet_state import HostState
+from magnoliapier.manifest import SPARE_POOL
+from magnoliapier.platform_api import HostStatus, TaskStatus
+
+
+@dataclass(frozen=True)
+class SenderRow:
+    """One ``sender/<name>`` row: the applied seq and the hosts in use."""
+
+    name: str
+    data_centre: str
+    applied_seq: int
+    busy_hosts: frozenset = frozenset()
+
+
+@dataclass(frozen=True)
+class PlannerInputs:
+    """
+    Everything that a tick sees besides the platform's tasks.
+
+    ``demand`` maps each service to the slots that it asks for, running and queued,
+    summed over the entry hosts. ``senders`` is a list of :class:`SenderRow`, which
+    must be read after the last append, and None if they could not be read.
+    ``listed_hosts`` is the platform's host list, or None if it could not be read.
+    ``now`` is in seconds since the Unix epoch.
+    """
+
+    state: object
+    demand: dict
+    senders: list | None
+    listed_hosts: list | None
+    lease_epoch: int
+    now: float
+
+
+@dataclass(frozen=True)
+class Note:
+    """Why the planner did or did not do something, for operators who ask."""
+
+    subject: str
+    reason: str
+
+
+@dataclass
+class PlannerOutput:
+    """
+    Log entries to append in order as (kind, body) pairs, and the notes.
+
+    The entries build on the state of the inputs. The caller appends them on
+    condition that no other entry came in between, and drops the rest otherwise.
+    """
+
+    entries: list = field(default_factory=list)
+    notes: list = field(default_factory=list)
+
+
+class PlanTables:
+    """
+    One tick's view of the fleet, and the output that the systems add to.
+
+    ``serving`` counts for each pool the hosts that take work and are listed live.
+    ``incoming`` counts the hosts on their way into each pool. ``need`` is set by
+    the capacity system: the hosts that must serve now, by pool.
+    """
+
+    def __init__(self, inputs, platform):
+        self.inputs = inputs
+        self.now = inputs.now
+        self.platform = platform
+        self.state = inputs.state
+        self.manifest = inputs.state.manifest
+        self.output = PlannerOutput()
+        self.listed = (
+            None
+            if inputs.listed_hosts is None
+            else {host.name: host for host in inputs.listed_hosts}
+        )
+        self.tasks = self._read_tasks()
+        self.tasks_by_host = defaultdict(list)
+        for task in self.tasks or ():
+            if task.status is TaskStatus.RUNNING:
+                self.tasks_by_host[task.host].append(task)
+        self.service_of_pool = {
+            service.pool: name for name, service in self.manifest.services.items()
+        }
+        self.pool_hosts = defaultdict(list)
+        self.serving = dict.fromkeys(self.manifest.pools, 0)
+        self.incoming = dict.fromkeys(self.manifest.pools, 0)
+        self._changed = set()
+        self._count_hosts()
+        self._senders = defaultdict(list)
+        for row in inputs.senders or ():
+            self._senders[row.data_centre].append(row)
+        self.need = {}
+        self.cover = {}
+
+    def _read_tasks(self):
+        try:
+            return self.platform.tasks.tasks()
+        except PlatformError as error:
+            self.note("tasks", f"The task list cannot be read: {error}")
+            return None
+
+    def _count_hosts(self):
+        for name, assignment in sorted(self.state.assignments.items()):
+            pool = assignment.pool
+            self.pool_hosts[pool].append(name)
+            if assignment.takes_work:
+                if self.is_live(name):
+                    self.serving[pool] = self.serving.get(pool, 0) + 1
+            elif (
+                assignment.state is HostState.DRAINING
+                and assignment.target not in (None, pool)
+                and self.is_live(name)
+            ):
+                target = assignment.target
+                self.incoming[target] = self.incoming.get(target, 0) + 1
+
+    def is_live(self, name):
+        """Whether the host is listed live; true while the list cannot be read."""
+        if self.listed is None:
+            return True
+        host = self.listed.get(name)
+        return host is not None and host.status is HostStatus.LIVE
+
+    def boots(self, name):
+        """Return the listed boot count of a host, None if it is not listed."""
+        host = (self.listed or {}).get(name)
+        return None if host is None else host.boots
+
+    def demand_of(self, pool):
+        """Return the observed demand of a pool in hosts' worth of work."""
+        total = 0.0
+        for name, service in self.manifest.services.items():
+            if service.pool == pool:
+                slots = self.inputs.demand.get(name, 0.0)
+                total += slots / service.slots_per_endpoint
+        return total
+
+    def min_available(self, pool):
+        """Return the strictest availability budget of the pool's services."""
+        return max(
+            (
+                service.min_available
+                for service in self.manifest.services.values()
+                if service.pool == pool
+            ),
+            default=0.0,
+        )
+
+    def hosts_needed(self, pool, demand):
+        """
+        Return (required, wanted) hosts for ``demand`` hosts' worth of work.
+
+        The budget is ``min_available`` of the wanted hosts. Wanted is sized so
+        that this share still carries the whole demand.
+        """
+        settings = self.manifest.pools[pool]
+        share = self.min_available(pool)
+        wanted = math.ceil(demand / share - 1e-9) if share else math.ceil(demand - 1e-9)
+        wanted = min(max(wanted, settings.min_hosts), settings.max_hosts)
+        required = max(math.ceil(share * wanted - 1e-9), math.ceil(demand - 1e-9))
+        return required, wanted
+
+    def consented(self, name, assignment):
+        """Whether every sender of the host's data centre has consented (R4)."""
+        return self.waiting_for(name, assignment) is None
+
+    def waiting_for(self, name, assignment):
+        """Return what keeps a draining host from moving, or None."""
+        if self.inputs.senders is None:
+            return "the sender records cannot be read"
+        host = self.manifest.hosts.get(name)
+        for row in self._senders.get(host.data_centre, ()):
+            if row.applied_seq < assignment.seq:
+                return f"sender {row.name} has not applied entry {assignment.seq}"
+            if name in row.busy_hosts:
+                return f"sender {row.name} has requests in flight to it"
+        if self.tasks is None:
+            return "the task list cannot be read"
+        if self.tasks_by_host.get(name):
+            return f"task {self.tasks_by_host[name][0].task_id} runs on it"
+        return None
+
+    def unchanged(self, name):
+        """Whether no entry of this tick changes the host's assignment."""
+        return name not in self._changed
+
+    def emit(self, kind, **body):
+        """Add a log entry to the output."""
+        self.output.entries.append((kind, body))
+
+    def note(self, subject, reason):
+        """Add a note for operators to the output."""
+        self.output.notes.append(Note(subject, reason))
+
+    def drain(self, name, target, reason):
+        """Drain a host towards ``target`` and keep the counts of this tick right."""
+        assignment = self.state.assignments[name]
+        self._changed.add(name)
+        if self.is_live(name):
+            self.serving[assignment.pool] -= 1
+            if target != assignment.pool:
+                self.incoming[target] = self.incoming.get(target, 0) + 1
+        self.emit(
+            "host_drain",
+            host=name,
+            epoch=assignment.epoch + 1,
+            target=target,
+            reason=reason,
+        )
+
+    def assign(self, name, pool, reason):
+        """Assign a host to ``pool``."""
+        assignment = self.state.assignments[name]
+        self._changed.add(name)
+        if self.is_live(name):
+            self.serving[pool] = self.serving.get(pool, 0) + 1
+        self.emit(
+            "host_assign",
+            host=name,
+            epoch=assignment.epoch + 1,
+            pool=pool,
+            reason=reason,
+        )
+
+    def begin_maintenance(self, name):
+        """Take a drained host out for its reboot."""
+        assignment = self.state.assignments[name]
+        self._changed.add(name)
+        self.emit("host_maintenance", host=name, epoch=assignment.epoch + 1)
+
+    def managed_pools(self):
+        """Return the pools whose size follows demand, sorted."""
+        return sorted(
+            pool for pool in self.service_of_pool if pool in self.manifest.pools
+        )
+
+    def spare_hosts(self):
+        """Return the live, unchanged hosts of the shared spare that take work."""
+        return [
+            name
+            for name in self.pool_hosts.get(SPARE_POOL, ())
+            if self.state.assignments[name].takes_work
+            and self.is_live(name)
+            and self.unchanged(name)
+        ]
