--- a/magnoliapier/planner_tables.py
+++ b/magnoliapier/planner_tables.py
@@ -66,6 +66,30 @@
     notes: list = field(default_factory=list)
 
 
+def min_available(manifest, pool):
+    """Return the strictest availability budget of the pool's services."""
+    return max(
+        (
+            service.min_available
+            for service in manifest.services.values()
+            if service.pool == pool
+        ),
+        default=0.0,
+    )
+
+
+def hosts_required(manifest, pool, demand):
+    """
+    Return the hosts of ``pool`` that must serve for its budget to be met.
+
+    They carry the whole ``demand`` (in hosts' worth of work), and they are at
+    least the share ``min_available`` of the hosts that the pool declares.
+    """
+    settings = manifest.pools[pool]
+    floor = math.ceil(min_available(manifest, pool) * settings.min_hosts - 1e-9)
+    return min(max(floor, math.ceil(demand - 1e-9)), settings.max_hosts)
+
+
 class PlanTables:
     """
     One tick's view of the fleet, and the output that the systems add to.
@@ -149,30 +173,9 @@
                 total += slots / service.slots_per_endpoint
         return total
 
-    def min_available(self, pool):
-        """Return the strictest availability budget of the pool's services."""
-        return max(
-            (
-                service.min_available
-                for service in self.manifest.services.values()
-                if service.pool == pool
-            ),
-            default=0.0,
-        )
-
-    def hosts_needed(self, pool, demand):
-        """
-        Return (required, wanted) hosts for ``demand`` hosts' worth of work.
-
-        The budget is ``min_available`` of the wanted hosts. Wanted is sized so
-        that this share still carries the whole demand.
-        """
-        settings = self.manifest.pools[pool]
-        share = self.min_available(pool)
-        wanted = math.ceil(demand / share - 1e-9) if share else math.ceil(demand - 1e-9)
-        wanted = min(max(wanted, settings.min_hosts), settings.max_hosts)
-        required = max(math.ceil(share * wanted - 1e-9), math.ceil(demand - 1e-9))
-        return required, wanted
+    def hosts_required(self, pool, demand):
+        """Return how many hosts must serve for ``demand`` hosts' worth of work."""
+        return hosts_required(self.manifest, pool, demand)
 
     def consented(self, name, assignment):
         """Whether every sender of the host's data centre has consented (R4)."""
