Add membership by heartbeats, leaving hosts and demand differences

Cause: control processes must judge peers by what they hear themselves. Change: suspicion after three missed heartbeats, death after 5 s, return only with a higher incarnation, cuts in one direction reported to the peer, leaving hosts with a time to live, and demand sent as differences. Before: two peers dead to each other never merged, because neither raised its incarnation.

--- /dev/null
+++ b/magnoliapier/membership.py
@@ -0,0 +1,343 @@
+"""
+Membership of control processes by heartbeats, and what heartbeats spread.
+
+The tables do no I/O. Each process judges its peers only by what it hears from them
+itself, so a cut between two others does not disturb it.
+
+Example::
+
+    members = Membership(clock, "entry-1", "dc-1", incarnation, seeds, rng)
+    members.receive(heartbeat, "127.0.0.1:8090")
+    members.tick()
+    for member in members.due():
+        send(member.address, node.heartbeat_for(member))
+"""
+
+import enum
+from dataclasses import dataclass, field
+
+from magnoliapier.messages import Demand
+
+LOCAL_INTERVAL_S = 0.5
+REMOTE_INTERVAL_S = 1.0
+MISSED_BEFORE_SUSPICION = 3
+DEAD_S = 5.0
+DEAD_PROBE_INTERVAL_S = 5.0
+# A host whose clock went back restarts with a lower incarnation; it is accepted
+# again once its earlier life is forgotten.
+FORGET_S = 60.0
+# Two urgent heartbeats to one peer are this far apart at least.
+URGENT_SPACING_S = 0.05
+
+# The platform's host list lags by up to 30 s; until then peers know better.
+LEAVING_S = 30.0
+HEARD_LEAVING_S = 10.0
+MAX_LEAVING_SENT = 32
+
+MAX_DEMAND_SENT = 8
+DEMAND_REFRESH = 1
+
+
+class MemberStatus(enum.StrEnum):
+    """What this process thinks of a peer."""
+
+    UNKNOWN = "unknown"
+    ALIVE = "alive"
+    SUSPECTED = "suspected"
+    DEAD = "dead"
+
+
+@dataclass
+class Member:
+    """
+    A peer as heard from its own heartbeats.
+
+    ``suspects_us`` is set while the peer does not hear this process, as in a cut in
+    one direction. ``heard_at`` is in monotonic seconds of this process.
+    """
+
+    name: str
+    data_centre: str
+    address: str
+    is_seed: bool = False
+    status: MemberStatus = MemberStatus.UNKNOWN
+    incarnation: int = 0
+    sent_at_ms: int = 0
+    seq: int = 0
+    staged: int = 0
+    sender_incarnation: int = 0
+    sender_seq: int = 0
+    eligible: bool = False
+    suspects_us: bool = False
+    heard_at: float = 0.0
+    send_at: float = 0.0
+    sent_at: float = -1.0
+    demand: dict = field(default_factory=dict)
+    busy_hosts: frozenset = frozenset()
+
+
+class Membership:
+    """
+    The peers of one control process.
+
+    A peer is suspected after three missed heartbeats and dead after DEAD_S. A
+    heartbeat counts only if it is newer than the last one of its incarnation, and
+    a dead peer returns only with a higher incarnation. A process that is told that
+    it is suspected raises its incarnation, so both sides of a healed partition
+    accept each other within two heartbeats.
+    """
+
+    def __init__(self, clock, name, data_centre, incarnation, seeds, rng):
+        self._clock = clock
+        self._name = name
+        self._data_centre = data_centre
+        self._incarnation = incarnation
+        self._rng = rng
+        self._members = {}
+        for seed in seeds:
+            if seed.name != name:
+                self._add(seed.name, seed.data_centre, seed.address, is_seed=True)
+
+    @property
+    def incarnation(self):
+        """The incarnation of this process."""
+        return self._incarnation
+
+    @property
+    def members(self):
+        """All known members by name."""
+        return self._members
+
+    def live(self, data_centre=None):
+        """Return the members that are alive, of one data centre if given."""
+        return [
+            member
+            for member in self._members.values()
+            if member.status is MemberStatus.ALIVE
+            and data_centre in (None, member.data_centre)
+        ]
+
+    def best_staged(self):
+        """
+        Return the highest staged seq of the live peers of this data centre.
+
+        None if there is no such peer. A peer that does not hear this process cannot
+        learn a seq from it, so it is not waited for.
+        """
+        return max(
+            (
+                member.staged
+                for member in self.live(self._data_centre)
+                if not member.suspects_us
+            ),
+            default=None,
+        )
+
+    def receive(self, heartbeat, source):
+        """Take a heartbeat; return its member, or None if it is old or our own."""
+        if heartbeat.name == self._name:
+            return None
+        member = self._members.get(heartbeat.name)
+        if member is None:
+            member = self._add(heartbeat.name, heartbeat.data_centre, source)
+        stamp = (heartbeat.incarnation, heartbeat.sent_at_ms)
+        if stamp <= (member.incarnation, member.sent_at_ms):
+            return None
+        if self._name in heartbeat.suspected:
+            # Also when the peer is dead to us: otherwise two processes that declared
+            # each other dead would wait for each other's new incarnation.
+            self._incarnation += 1
+            member.send_at = min(
+                member.send_at, member.sent_at + self._interval(member) / 2
+            )
+        if (
+            member.status is MemberStatus.DEAD
+            and heartbeat.incarnation <= member.incarnation
+        ):
+            return None
+        if heartbeat.incarnation != member.incarnation:
+            member.demand = {}
+        self._take(member, heartbeat, source)
+        return member
+
+    def tick(self):
+        """Judge silent peers; return (member, previous status) for each change."""
+        now = self._clock.monotonic()
+        changes = []
+        for member in list(self._members.values()):
+            if member.status is MemberStatus.UNKNOWN:
+                continue
+            silence = now - member.heard_at
+            status = MemberStatus.ALIVE
+            if silence >= DEAD_S:
+                status = MemberStatus.DEAD
+            elif silence >= MISSED_BEFORE_SUSPICION * self._interval(member):
+                status = MemberStatus.SUSPECTED
+            if status is not member.status:
+                changes.append((member, member.status))
+                member.status = status
+            if silence >= FORGET_S:
+                self._forget(member)
+        return changes
+
+    def due(self):
+        """Return the members to send a heartbeat to now, and schedule the next."""
+        now = self._clock.monotonic()
+        members = [m for m in self._members.values() if m.send_at <= now]
+        for member in members:
+            interval = self._interval(member)
+            if member.status is MemberStatus.DEAD:
+                interval = DEAD_PROBE_INTERVAL_S
+            member.sent_at = now
+            member.send_at = max(member.send_at + interval, now + interval / 2)
+        return members
+
+    def hurry(self):
+        """Send to all live peers as soon as URGENT_SPACING_S permits."""
+        for member in self.live():
+            member.send_at = min(member.send_at, member.sent_at + URGENT_SPACING_S)
+
+    def doubts(self, member):
+        """Return whether the heartbeat to ``member`` must say that it is unheard."""
+        return member.status in (MemberStatus.SUSPECTED, MemberStatus.DEAD)
+
+    def pull_source(self, seq):
+        """Return a random live member that has staged more than ``seq``, or None."""
+        ahead = [m for m in self.live() if m.staged > seq]
+        local = [m for m in ahead if m.data_centre == self._data_centre]
+        return self._rng.choice(local or ahead) if ahead else None
+
+    def _add(self, name, data_centre, address, is_seed=False):
+        member = Member(name, data_centre, address, is_seed)
+        # Heartbeats to several peers are spread over the interval.
+        member.send_at = self._clock.monotonic() + self._rng.uniform(
+            0, self._interval(member) / 2
+        )
+        self._members[name] = member
+        return member
+
+    def _take(self, member, heartbeat, source):
+        member.data_centre = heartbeat.data_centre
+        member.address = heartbeat.address or source
+        member.status = MemberStatus.ALIVE
+        member.incarnation = heartbeat.incarnation
+        member.sent_at_ms = heartbeat.sent_at_ms
+        member.seq = heartbeat.seq
+        member.staged = heartbeat.staged
+        member.sender_incarnation = heartbeat.sender_incarnation
+        member.sender_seq = heartbeat.sender_seq
+        member.eligible = heartbeat.eligible
+        member.busy_hosts = frozenset(heartbeat.busy_hosts)
+        member.suspects_us = self._name in heartbeat.suspected
+        member.heard_at = self._clock.monotonic()
+        for item in heartbeat.demand:
+            member.demand[item.service] = item
+
+    def _interval(self, member):
+        if member.data_centre == self._data_centre:
+            return LOCAL_INTERVAL_S
+        return REMOTE_INTERVAL_S
+
+    def _forget(self, member):
+        if not member.is_seed:
+            del self._members[member.name]
+            return
+        member.status = MemberStatus.UNKNOWN
+        member.incarnation = 0
+        member.sent_at_ms = 0
+
+
+class LeavingHosts:
+    """
+    Hosts that get no new work because some sign says that they leave.
+
+    Signs of this host's own processes are spread to peers while they last. Signs
+    heard from a peer are used but not spread on, so that they end with their
+    origin. A repeated sign lasts anew.
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._own = {}
+        self._heard = {}
+        self._offset = 0
+
+    def sign(self, hosts):
+        """Take signs that this host's processes saw; return whether any is new."""
+        return self._extend(self._own, hosts, LEAVING_S)
+
+    def hear(self, hosts):
+        """Take signs of a peer; return whether any is new."""
+        return self._extend(self._heard, hosts, HEARD_LEAVING_S)
+
+    def clear(self, hosts):
+        """Forget signs of hosts that were assigned to a pool again."""
+        for host in hosts:
+            self._own.pop(host, None)
+            self._heard.pop(host, None)
+
+    def current(self):
+        """Return the names of the hosts that leave, sorted."""
+        return sorted(set(self._live(self._own)) | set(self._live(self._heard)))
+
+    def to_send(self):
+        """Return the own signs for the next heartbeats, the newest ones always."""
+        own = sorted(self._live(self._own), key=self._own.get, reverse=True)
+        newest, rest = own[: MAX_LEAVING_SENT // 2], own[MAX_LEAVING_SENT // 2 :]
+        if not rest:
+            return newest
+        self._offset = (self._offset + MAX_LEAVING_SENT // 2) % len(rest)
+        turned = rest[self._offset :] + rest[: self._offset]
+        return newest + turned[: MAX_LEAVING_SENT // 2]
+
+    def _extend(self, table, hosts, duration_s):
+        known = set(self.current())
+        expires = self._clock.monotonic() + duration_s
+        for host in hosts:
+            table[host] = expires
+        return not known.issuperset(hosts)
+
+    def _live(self, table):
+        now = self._clock.monotonic()
+        for host in [host for host, expires in table.items() if expires <= now]:
+            del table[host]
+        return table
+
+
+class DemandDifferences:
+    """
+    Chooses which services' demand goes into the next heartbeats.
+
+    The services that changed most since they were last sent come first, up to
+    MAX_DEMAND_SENT, and DEMAND_REFRESH others in turn make good what was lost.
+    """
+
+    def __init__(self):
+        self._sent = {}
+        self._turn = 0
+
+    def select(self, demand):
+        """Return the :class:`Demand` items to send of the present demand."""
+        present = {item.service: item for item in demand}
+        for service in self._sent:
+            present.setdefault(service, Demand(service))
+        changed = sorted(
+            (s for s in present if present[s] != self._sent.get(s)),
+            key=lambda s: (-self._distance(present[s]), s),
+        )[:MAX_DEMAND_SENT]
+        chosen = changed + self._refresh([s for s in present if s not in changed])
+        for service in chosen:
+            self._sent[service] = present[service]
+        return [present[service] for service in chosen]
+
+    def _distance(self, item):
+        sent = self._sent.get(item.service, Demand())
+        return abs(item.queued - sent.queued) + abs(item.in_flight - sent.in_flight)
+
+    def _refresh(self, others):
+        if not others:
+            return []
+        self._turn += 1
+        others.sort()
+        start = self._turn * DEMAND_REFRESH
+        return [others[(start + n) % len(others)] for n in range(DEMAND_REFRESH)]
