--- /dev/null
+++ b/magnoliapier/request_policies.py
@@ -0,0 +1,167 @@
+"""
+Request policies to compare the Dispatcher with, by name.
+
+Each is a factory ``policy(clock, random, name, data_centre)`` that returns an
+implementation of RequestDecisions for the replay.
+"""
+
+from collections import deque
+
+from magnoliapier.reasons import RefusalReason, RunState
+from magnoliapier.registry import Registry
+from magnoliapier.request_tables import Dispatch, Refusal, SendOutcome
+
+policies = Registry("request policy")
+FAILURES = frozenset(SendOutcome) - {SendOutcome.OK, SendOutcome.CALLER_GONE}
+
+
+@policies.register("fifo")
+class FifoPolicy:
+    """
+    One FIFO queue for each service, round robin over endpoints with a free slot.
+
+    Each entry host counts only its own requests, so several entry hosts together
+    can exceed an endpoint's slots; a busy answer queues the request again first.
+    """
+
+    def __init__(self, clock, random, name, data_centre):
+        self._clock = clock
+        self._random = random
+        self._name = name
+        self._data_centre = data_centre
+        self._queues = {}
+        self._endpoints = {}
+        self._peers = {}
+        self._in_flight = {}
+        self._next = 0
+
+    def arrive(self, request):
+        """Queue the request."""
+        if request.service not in self._queues:
+            reason = RefusalReason.UNKNOWN_SERVICE
+            return [Refusal(request, reason, RunState.NOT_RUN)]
+        self._enqueue(request)
+        return self._start(request.service)
+
+    def cancel(self, request_id):
+        """Mark a queued request, which is dropped when its turn comes."""
+        for queue in self._queues.values():
+            for request in queue:
+                if request.request_id == request_id:
+                    request.cancelled = True
+        return []
+
+    def complete(self, request, result):
+        """Free the slot; retry what provably did not run, refuse other failures."""
+        endpoint = self._in_flight.pop(request.request_id)
+        endpoint.in_flight -= 1
+        decisions = []
+        if result.outcome in FAILURES:
+            decisions = self._handle_failure(request, result)
+        return decisions + self._start(request.service)
+
+    def _handle_failure(self, request, result):
+        if result.run_state is RunState.NOT_RUN and not request.cancelled:
+            request.excluded.add(request.endpoint)
+            if len(request.excluded) < len(self._endpoints[request.service]):
+                self._queues[request.service].appendleft(request)
+                return []
+        state = result.run_state
+        if request.attempts > 1 or state is not RunState.NOT_RUN:
+            state = RunState.UNKNOWN
+        return [Refusal(request, RefusalReason.ENDPOINT_FAILED, state)]
+
+    def tick(self):
+        """Start what can start."""
+        return [d for service in self._queues for d in self._start(service)]
+
+    def set_fleet(self, manifest, endpoints):
+        """Replace the endpoints; keep the counts of those that stay."""
+        known = {e.name: e for group in self._endpoints.values() for e in group}
+        self._endpoints = {service: [] for service in manifest.services}
+        for endpoint in endpoints:
+            previous = known.get(endpoint.name)
+            if previous is not None:
+                previous.leaving = endpoint.leaving
+                endpoint = previous
+            self._endpoints[endpoint.service].append(endpoint)
+        for service in manifest.services:
+            self._queues.setdefault(service, self._make_queue())
+        return self.tick()
+
+    def set_peers(self, demand):
+        """Keep the peers' demand."""
+        self._peers = demand
+        return []
+
+    def mark_leaving(self, host):
+        """Stop new work for a host."""
+        for group in self._endpoints.values():
+            for endpoint in group:
+                if endpoint.host == host:
+                    endpoint.leaving = True
+        return []
+
+    def demand(self):
+        """Return queued and in-flight requests of each service."""
+        return {
+            service: (
+                len(queue),
+                sum(e.in_flight for e in self._endpoints[service]),
+            )
+            for service, queue in self._queues.items()
+        }
+
+    def _make_queue(self):
+        return deque()
+
+    def _enqueue(self, request):
+        self._queues[request.service].append(request)
+
+    def _take(self, service):
+        return self._queues[service].popleft()
+
+    def _limit(self, endpoint):
+        """Return how many requests this entry host may have on an endpoint."""
+        return endpoint.slots
+
+    def _choose(self, request):
+        group = self._endpoints[request.service]
+        for step in range(len(group)):
+            endpoint = group[(self._next + step) % len(group)]
+            if (
+                endpoint.in_flight < self._limit(endpoint)
+                and not endpoint.leaving
+                and endpoint.name not in request.excluded
+            ):
+                self._next += step + 1
+                return endpoint
+        return None
+
+    def _start(self, service):
+        decisions = []
+        now = self._clock.monotonic()
+        queue = self._queues[service]
+        while queue:
+            request = self._take(service)
+            if request.cancelled:
+                continue
+            if request.deadline <= now:
+                state = RunState.UNKNOWN if request.attempts else RunState.NOT_RUN
+                reason = RefusalReason.DEADLINE_PASSED
+                decisions.append(Refusal(request, reason, state))
+                continue
+            endpoint = self._choose(request)
+            if endpoint is None:
+                self._put_back(request)
+                break
+            request.attempts += 1
+            request.started = now
+            request.endpoint = endpoint.name
+            endpoint.in_flight += 1
+            self._in_flight[request.request_id] = endpoint
+            decisions.append(Dispatch(request, endpoint))
+        return decisions
+
+    def _put_back(self, request):
+        self._queues[request.service].appendleft(request)
