Add the request decisions and the baselines to compare them with

Cause: requests need one scheduler that is fair by slot time and keeps short work ahead of long work. Conclusion: the alternatives can be measured against each other.

--- /dev/null
+++ b/magnoliapier/dispatcher.py
@@ -0,0 +1,413 @@
+"""The request decisions of one entry host, as one object without threads or I/O."""
+
+from collections import OrderedDict
+
+from magnoliapier.admission import check_arrival, choose_victim, is_hopeless, refuse
+from magnoliapier.ejection import FAILURE_WEIGHTS, Ejections, KindFailures
+from magnoliapier.estimates import RunTimeEstimates
+from magnoliapier.reasons import RefusalReason, RunState
+from magnoliapier.request_tables import Dispatch, Retry, SendOutcome
+from magnoliapier.retries import (
+    FINAL_REASONS,
+    RETRY_REASONS,
+    RetryBudget,
+    may_retry,
+)
+from magnoliapier.routing import EndpointPool
+from magnoliapier.scheduling import ServiceQueue
+from magnoliapier.slots import SlotShares
+
+# A sign that a host is leaving counts this long even if the fleet state does not
+# confirm it; the design allows the state to lag by seconds.
+LEAVING_HOLD_S = 10.0
+# Requests that wait for an endpoint they were not sent to yet, looked at again
+# when another request ends.
+PARKED_PER_END = 2
+
+
+class ServiceState:
+    """The tables of one service at this entry host."""
+
+    def __init__(self, name, estimates, entry, data_centre, random):
+        self.name = name
+        self.queue = ServiceQueue(estimates)
+        self.ejections = Ejections()
+        self.pool = EndpointPool(data_centre, random, self.ejections)
+        self.shares = SlotShares(entry, data_centre)
+        self.parked = OrderedDict()
+        self.peers = []
+        self.reported = None
+
+    @property
+    def demand(self):
+        """The queued and in-flight requests."""
+        return (self.queue.queued + len(self.parked), self.pool.in_flight)
+
+    def set_endpoints(self, endpoints):
+        """Replace the endpoints; those that stay keep their counts and health."""
+        kept = {}
+        for endpoint in endpoints:
+            entry = self.pool.endpoints.get(endpoint.name)
+            if entry is None:
+                entry = endpoint
+            else:
+                entry.address = endpoint.address
+                entry.slots = endpoint.slots
+            kept[entry.name] = entry
+        self.ejections.set_endpoints(kept)
+        self.shares.set_endpoints(kept.values())
+        self.pool.replace(kept)
+
+    def update_shares(self, peers_age_s):
+        """Recompute the share of each endpoint's slots."""
+        demand = sum(self.demand if self.reported is None else self.reported)
+        shares = self.shares.shares(self.peers, demand, peers_age_s)
+        for endpoint in self.pool.endpoints.values():
+            share = shares.get(endpoint.name, 0)
+            if share != endpoint.share:
+                endpoint.share = share
+                self.pool.refresh(endpoint)
+
+    def wake(self, now):
+        """Let endpoints take work again whose pause, ejection or hold has ended."""
+        for name in self.ejections.wake(now):
+            self.pool.refresh(self.pool.endpoints[name])
+        self.pool.release_due(now)
+
+
+class Dispatcher:
+    """
+    Decides what happens to each request; implements RequestDecisions.
+
+    ``random`` is a seeded ``random.Random``. ``max_queue`` bounds the queued
+    requests of all services together. Calls must not overlap.
+
+    Example::
+
+        dispatcher = Dispatcher(clock, random.Random(1), "entry-1", "dc-1")
+        dispatcher.set_fleet(manifest, endpoints)
+        decisions = dispatcher.arrive(request)
+    """
+
+    estimates_class = RunTimeEstimates
+
+    def __init__(self, clock, random, name, data_centre, max_queue=2000, metrics=None):
+        self._clock = clock
+        self._random = random
+        self._name = name
+        self._data_centre = data_centre
+        self._max_queue = max_queue
+        self._metrics = metrics
+        self._services = {}
+        self._organisations = {}
+        self._queues = {}
+        self._queued = {}
+        self._flights = {}
+        self._ran = {}
+        self._budget = RetryBudget()
+        self._failures = KindFailures()
+        self._leaving_signs = {}
+        self._fleet_leaving = set()
+        self._peers_at = None
+
+    # Requests.
+
+    def arrive(self, request):
+        """Admit a request or refuse it, and start what can start."""
+        now = self._clock.monotonic()
+        service = self._services.get(request.service)
+        refusal = self._check(service, request)
+        if refusal is None:
+            service.queue.slots = service.pool.usable
+            refusal = check_arrival(
+                service.queue, request, service.pool.has_room, now, self._random
+            )
+        if refusal is not None:
+            return [self._count_refusal(refusal)]
+        decisions = []
+        if len(self._queued) >= self._max_queue:
+            victim = choose_victim(self._queues, request)
+            if victim is request:
+                return [self._refuse(request, RefusalReason.QUEUE_FULL)]
+            self._unqueue(victim)
+            decisions.append(self._refuse(victim, RefusalReason.FAIR_SHARE))
+        self._budget.deposit(request.service, request.organisation)
+        self._queued[request.request_id] = request
+        service.queue.add(request, now)
+        decisions.extend(self._start(service, now))
+        return decisions
+
+    def _check(self, service, request):
+        """Return a Refusal of a request that no state of load could admit."""
+        if not self._services:
+            return refuse(request, RefusalReason.NO_MANIFEST)
+        if service is None:
+            return refuse(request, RefusalReason.UNKNOWN_SERVICE)
+        if request.organisation not in self._organisations:
+            return refuse(request, RefusalReason.UNKNOWN_ORGANISATION)
+        if request.request_id in self._queued or request.request_id in self._flights:
+            return refuse(request, RefusalReason.BAD_REQUEST)
+        if not service.pool.has_staying:
+            return refuse(request, RefusalReason.NO_ENDPOINT)
+        return None
+
+    def cancel(self, request_id):
+        """Drop a queued request whose caller left; one in flight is not retried."""
+        flight = self._flights.get(request_id)
+        if flight is not None:
+            flight.request.cancelled = True
+            return []
+        request = self._queued.get(request_id)
+        if request is None:
+            return []
+        request.cancelled = True
+        self._unqueue(request)
+        return [self._refuse(request, RefusalReason.CALLER_GONE)]
+
+    def complete(self, request, result):
+        """Free the slot, learn from the result, retry or refuse, start others."""
+        flight = self._flights.get(request.request_id)
+        if flight is None or flight.request is not request:
+            return []
+        del self._flights[request.request_id]
+        now = self._clock.monotonic()
+        service = flight.service
+        outcome = result.outcome
+        service.pool.end(flight.endpoint)
+        service.queue.end(flight, now, ran=outcome is SendOutcome.OK)
+        self._judge_endpoint(service, flight.endpoint, request, result, now)
+        decisions = []
+        if outcome is SendOutcome.OK:
+            self._ran.pop(request.request_id, None)
+        else:
+            decisions.append(self._follow_up(service, flight, result, now))
+        for _ in range(min(len(service.parked), PARKED_PER_END)):
+            self._unpark(service, now)
+        decisions.extend(self._start(service, now))
+        return decisions
+
+    def _judge_endpoint(self, service, endpoint, request, result, now):
+        outcome = result.outcome
+        if service.pool.endpoints.get(endpoint.name) is not endpoint:
+            return
+        if outcome is SendOutcome.BUSY:
+            service.pool.hold_busy(endpoint, now)
+        elif outcome is SendOutcome.DRAINING:
+            self._sign_leaving(endpoint.host, now)
+        elif outcome is SendOutcome.OK:
+            service.pool.release(endpoint)
+            self._failures.add(request, False)
+            if service.ejections.observe(endpoint.name, result, 0.0, now):
+                service.pool.refresh(endpoint)
+        elif outcome in FAILURE_WEIGHTS:
+            blame = self._failures.add(request, True)
+            if service.ejections.observe(endpoint.name, result, blame, now):
+                service.pool.refresh(endpoint)
+
+    def _follow_up(self, service, flight, result, now):
+        """Return the Retry or Refusal that follows a send that failed."""
+        request = flight.request
+        request.excluded.add(flight.endpoint.name)
+        if result.run_state is not RunState.NOT_RUN:
+            self._ran[request.request_id] = self._ran.get(request.request_id, 0) + 1
+        if request.cancelled:
+            return self._refuse(request, RefusalReason.CALLER_GONE)
+        reason = FINAL_REASONS[result.outcome]
+        attempts = self._ran.get(request.request_id, 0)
+        if may_retry(request, result, attempts, now) and service.pool.has_alternative(
+            request
+        ):
+            if self._budget.withdraw(
+                request.service, request.organisation, result.run_state
+            ):
+                return self._retry(service, request, result, now)
+            reason = RefusalReason.RETRY_BUDGET
+        return self._refuse(request, reason)
+
+    def _retry(self, service, request, result, now):
+        self._queued[request.request_id] = request
+        service.queue.add(request, now, first=True)
+        reason = RETRY_REASONS[result.outcome]
+        if self._metrics is not None:
+            self._metrics.count("retries_total", reason=reason.value)
+        return Retry(request, reason)
+
+    def _refuse(self, request, reason):
+        """Return a Refusal with what is known of the request's earlier sends."""
+        ran = self._ran.pop(request.request_id, None)
+        state = RunState.UNKNOWN if ran else RunState.NOT_RUN
+        return self._count_refusal(refuse(request, reason, run_state=state))
+
+    def _count_refusal(self, refusal):
+        if self._metrics is not None:
+            self._metrics.count("refusals_total", reason=refusal.reason.value)
+        return refusal
+
+    def _unqueue(self, request):
+        del self._queued[request.request_id]
+        service = self._services[request.service]
+        if service.parked.pop(request.request_id, None) is None:
+            service.queue.remove(request)
+
+    # Starting.
+
+    def _start(self, service, now):
+        """Start queued requests while endpoints have room."""
+        queue, pool = service.queue, service.pool
+        queue.slots = pool.usable
+        queue.check_overdue(now)
+        decisions = []
+        while queue.queued and pool.has_room:
+            request = queue.next_request()
+            if request is None:
+                break
+            reason = self._late_reason(queue, request, now)
+            if reason is not None:
+                self._unqueue(request)
+                decisions.append(self._refuse(request, reason))
+                continue
+            endpoint = pool.choose(request)
+            if endpoint is None:
+                queue.remove(request)
+                service.parked[request.request_id] = request
+                continue
+            decisions.append(self._dispatch(service, request, endpoint, now))
+        return decisions
+
+    def _late_reason(self, queue, request, now):
+        if request.deadline <= now:
+            return RefusalReason.DEADLINE_PASSED
+        if is_hopeless(queue, request, now):
+            return RefusalReason.DEADLINE_UNREACHABLE
+        return None
+
+    def _dispatch(self, service, request, endpoint, now):
+        del self._queued[request.request_id]
+        flight = service.queue.start(request, now)
+        flight.endpoint = endpoint
+        flight.service = service
+        self._flights[request.request_id] = flight
+        service.pool.begin(endpoint)
+        request.started = now
+        request.endpoint = endpoint.name
+        request.attempts += 1
+        return Dispatch(request, endpoint)
+
+    def _unpark(self, service, now):
+        _, request = service.parked.popitem(last=False)
+        service.queue.add(request, now, first=True)
+
+    # Time, fleet and peers.
+
+    def tick(self):
+        """Drop late requests, wake endpoints, adapt reserves and start requests."""
+        now = self._clock.monotonic()
+        self._forget_signs(now)
+        decisions = []
+        for service in self._services.values():
+            for _ in range(len(service.parked)):
+                self._unpark(service, now)
+            for request in service.queue.expire(now):
+                del self._queued[request.request_id]
+                reason = RefusalReason.DEADLINE_PASSED
+                decisions.append(self._refuse(request, reason))
+            service.wake(now)
+            service.queue.update_reserve(now)
+            if self._peers_at is not None and now > self._peers_at:
+                service.update_shares(now - self._peers_at)
+            decisions.extend(self._start(service, now))
+        return decisions
+
+    def set_fleet(self, manifest, endpoints):
+        """Replace services, organisations and endpoints."""
+        now = self._clock.monotonic()
+        self._organisations = {
+            name: declared.weight for name, declared in manifest.organisations.items()
+        }
+        decisions = self._remove_services(manifest.services)
+        self._budget.forget(manifest.services, manifest.organisations)
+        groups = {name: [] for name in manifest.services}
+        for endpoint in endpoints:
+            if endpoint.service in groups:
+                groups[endpoint.service].append(endpoint)
+        leaving = {endpoint.host for endpoint in endpoints if endpoint.leaving}
+        for host in self._fleet_leaving - leaving:
+            self._leaving_signs.pop(host, None)
+        self._fleet_leaving = leaving
+        for name, declared in manifest.services.items():
+            decisions.extend(self._set_service(name, declared, groups[name], now))
+        return decisions
+
+    def _set_service(self, name, declared, endpoints, now):
+        service = self._services.get(name)
+        if service is None:
+            estimates = self.estimates_class(declared)
+            service = ServiceState(
+                name, estimates, self._name, self._data_centre, self._random
+            )
+            self._services[name] = service
+            self._queues[name] = service.queue
+        service.queue.estimates.set_service(declared)
+        service.queue.estimates.forget_organisations(self._organisations)
+        service.queue.set_organisations(self._organisations)
+        service.set_endpoints(endpoints)
+        for endpoint in service.pool.endpoints.values():
+            self._set_leaving(service, endpoint)
+        age = 0.0 if self._peers_at is None else now - self._peers_at
+        service.update_shares(age)
+        return self._start(service, now)
+
+    def _remove_services(self, kept):
+        decisions = []
+        removed = [name for name in self._services if name not in kept]
+        for name in removed:
+            waiting = [r for r in self._queued.values() if r.service == name]
+            for request in waiting:
+                self._unqueue(request)
+                decisions.append(self._refuse(request, RefusalReason.UNKNOWN_SERVICE))
+            del self._services[name]
+            del self._queues[name]
+        return decisions
+
+    def set_peers(self, demand):
+        """Replace peers' demand and recompute the shares of slots."""
+        now = self._clock.monotonic()
+        self._peers_at = now
+        decisions = []
+        for name, service in self._services.items():
+            service.peers = demand.get(name, [])
+            service.update_shares(0.0)
+            decisions.extend(self._start(service, now))
+        return decisions
+
+    def mark_leaving(self, host):
+        """Stop new work for all endpoints of a host."""
+        self._sign_leaving(host, self._clock.monotonic())
+        return []
+
+    def _sign_leaving(self, host, now):
+        self._leaving_signs[host] = now
+        self._refresh_host(host)
+
+    def _forget_signs(self, now):
+        old = [h for h, t in self._leaving_signs.items() if now - t > LEAVING_HOLD_S]
+        for host in old:
+            del self._leaving_signs[host]
+            self._refresh_host(host)
+
+    def _refresh_host(self, host):
+        for service in self._services.values():
+            for endpoint in service.pool.endpoints_on(host):
+                self._set_leaving(service, endpoint)
+
+    def _set_leaving(self, service, endpoint):
+        host = endpoint.host
+        leaving = host in self._fleet_leaving or host in self._leaving_signs
+        service.pool.set_leaving(endpoint, leaving)
+
+    def demand(self):
+        """Return the queued and in-flight requests of each service."""
+        result = {name: service.demand for name, service in self._services.items()}
+        for name, service in self._services.items():
+            service.reported = result[name]
+        return result
--- a/magnoliapier/request_policies.py
+++ b/magnoliapier/request_policies.py
@@ -5,11 +5,18 @@
 implementation of RequestDecisions for the replay.
 """
 
-from collections import deque
+from collections import OrderedDict, deque
 
+from magnoliapier.dispatcher import Dispatcher
+from magnoliapier.estimates import PROVEN_RUNS, KindEstimate, RunTimeEstimates
 from magnoliapier.reasons import RefusalReason, RunState
 from magnoliapier.registry import Registry
-from magnoliapier.request_tables import Dispatch, Refusal, SendOutcome
+from magnoliapier.request_tables import (
+    Dispatch,
+    Refusal,
+    SendOutcome,
+    WorkClass,
+)
 
 policies = Registry("request policy")
 FAILURES = frozenset(SendOutcome) - {SendOutcome.OK, SendOutcome.CALLER_GONE}
@@ -165,3 +172,95 @@
 
     def _put_back(self, request):
         self._queues[request.service].appendleft(request)
+
+
+class OrganisationTurns:
+    """A queue that serves organisations in turn, one request each."""
+
+    def __init__(self):
+        self._turns = OrderedDict()
+        self._length = 0
+
+    def __len__(self):
+        return self._length
+
+    def __iter__(self):
+        for queue in self._turns.values():
+            yield from queue
+
+    def append(self, request):
+        """Queue a request last."""
+        self._turns.setdefault(request.organisation, deque()).append(request)
+        self._length += 1
+
+    def appendleft(self, request):
+        """Queue a request first."""
+        self._turns.setdefault(request.organisation, deque()).appendleft(request)
+        self._turns.move_to_end(request.organisation, last=False)
+        self._length += 1
+
+    def popleft(self):
+        """Take the next organisation's first request."""
+        name, queue = next(iter(self._turns.items()))
+        request = queue.popleft()
+        self._length -= 1
+        if queue:
+            self._turns.move_to_end(name)
+        else:
+            del self._turns[name]
+        return request
+
+
+@policies.register("round_robin")
+class RoundRobinPolicy(FifoPolicy):
+    """Organisations in turn by number of requests, whatever their run times."""
+
+    def _make_queue(self):
+        return OrganisationTurns()
+
+
+@policies.register("static_split")
+class StaticSplitPolicy(FifoPolicy):
+    """FIFO, with the slots of each endpoint divided evenly among entry hosts."""
+
+    def _limit(self, endpoint):
+        names = {peer.name for peers in self._peers.values() for peer in peers}
+        return max(endpoint.slots // (len(names) + 1), 1)
+
+
+@policies.register("unlimited_retries")
+class UnlimitedRetriesPolicy(FifoPolicy):
+    """FIFO, repeating idempotent requests on other endpoints until none is left."""
+
+    def _handle_failure(self, request, result):
+        request.excluded.add(request.endpoint)
+        allowed = request.idempotent or result.run_state is RunState.NOT_RUN
+        left = len(request.excluded) < len(self._endpoints[request.service])
+        if allowed and left and not request.cancelled:
+            self._queues[request.service].appendleft(request)
+            return []
+        state = RunState.UNKNOWN
+        return [Refusal(request, RefusalReason.ENDPOINT_FAILED, state)]
+
+
+class TrueRunTimes(RunTimeEstimates):
+    """Estimates that read the true run time from the request's Arrival."""
+
+    def find(self, request):
+        """Return an estimate that is the truth about this one request."""
+        seconds = request.payload.run_s
+        long = seconds > self.threshold_s
+        work_class = WorkClass.LONG if long else WorkClass.SHORT
+        return KindEstimate(seconds, work_class, float(long), PROVEN_RUNS)
+
+
+@policies.register("oracle")
+class OraclePolicy(Dispatcher):
+    """The Dispatcher with the true run time and class of each request."""
+
+    estimates_class = TrueRunTimes
+
+
+@policies.register("dispatcher")
+class DispatcherPolicy(Dispatcher):
+    """The decisions that are in service."""
--- /dev/null
+++ b/magnoliapier/routing.py
@@ -0,0 +1,199 @@
+"""The choice of an endpoint for a request."""
+
+from magnoliapier.ejection import UNLIMITED
+
+# Random picks before a request with excluded endpoints looks through all.
+PICKS = 8
+# About the time between reports of peers, after which shares may fit again.
+BUSY_HOLD_S = 0.5
+
+
+class IndexedSet:
+    """A set with random choice, insertion and removal in constant time."""
+
+    def __init__(self):
+        self._items = []
+        self._places = {}
+
+    def __len__(self):
+        return len(self._items)
+
+    def __iter__(self):
+        return iter(self._items)
+
+    def add(self, item):
+        """Add a hashable item; one that is present stays."""
+        if item not in self._places:
+            self._places[item] = len(self._items)
+            self._items.append(item)
+
+    def discard(self, item):
+        """Remove an item if it is present."""
+        place = self._places.pop(item, None)
+        if place is None:
+            return
+        last = self._items.pop()
+        if place < len(self._items):
+            self._items[place] = last
+            self._places[last] = place
+
+    def pick(self, random):
+        """Return a random item."""
+        return self._items[int(random.random() * len(self._items))]
+
+
+class EndpointPool:
+    """
+    The endpoints of one service, and which of them can take a request now.
+
+    Endpoints of the own data centre come first. Of two random ones with room the
+    less loaded is taken, which costs the same for any number of endpoints.
+    """
+
+    def __init__(self, data_centre, random, ejections):
+        self._data_centre = data_centre
+        self._random = random
+        self._ejections = ejections
+        self._near = IndexedSet()
+        self._far = IndexedSet()
+        self._caps = {}
+        self._holds = {}
+        self._hosts = {}
+        self._staying = 0
+        self.endpoints = {}
+        self.usable = 0
+        self.in_flight = 0
+
+    @property
+    def has_room(self):
+        """Whether some endpoint can take a request now."""
+        return len(self._near) > 0 or len(self._far) > 0
+
+    @property
+    def has_staying(self):
+        """Whether some endpoint is not leaving."""
+        return self._staying > 0
+
+    def endpoints_on(self, host):
+        """Return the endpoints of a host."""
+        return self._hosts.get(host, ())
+
+    def set_leaving(self, endpoint, leaving):
+        """Stop new work for an endpoint, or allow it again."""
+        if endpoint.leaving != leaving:
+            endpoint.leaving = leaving
+            self._staying += -1 if leaving else 1
+            self.refresh(endpoint)
+
+    def replace(self, endpoints):
+        """Set the endpoints, a dict from name to EndpointEntry."""
+        self.endpoints = endpoints
+        self._near = IndexedSet()
+        self._far = IndexedSet()
+        self._caps = {}
+        self.usable = 0
+        self.in_flight = sum(e.in_flight for e in endpoints.values())
+        self._hosts = {}
+        for endpoint in endpoints.values():
+            self._hosts.setdefault(endpoint.host, []).append(endpoint)
+            self.refresh(endpoint)
+        self._staying = sum(not e.leaving for e in endpoints.values())
+
+    def refresh(self, endpoint):
+        """Take note of a change of an endpoint's share, health or load."""
+        health = self._ejections.health(endpoint.name)
+        endpoint.ejected = health.state == "ejected"
+        stopped = endpoint.leaving or health.until > 0.0
+        cap = 0 if stopped else min(endpoint.share, health.limit)
+        hold = self._holds.get(endpoint.name)
+        if hold is not None:
+            cap = min(cap, hold[0])
+        self.usable += cap - self._caps.get(endpoint.name, 0)
+        self._caps[endpoint.name] = cap
+        self._place(endpoint, cap)
+
+    def _place(self, endpoint, cap):
+        group = self._near if endpoint.data_centre == self._data_centre else self._far
+        if endpoint.in_flight < cap:
+            group.add(endpoint.name)
+        else:
+            group.discard(endpoint.name)
+
+    def hold_busy(self, endpoint, now):
+        """Send an endpoint that was busy no more than it runs for us, for a while."""
+        self._holds[endpoint.name] = (endpoint.in_flight, now + BUSY_HOLD_S)
+        self.refresh(endpoint)
+
+    def release(self, endpoint):
+        """End the hold of an endpoint, one of whose slots became free."""
+        if self._holds.pop(endpoint.name, None) is not None:
+            self.refresh(endpoint)
+
+    def release_due(self, now):
+        """End the holds that have lasted long enough."""
+        for name in [name for name, hold in self._holds.items() if hold[1] <= now]:
+            del self._holds[name]
+            if name in self.endpoints:
+                self.refresh(self.endpoints[name])
+
+    def begin(self, endpoint):
+        """Count a request that starts on an endpoint."""
+        endpoint.in_flight += 1
+        self.in_flight += 1
+        self._place(endpoint, self._caps[endpoint.name])
+
+    def end(self, endpoint):
+        """Count a request that ended on an endpoint."""
+        endpoint.in_flight -= 1
+        if self.endpoints.get(endpoint.name) is endpoint:
+            self.in_flight -= 1
+            self._place(endpoint, self._caps[endpoint.name])
+
+    def choose(self, request):
+        """Return an endpoint with room that the request may use, or None."""
+        return self._choose_from(self._near, request) or self._choose_from(
+            self._far, request
+        )
+
+    def _choose_from(self, group, request):
+        if not group:
+            return None
+        first = self._pick(group, request)
+        if first is None:
+            return None
+        if len(group) == 1:
+            return first
+        second = self._pick(group, request)
+        return first if self._load(first) <= self._load(second) else second
+
+    def _pick(self, group, request):
+        for _ in range(PICKS):
+            endpoint = self.endpoints[group.pick(self._random)]
+            if self._allows(endpoint, request):
+                return endpoint
+        for name in group:
+            if self._allows(self.endpoints[name], request):
+                return self.endpoints[name]
+        return None
+
+    def _allows(self, endpoint, request):
+        if endpoint.name in request.excluded:
+            return False
+        # Only idempotent requests probe an endpoint that is not trusted.
+        if request.idempotent:
+            return True
+        return self._ejections.health(endpoint.name).limit == UNLIMITED
+
+    def _load(self, endpoint):
+        health = self._ejections.health(endpoint.name)
+        return (endpoint.in_flight + 1 + health.score) / endpoint.share
+
+    def has_alternative(self, request):
+        """Return whether an endpoint is left that the request was not sent to."""
+        if len(request.excluded) < len(self.endpoints):
+            excluded = request.excluded
+            return any(
+                not endpoint.leaving and name not in excluded
+                for name, endpoint in self.endpoints.items()
+            )
+        return False
--- /dev/null
+++ b/magnoliapier/scheduling.py
@@ -0,0 +1,440 @@
+"""
+The queue of one service: which request starts next.
+
+Organisations share a service by start-time fair queueing in slot-seconds. Short
+work of an organisation that uses no more than its fair share of slots for it goes
+before all long work; beyond that it competes by the organisation's whole use. Long
+work may not use the slots reserved for short work. docs/decisions/scheduling.md
+gives the alternatives and their figures.
+"""
+
+import heapq
+import itertools
+import math
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from magnoliapier.request_tables import RequestEntry, WorkClass
+
+SHORT, LONG = WorkClass.SHORT, WorkClass.LONG
+# Requests of a kind not yet proven short that may be queued or run as short work
+# at once per organisation; enough to learn a kind within a few run times.
+TRIALS = 2
+# The reserve is the mean of short work in slots plus this many standard
+# deviations of a Poisson number of that mean.
+RESERVE_DEVIATIONS = 1.0
+# Short work seen within this time keeps at least one slot in reserve.
+RESERVE_MEMORY_S = 30.0
+DEMAND_WINDOW_S = 10.0
+# Overdue requests are charged again each time their run time doubles.
+CHECK_FACTOR = 2.0
+
+
+@dataclass(eq=False, slots=True)
+class OrganisationQueue:
+    """
+    What one organisation has queued and in flight at one service.
+
+    ``use_tag`` is its use of the service in slot-seconds over its weight, and
+    ``short_tag`` its use by short work alone. ``overdue`` counts requests in flight
+    that started as short work and outlived it.
+    """
+
+    name: str
+    weight: float
+    short: OrderedDict = field(default_factory=OrderedDict)
+    long: OrderedDict = field(default_factory=OrderedDict)
+    kinds: dict = field(default_factory=dict)
+    use_tag: float = 0.0
+    short_tag: float = 0.0
+    short_in_flight: int = 0
+    long_in_flight: int = 0
+    overdue: int = 0
+    trials: set = field(default_factory=set)
+    short_queued_s: float = 0.0
+    long_queued_s: float = 0.0
+    short_demand: float = 0.0
+    version: int = 0
+    active: bool = False
+
+    @property
+    def queued(self):
+        """The number of queued requests."""
+        return len(self.short) + len(self.long)
+
+    @property
+    def in_flight(self):
+        """The number of requests in flight."""
+        return self.short_in_flight + self.long_in_flight + self.overdue
+
+
+@dataclass(eq=False, slots=True)
+class Flight:
+    """
+    A request in flight.
+
+    ``counted`` is the counter of its organisation that it is part of, and
+    ``charged_s`` the slot-seconds charged so far.
+    """
+
+    request: RequestEntry
+    organisation: OrganisationQueue
+    estimate: object
+    counted: str
+    started: float
+    charged_s: float = 0.0
+    check_at: float = math.inf
+    endpoint: object = None
+    service: object = None
+
+
+class ServiceQueue:
+    """
+    The queue of one service, with constant or logarithmic cost per request.
+
+    Three heaps hold organisations: by short_tag those whose short work has
+    priority, by use_tag those with short work and those with long work. Entries
+    carry the organisation's version and are skipped once it changed.
+    """
+
+    def __init__(self, estimates):
+        self.estimates = estimates
+        self.organisations = {}
+        self.queued = 0
+        self.slots = 0
+        self.reserve = 0.0
+        self.long_in_flight = 0
+        self._weight_active = 0.0
+        self._virtual_use = 0.0
+        self._virtual_short = 0.0
+        self._priority = []
+        self._short = []
+        self._long = []
+        self._checks = []
+        self._deadlines = []
+        self._numbers = itertools.count()
+        self._last_short = -math.inf
+        self._updated = 0.0
+
+    # Organisations.
+
+    def set_organisations(self, weights):
+        """Take the weights of organisations; those without work are dropped."""
+        for name, weight in weights.items():
+            organisation = self.organisations.get(name)
+            if organisation is None:
+                self.organisations[name] = OrganisationQueue(name, weight)
+            else:
+                if organisation.active:
+                    self._weight_active += weight - organisation.weight
+                organisation.weight = weight
+        for name in list(self.organisations):
+            organisation = self.organisations[name]
+            if name not in weights and not organisation.active:
+                del self.organisations[name]
+
+    def fair_slots(self, organisation):
+        """Return the slots that an organisation may use while all others want all."""
+        active = self._weight_active
+        if not organisation.active:
+            active += organisation.weight
+        return self.slots * organisation.weight / active
+
+    def _activate(self, organisation):
+        if not organisation.active:
+            organisation.active = True
+            self._weight_active += organisation.weight
+        if not organisation.queued:
+            # Nobody saves up a claim to slots from a time without work.
+            organisation.use_tag = max(organisation.use_tag, self._virtual_use)
+            organisation.short_tag = max(organisation.short_tag, self._virtual_short)
+
+    def _settle(self, organisation):
+        """Put an organisation back into the heaps after a change of its state."""
+        organisation.version += 1
+        if not organisation.queued:
+            if organisation.active and not organisation.in_flight:
+                organisation.active = False
+                self._weight_active -= organisation.weight
+            return
+        version, number = organisation.version, next(self._numbers)
+        if organisation.short:
+            if self._has_priority(organisation):
+                entry = (organisation.short_tag, number, version, organisation)
+                heapq.heappush(self._priority, entry)
+            entry = (organisation.use_tag, number, version, organisation)
+            heapq.heappush(self._short, entry)
+        if organisation.long:
+            entry = (organisation.use_tag, number, version, organisation)
+            heapq.heappush(self._long, entry)
+        limit = 4 * len(self.organisations) + 64
+        for heap in (self._priority, self._short, self._long):
+            if len(heap) > limit:
+                heap[:] = [entry for entry in heap if entry[2] == entry[3].version]
+                heapq.heapify(heap)
+
+    def _has_priority(self, organisation):
+        used = organisation.short_in_flight + organisation.overdue
+        return used < max(self.fair_slots(organisation), 1.0)
+
+    def _top(self, heap):
+        while heap and heap[0][2] != heap[0][3].version:
+            heapq.heappop(heap)
+        return heap[0][3] if heap else None
+
+    # Queueing.
+
+    def add(self, request, now, first=False):
+        """Queue a request by its learned class; ``first`` puts it in front."""
+        organisation = self.organisations[request.organisation]
+        self._activate(organisation)
+        estimate = self.estimates.find(request)
+        request.estimate_s = estimate.mean_s
+        request.work_class = estimate.work_class
+        self._insert(organisation, request, estimate, first)
+        self.queued += 1
+        if request.work_class is SHORT:
+            organisation.short_demand += request.estimate_s
+            self._last_short = now
+        entry = (request.deadline, next(self._numbers), request)
+        heapq.heappush(self._deadlines, entry)
+        if len(self._deadlines) > 2 * self.queued + 1024:
+            self._deadlines = [e for e in self._deadlines if self._holds(e[2])]
+            heapq.heapify(self._deadlines)
+        self._settle(organisation)
+
+    def _insert(self, organisation, request, estimate, first=False):
+        short = request.work_class is SHORT
+        if short and not estimate.is_proven:
+            short = len(organisation.trials) < TRIALS
+            if short:
+                organisation.trials.add(request.request_id)
+        queue = organisation.short if short else organisation.long
+        queue[request.request_id] = request
+        if first:
+            queue.move_to_end(request.request_id, last=False)
+        if short:
+            organisation.short_queued_s += request.estimate_s
+        else:
+            organisation.long_queued_s += request.estimate_s
+            kind = (request.declared_class, request.kind)
+            organisation.kinds.setdefault(kind, {})[request.request_id] = request
+
+    def _holds(self, request):
+        organisation = self.organisations.get(request.organisation)
+        if organisation is None:
+            return False
+        name = request.request_id
+        return (
+            organisation.short.get(name) is request
+            or organisation.long.get(name) is request
+        )
+
+    def _take(self, organisation, request):
+        """Take a request out of its organisation's queues."""
+        name = request.request_id
+        if organisation.short.pop(name, None) is not None:
+            organisation.short_queued_s -= request.estimate_s
+            if not organisation.short:
+                organisation.short_queued_s = 0.0
+            return
+        del organisation.long[name]
+        organisation.long_queued_s -= request.estimate_s
+        if not organisation.long:
+            organisation.long_queued_s = 0.0
+        kind = (request.declared_class, request.kind)
+        waiting = organisation.kinds[kind]
+        del waiting[name]
+        if not waiting:
+            del organisation.kinds[kind]
+
+    def remove(self, request):
+        """Drop a queued request; return whether it was queued."""
+        if not self._holds(request):
+            return False
+        organisation = self.organisations[request.organisation]
+        self._drop(organisation, request)
+        self._settle(organisation)
+        return True
+
+    def _drop(self, organisation, request):
+        organisation.trials.discard(request.request_id)
+        self._take(organisation, request)
+        self.queued -= 1
+
+    def newest(self, organisation):
+        """Return the request that an organisation loses when the queue is full."""
+        queue = organisation.long or organisation.short
+        return next(reversed(queue.values()))
+
+    def expire(self, now):
+        """Drop and return the queued requests whose deadline has passed."""
+        expired = []
+        while self._deadlines and self._deadlines[0][0] <= now:
+            request = heapq.heappop(self._deadlines)[2]
+            if self.remove(request):
+                expired.append(request)
+        return expired
+
+    # Starting.
+
+    def long_may_start(self):
+        """Return whether a slot outside the reserve is free for long work."""
+        return self.long_in_flight < max(self.slots - self.reserve, min(self.slots, 1))
+
+    def next_request(self):
+        """Return the request that should start next, or None; it stays queued."""
+        while (organisation := self._top(self._priority)) is not None:
+            if not self._has_priority(organisation):
+                heapq.heappop(self._priority)
+                continue
+            request = self._first_short(organisation)
+            if request is not None:
+                return request
+        long = self._top(self._long) if self.long_may_start() else None
+        while (short := self._top(self._short)) is not None:
+            if long is not None and long.use_tag < short.use_tag:
+                break
+            request = self._first_short(short)
+            if request is not None:
+                return request
+            long = self._top(self._long) if self.long_may_start() else None
+        if long is None:
+            return None
+        return next(iter(long.long.values()))
+
+    def _first_short(self, organisation):
+        """
+        Return an organisation's first short request, or None.
+
+        A request whose kind was found to be long meanwhile moves to the long queue.
+        """
+        request = next(iter(organisation.short.values()))
+        estimate = self.estimates.find(request)
+        if estimate.work_class is SHORT:
+            return request
+        organisation.trials.discard(request.request_id)
+        self._take(organisation, request)
+        request.work_class = LONG
+        request.estimate_s = estimate.mean_s
+        self._insert(organisation, request, estimate)
+        self._settle(organisation)
+        return None
+
+    def start(self, request, now):
+        """Take a queued request for its start and return its :class:`Flight`."""
+        organisation = self.organisations[request.organisation]
+        estimate = self.estimates.find(request)
+        was_short = request.request_id in organisation.short
+        self._take(organisation, request)
+        self.queued -= 1
+        cost = estimate.mean_s
+        counted = "short_in_flight" if was_short else "long_in_flight"
+        flight = Flight(request, organisation, estimate, counted, now)
+        if was_short:
+            self._virtual_short = max(self._virtual_short, organisation.short_tag)
+            flight.check_at = now + self.estimates.threshold_s
+        else:
+            self.long_in_flight += 1
+            self._virtual_use = max(self._virtual_use, organisation.use_tag)
+            flight.check_at = now + max(CHECK_FACTOR * cost, self.estimates.threshold_s)
+        heapq.heappush(self._checks, (flight.check_at, next(self._numbers), flight))
+        setattr(organisation, counted, getattr(organisation, counted) + 1)
+        self._charge(flight, cost)
+        self._settle(organisation)
+        return flight
+
+    def _charge(self, flight, seconds):
+        """Charge an organisation for slot-seconds beyond those charged so far."""
+        organisation = flight.organisation
+        part = (seconds - flight.charged_s) / organisation.weight
+        flight.charged_s = seconds
+        organisation.use_tag += part
+        if flight.counted != "long_in_flight":
+            organisation.short_tag += part
+        if self._weight_active > 0:
+            self._virtual_use += part * organisation.weight / self._weight_active
+
+    # Running and ending.
+
+    def check_overdue(self, now):
+        """Reclassify and charge the requests that outlived their class."""
+        while self._checks and self._checks[0][0] <= now:
+            _, _, flight = heapq.heappop(self._checks)
+            if flight.check_at == math.inf:
+                continue
+            organisation = flight.organisation
+            elapsed = now - flight.started
+            if flight.counted == "short_in_flight":
+                flight.counted = "overdue"
+                organisation.short_in_flight -= 1
+                organisation.overdue += 1
+                self.long_in_flight += 1
+                flight.estimate.add_class_sign(True)
+            self._charge(flight, max(elapsed, flight.charged_s))
+            flight.check_at = now + elapsed * (CHECK_FACTOR - 1)
+            entry = (flight.check_at, next(self._numbers), flight)
+            heapq.heappush(self._checks, entry)
+            self._settle(organisation)
+
+    def end(self, flight, now, ran):
+        """Count the end of a request in flight; ``ran`` says it ran to its end."""
+        organisation, estimate = flight.organisation, flight.estimate
+        flight.check_at = math.inf
+        elapsed = now - flight.started
+        self._charge(flight, elapsed)
+        counted = flight.counted
+        setattr(organisation, counted, getattr(organisation, counted) - 1)
+        if counted != "short_in_flight":
+            self.long_in_flight -= 1
+        organisation.trials.discard(flight.request.request_id)
+        if ran:
+            known_short = estimate.is_proven and estimate.work_class is SHORT
+            if counted != "overdue":
+                estimate.add_class_sign(elapsed > self.estimates.threshold_s)
+            estimate.add_run(elapsed)
+            if not known_short and estimate.is_proven:
+                self._promote(organisation, flight.request, estimate)
+        self._admit_trials(organisation, flight.request, estimate)
+        self._settle(organisation)
+
+    def _promote(self, organisation, request, estimate):
+        """Move the queued requests of a kind that was found to be short."""
+        if estimate.work_class is not SHORT:
+            return
+        kind = (request.declared_class, request.kind)
+        for waiting in list(organisation.kinds.get(kind, {}).values()):
+            self._take(organisation, waiting)
+            waiting.work_class = SHORT
+            waiting.estimate_s = estimate.mean_s
+            self._insert(organisation, waiting, estimate)
+
+    def _admit_trials(self, organisation, request, estimate):
+        """Let the next requests of a kind that is being learned run as short."""
+        if estimate.is_proven or estimate.work_class is not SHORT:
+            return
+        kind = (request.declared_class, request.kind)
+        while len(organisation.trials) < TRIALS and organisation.kinds.get(kind):
+            waiting = next(iter(organisation.kinds[kind].values()))
+            self._take(organisation, waiting)
+            self._insert(organisation, waiting, estimate)
+
+    # The reserve.
+
+    def update_reserve(self, now):
+        """Adapt the slots reserved for short work to the recent demand for it."""
+        elapsed = now - self._updated
+        self._updated = now
+        decay = math.exp(-elapsed / DEMAND_WINDOW_S)
+        mean = 0.0
+        for organisation in self.organisations.values():
+            demand = organisation.short_demand
+            if demand > 0.0:
+                slots = demand / DEMAND_WINDOW_S
+                if slots > 0.01:
+                    mean += min(slots, self.fair_slots(organisation))
+                organisation.short_demand = demand * decay
+        reserve = mean + RESERVE_DEVIATIONS * math.sqrt(mean)
+        if now - self._last_short < RESERVE_MEMORY_S:
+            reserve = max(reserve, 1.0)
+        self.reserve = min(round(reserve), max(self.slots - 1, 0))
