Name the sample's racks per data centre in the fleet replay tests

Cause: the sample manifest put one rack into two data centres, which the manifest checks refuse; its racks are now named per data centre, so the test lost half of the hosts that it meant to lose. Change: the test loses both racks of the pool, as before.

--- a/tests/test_fleet_replay.py
+++ b/tests/test_fleet_replay.py
@@ -24,7 +24,7 @@
         events = [
             DemandSample(0.0, "wire", 2.0, 6.0),
             DemandSample(300.0, "wire", 6.0),
-            Fault(100.0, "rack_lost", 60.0, "rack-0-0"),
+            Fault(100.0, "rack_lost", 60.0, "rack-1-0-0"),
             Fault(200.0, "planner_paused", 30.0),
         ]
         first = replay_fleet(make_header(), events, "threshold", 3)
@@ -36,7 +36,8 @@
         """Guards against a replay that counts hosts that are down as serving."""
         events = [
             DemandSample(0.0, "wire", 6.0),
-            Fault(120.0, "rack_lost", 60.0, "rack-0-0"),
+            Fault(120.0, "rack_lost", 60.0, "rack-1-0-0"),
+            Fault(120.0, "rack_lost", 60.0, "rack-2-0-0"),
         ]
         report = replay_fleet(make_header(), events, "static_peak", 1)
         self.assertIn((2, "wire"), report.missed_minutes)
