--- /dev/null
+++ b/magnoliapier/control_link.py
@@ -0,0 +1,373 @@
+"""
+The entry process's link to a control process, and the fleet as it sees it.
+
+The link connects to its own control process, and to another one of its data centre
+when its own has been gone for 1 s. It takes StateUpdate and PeerView, sends
+EntryReport every 0.25 s, and offers its state to a control process that it attaches
+to, which may have been restarted without one.
+"""
+
+import contextlib
+import json
+import socket
+import threading
+from dataclasses import dataclass
+
+import pykka
+
+from magnoliapier.exceptions import (
+    AuthenticationError,
+    ManifestError,
+    MessageError,
+    StateOrderError,
+)
+from magnoliapier.fleet_state import FleetState, LogEntry
+from magnoliapier.logs import get_logger
+from magnoliapier.manifest import canonical_json
+from magnoliapier.messages import (
+    PeerView,
+    SnapshotOffer,
+    StateUpdate,
+)
+from magnoliapier.ownership import allowed_hosts
+from magnoliapier.request_tables import EndpointEntry, PeerDemand
+from magnoliapier.transport import open_stream, receive_message, send_message
+
+log = get_logger(__name__)
+
+REPORT_INTERVAL_S = 0.25
+OWN_CONTROL_GRACE_S = 1.0
+CONNECT_TIMEOUT_S = 0.5
+# A PeerView comes every 0.25 s; a control process silent for this long is gone. The
+# same gap follows a pause of this process, whose socket then holds old views.
+SILENT_LINK_S = 1.0
+# A view carries no time of its own and may be this old when it is read, because a
+# longer gap ends the link.
+MAX_VIEW_AGE_S = SILENT_LINK_S
+RETRY_PAUSE_S = 0.1
+# A refused connection may be a restart, a draining answer is a statement; both end
+# earlier when the host is assigned anew.
+REFUSED_HOLD_S = 5.0
+DRAINING_HOLD_S = 600.0
+
+
+@dataclass(frozen=True, slots=True)
+class CentreGrant:
+    """Permission to send to a data centre until ``expires`` on our clock."""
+
+    seq: int
+    expires: float
+
+
+@dataclass(frozen=True, slots=True)
+class LeavingSign:
+    """A sign that a host leaves; ``epoch`` is its assignment's when it was seen."""
+
+    epoch: int
+    until: float
+
+
+class FleetView:
+    """
+    The fleet in force at this entry process.
+
+    It is changed by the link and read by the request path. The state never goes
+    back to a lower sequence number. ``listener`` gets ``set_fleet``,
+    ``set_peers`` and ``mark_leaving``.
+    """
+
+    def __init__(self, data_centre, clock, metrics):
+        self._data_centre = data_centre
+        self._clock = clock
+        self._metrics = metrics
+        self._lock = threading.RLock()
+        self._listener = None
+        self._state = None
+        self._eligible = False
+        self._grants = {}
+        self._signs = {}
+        self._peer_leaving = frozenset()
+        self._allowed = frozenset()
+        self._shown = None
+        self.snapshot_wanted = True
+
+    @property
+    def manifest(self):
+        """The manifest in force, or None."""
+        return None if self._state is None else self._state.manifest
+
+    @property
+    def state(self):
+        """The FleetState in force, or None."""
+        return self._state
+
+    @property
+    def seq(self):
+        """The sequence number of the state, 0 without one."""
+        return 0 if self._state is None else self._state.seq
+
+    @property
+    def allowed(self):
+        """The names of the hosts that may be sent to, as last computed."""
+        return self._allowed
+
+    def attach(self, listener):
+        """Set the listener of changes."""
+        self._listener = listener
+
+    def allows(self, host):
+        """Return whether ``host`` may be sent to."""
+        return host in self._allowed
+
+    def apply_update(self, update):
+        """Apply a StateUpdate as far as it leads forward."""
+        with self._lock:
+            self._eligible = update.eligible
+            state = self._state
+            try:
+                if update.snapshot:
+                    offered = FleetState.from_values(json.loads(update.snapshot))
+                    if state is None or offered.seq > state.seq:
+                        state = offered
+                for data in update.entries:
+                    entry = LogEntry.from_row(json.loads(data))
+                    if state is None:
+                        raise StateOrderError("Entries came before a snapshot.")
+                    if entry.seq > state.seq:
+                        state = state.copy() if state is self._state else state
+                        state.apply(entry)
+            except (StateOrderError, ManifestError, ValueError, KeyError) as error:
+                log.warning("state_update_refused", error=error)
+                self._metrics.count("state_updates_refused_total")
+                self.snapshot_wanted = True
+            else:
+                self.snapshot_wanted = state is None
+            self._state = state
+            self.refresh(drop_grants=False)
+
+    def apply_view(self, view, received):
+        """
+        Take what the control process knows of peers, grants and leaving hosts.
+
+        ``received`` is the monotonic instant at which the view was read.
+        """
+        start = received - MAX_VIEW_AGE_S
+        with self._lock:
+            self._eligible = view.eligible
+            self._grants = {
+                grant.data_centre: CentreGrant(
+                    grant.seq, start + grant.remaining_ms / 1000
+                )
+                for grant in view.grants
+            }
+            self._peer_leaving = frozenset(view.leaving_hosts)
+            self.refresh(drop_grants=False)
+        self._listener.set_peers(peer_demand(view))
+
+    def refresh(self, drop_grants=True):
+        """Compute the allowed hosts and show changes to the listener."""
+        now = self._clock.monotonic()
+        with self._lock:
+            if drop_grants:
+                self._grants = {}
+            if self._state is None:
+                return
+            self._signs = {
+                host: sign
+                for host, sign in self._signs.items()
+                if now < sign.until and sign.epoch == self._epoch(host)
+            }
+            allowed = allowed_hosts(
+                self._state, self._data_centre, self._eligible, self._grants, now
+            )
+            leaving = (self._peer_leaving | self._signs.keys()) & allowed
+            self._allowed = frozenset(allowed) - leaving
+            shown = (self._state, self._allowed, leaving)
+            if shown != self._shown:
+                self._shown = shown
+                self._listener.set_fleet(
+                    self._state.manifest, self._endpoints(allowed, leaving)
+                )
+        self._metrics.gauge("state_seq", self.seq)
+
+    def sign_leaving(self, host, draining):
+        """Take a sign that ``host`` leaves, from an endpoint's own behaviour."""
+        hold = DRAINING_HOLD_S if draining else REFUSED_HOLD_S
+        sign = LeavingSign(self._epoch(host), self._clock.monotonic() + hold)
+        with self._lock:
+            known = self._signs.get(host)
+            if known is None or known.until < sign.until:
+                self._signs[host] = sign
+            self._allowed -= {host}
+        if known is None:
+            log.info("host_leaving", host=host, draining=draining)
+            self._listener.mark_leaving(host)
+
+    def leaving_hosts(self):
+        """Return the hosts that this process itself has seen leaving."""
+        with self._lock:
+            return sorted(self._signs)
+
+    def expire(self):
+        """Drop what has run out; called on each tick."""
+        self.refresh(drop_grants=False)
+
+    def _epoch(self, host):
+        state = self._state
+        assignment = state.assignments.get(host) if state else None
+        return assignment.epoch if assignment else 0
+
+    def _endpoints(self, allowed, leaving):
+        manifest = self._state.manifest
+        endpoints = []
+        for service, settings in manifest.services.items():
+            for host in self._state.hosts_of(settings.pool):
+                if host in allowed:
+                    declared = manifest.hosts[host]
+                    endpoints.append(
+                        EndpointEntry(
+                            name=f"{service}/{host}",
+                            service=service,
+                            host=host,
+                            data_centre=declared.data_centre,
+                            address=declared.address,
+                            slots=settings.slots_per_endpoint,
+                            leaving=host in leaving,
+                        )
+                    )
+        return endpoints
+
+
+class ControlLink(pykka.ThreadingActor):
+    """
+    The actor that owns the link.
+
+    A reader thread connects and receives; it tells the actor messages, and the
+    actor sends reports on the connection that the reader opened.
+    """
+
+    use_daemon_thread = True
+
+    def __init__(self, settings, view, report, clock, metrics):
+        super().__init__()
+        self._key = settings.auth.peer_key
+        self._own = settings.control.address
+        self._others = [
+            peer.address
+            for peer in settings.control.peers
+            if peer.data_centre == settings.data_centre and peer.name != settings.name
+        ]
+        self._view = view
+        self._report = report
+        self._clock = clock
+        self._metrics = metrics
+        self._connection = None
+        self._closed = threading.Event()
+        self._reader = threading.Thread(
+            target=self._read, name="control-link", daemon=True
+        )
+
+    def on_start(self):
+        """Start to connect."""
+        self._reader.start()
+
+    def on_stop(self):
+        """Close the connection."""
+        self._closed.set()
+        self._drop(self._connection)
+        self._reader.join(CONNECT_TIMEOUT_S + SILENT_LINK_S)
+
+    def on_receive(self, message):
+        """Apply a message of the control process, or send a report when told."""
+        kind, value, received = message
+        if kind == "connected":
+            self._connection = value
+            state = self._view.state
+            if state is not None and state.seq:
+                offer = SnapshotOffer(snapshot=canonical_json(state.to_values()))
+                self._send(offer)
+            self._send(self._report())
+        elif kind == "report":
+            self._send(self._report())
+        elif isinstance(value, StateUpdate):
+            self._view.apply_update(value)
+            self._send(self._report())
+        elif isinstance(value, PeerView):
+            self._view.apply_view(value, received)
+
+    def _send(self, message):
+        connection = self._connection
+        if connection is None:
+            return
+        try:
+            send_message(connection, message, self._key)
+        except OSError:
+            self._drop(connection)
+            self._connection = None
+
+    def _drop(self, connection):
+        if connection is not None:
+            # Wakes the reader, which closes the socket.
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+
+    def _read(self):
+        lost_at = self._clock.monotonic()
+        while not self._closed.is_set():
+            connection = self._connect(lost_at)
+            if connection is None:
+                self._closed.wait(RETRY_PAUSE_S)
+                continue
+            self._receive(connection)
+            lost_at = self._clock.monotonic()
+
+    def _connect(self, lost_at):
+        candidates = [self._own]
+        if self._clock.monotonic() - lost_at >= OWN_CONTROL_GRACE_S:
+            candidates += self._others
+        for address in candidates:
+            try:
+                connection = open_stream(address, CONNECT_TIMEOUT_S)
+            except OSError:
+                continue
+            connection.settimeout(SILENT_LINK_S)
+            log.info("control_attached", address=address)
+            self._metrics.gauge("control_attached_to_own", int(address == self._own))
+            return connection
+        self._metrics.gauge("control_attached_to_own", 0)
+        return None
+
+    def _receive(self, connection):
+        with connection:
+            try:
+                previous = self._clock.monotonic()
+                self.actor_ref.tell(("connected", connection, previous))
+                while not self._closed.is_set():
+                    message = receive_message(connection, self._key)
+                    now = self._clock.monotonic()
+                    if message is None or now - previous > SILENT_LINK_S:
+                        log.warning("control_lost", gap_s=now - previous)
+                        return
+                    previous = now
+                    self.actor_ref.tell(("message", message, now))
+            except (OSError, MessageError, AuthenticationError) as error:
+                log.warning("control_lost", error=error)
+            except pykka.ActorDeadError:
+                return
+
+
+def peer_demand(view):
+    """Return a PeerView's demand as a dict from service to a list of PeerDemand."""
+    demand = {}
+    for peer in view.peers:
+        for item in peer.demand:
+            demand.setdefault(item.service, []).append(
+                PeerDemand(
+                    peer.name,
+                    peer.data_centre,
+                    item.queued,
+                    item.in_flight,
+                    peer.age_ms / 1000,
+                )
+            )
+    return demand
