Test callers and connections over sockets, and fix what the tests found

Cause: an answer whose head was cut before its empty line passed as whole when it had no body (204, HEAD), because http.client takes the end of the connection for the end of the head. A request line that waitress cannot read closed the connection without a refusal. A wait ended by the deadline was reported as silence. Change: the head must end with its empty line; the parser has a default command; silence is reported only when the patience was shorter than the time left.

--- a/magnoliapier/callers.py
+++ b/magnoliapier/callers.py
@@ -85,6 +85,9 @@
     refused.
     """
 
+    # Not set by waitress when the request line cannot be read.
+    command = ""
+
     def parse_header(self, header_plus):
         """Parse the request line and headers."""
         if b"\r\n " in header_plus or b"\r\n\t" in header_plus:
--- a/magnoliapier/connections.py
+++ b/magnoliapier/connections.py
@@ -9,6 +9,7 @@
 
 import collections
 import http.client
+import math
 import socket
 import threading
 import time
@@ -31,6 +32,7 @@
 # On a reused connection an answer later than this multiple of the learned run time
 # counts as silence, so that a straggler is not mistaken for a dead connection.
 SILENCE_FACTOR = 4.0
+MIN_WAIT_S = 0.001
 # The kernel reports a peer that vanished during a long run after about 11 s.
 KEEPALIVE_IDLE_S = 5
 KEEPALIVE_INTERVAL_S = 2
@@ -100,6 +102,43 @@
     no_memory: bool = False
 
 
+class LineReader:
+    """Reads lines for http.client and keeps the last one."""
+
+    __slots__ = ("_readline", "last", "close")
+
+    def __init__(self, file):
+        self._readline = file.readline
+        self.close = file.close
+        self.last = b""
+
+    def readline(self, limit=-1):
+        """Return the next line."""
+        self.last = line = self._readline(limit)
+        return line
+
+
+class WholeHeadResponse(http.client.HTTPResponse):
+    """
+    An HTTP response that refuses a head without its empty line.
+
+    http.client takes the end of the connection for the end of the head, so an
+    answer without a body, such as a 204, would lack headers unnoticed.
+    """
+
+    def begin(self):
+        """Read the status line and headers."""
+        file = self.fp
+        self.fp = reader = LineReader(file)
+        try:
+            super().begin()
+        finally:
+            if self.fp is reader:
+                self.fp = file
+        if reader.last not in (b"\r\n", b"\n"):
+            raise http.client.IncompleteRead(reader.last)
+
+
 class EndpointConnection(HTTPConnection):
     """
     An HTTP connection that knows how many bytes of the request left.
@@ -108,6 +147,7 @@
     byte is told apart from any later one.
     """
 
+    response_class = WholeHeadResponse
     generation = 0
     idle_since = 0.0
     used = False
@@ -333,25 +373,28 @@
         except (OSError, ValueError, http.client.HTTPException):
             ran = RunState.UNKNOWN if connection.bytes_sent else RunState.NOT_RUN
             return failed(SendOutcome.RESET, ran, fresh)
-        connection.timeout = self._first_byte_s(entry, send, fresh)
+        remaining = max(send.deadline - time.monotonic(), MIN_WAIT_S)
+        patience = self._patience_s(entry, fresh)
+        connection.timeout = min(patience, remaining)
         try:
             response = connection.getresponse()
         except TimeoutError:
-            outcome = SendOutcome.TIMEOUT if fresh else SendOutcome.SILENT
+            silent = patience < remaining
+            outcome = SendOutcome.SILENT if silent else SendOutcome.TIMEOUT
             return failed(outcome, RunState.UNKNOWN, fresh)
-        except (OSError, http.client.HTTPException, urllib3.exceptions.HTTPError):
+        except (OSError, http.client.HTTPException):
             return failed(SendOutcome.RESET, RunState.UNKNOWN, fresh)
+        except urllib3.exceptions.HTTPError:
+            return failed(SendOutcome.INCOMPLETE, RunState.UNKNOWN, fresh)
         connected.settimeout(self._settings.progress_timeout_s)
         return self._read(response, request, fresh)
 
-    def _first_byte_s(self, entry, send, fresh):
-        remaining = max(send.deadline - time.monotonic(), 0.001)
+    def _patience_s(self, entry, fresh):
+        """Return how long an answer may take to begin before that is silence."""
         if fresh:
-            return remaining
-        patience = max(
-            self._settings.progress_timeout_s, SILENCE_FACTOR * entry.estimate_s
-        )
-        return min(patience, remaining)
+            return math.inf
+        learned = SILENCE_FACTOR * entry.estimate_s
+        return max(self._settings.progress_timeout_s, learned)
 
     def _read(self, response, request, fresh):
         """Read a whole answer; anything less has no answer in its report."""
--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -1,6 +1,7 @@
 """Entry processes, endpoints and callers over real sockets, for several tests."""
 
 import http.client
+import io
 import socket
 import time
 import unittest
@@ -37,11 +38,22 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
 
+class AnswerFile(io.BufferedReader):
+    """Outlives an HTTPResponse, because it may hold the start of the next answer."""
+
+    def makefile(self, _mode):
+        return self
+
+    def close(self):
+        pass
+
+
 class Caller:
     """One connection of a caller that reads answers one by one."""
 
     def __init__(self, address):
         self.socket = socket.create_connection(parse_address(address), WAIT_S)
+        self._answers = AnswerFile(self.socket.makefile("rb", buffering=0))
 
     def send(self, data):
         self.socket.sendall(data)
@@ -49,11 +61,12 @@
 
     def answer(self, method="GET"):
         """Return (status, headers, body) of the next answer."""
-        response = http.client.HTTPResponse(self.socket, method=method)
+        response = http.client.HTTPResponse(self._answers, method=method)
         response.begin()
         return response.status, response.headers, response.read()
 
     def close(self):
+        self._answers.raw.close()
         self.socket.close()
 
 
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,201 @@
+import socket
+import tracemalloc
+
+from magnoliapier.reasons import RunState
+from tests.entry_harness import EntryTestCase, head, wait_until
+
+REFUSED = {
+    "both lengths": head(Content_Length=3, Transfer_Encoding="chunked") + b"abc",
+    "repeated length": head("POST", Content_Length="3\r\nContent-Length: 3") + b"abc",
+    "signed length": head("POST", Content_Length="+3") + b"abc",
+    "unknown coding": head("POST", Transfer_Encoding="gzip, chunked"),
+    "chunked in HTTP/1.0": head(Transfer_Encoding="chunked").replace(b"/1.1", b"/1.0"),
+    "continued line": head(X_A="b\r\n c"),
+    "bare line feed": head(X_A="b\nX-B: c"),
+    "space before colon": head(X_A="1").replace(b"X-A:", b"X-A :"),
+    "two hosts": head(Host="h\r\nHost: i"),
+    "no host": b"GET /wire/x HTTP/1.1\r\nX-Organisation: desk-a\r\n\r\n",
+    "host with path": head(Host="h/x"),
+    "other host in target": head(path="http://other/wire/x"),
+    "dot segments": head(path="/wire/%2e./archive/x"),
+    "fragment": head(path="/wire/x#y"),
+    "method": head("CONNECT"),
+    "two keys": head("POST", Idempotency_Key="a\r\nIdempotency-Key: b"),
+    "deadline": head(X_Deadline_Ms="-5"),
+    "idempotent": head(X_Idempotent="yes"),
+    **{
+        f"chunk {chunk}": head("POST", Transfer_Encoding="chunked") + chunk
+        for chunk in (
+            b"0x3\r\nabc\r\n0\r\n\r\n",
+            b"+3\r\nabc\r\n0\r\n\r\n",
+            b"3 \r\nabc\r\n0\r\n\r\n",
+            b"3\r\nabcd\r\n0\r\n\r\n",
+        )
+    },
+}
+
+
+class RequestCheckTests(EntryTestCase):
+    endpoints = 1
+
+    def test_ambiguous_requests(self):
+        """Guards against requests that two hosts on the way read differently."""
+        for name, data in REFUSED.items():
+            with self.subTest(name):
+                status, headers, _ = self.ask(data)
+                self.assertEqual(status, 400)
+                self.assertEqual(headers["X-Refusal-Reason"], "bad_request")
+                self.assertEqual(headers["X-Run-State"], RunState.NOT_RUN)
+        self.assertEqual(self.runs(), 0)
+
+    def test_refusals_before_admission(self):
+        """Guards against sending what the manifest does not allow."""
+        cases = {
+            (404, "unknown_service"): head(path="/other/x"),
+            (403, "unknown_organisation"): head(X_Organisation="desk-z"),
+            (400, "key_required"): head("POST", X_Idempotent="false"),
+            (413, "body_too_large"): head("POST", Content_Length=262_145),
+        }
+        for expected, data in cases.items():
+            status, headers, _ = self.ask(data)
+            self.assertEqual((status, headers["X-Refusal-Reason"]), expected)
+        self.assertEqual(self.runs(), 0)
+
+    def test_pipelined_requests_in_order(self):
+        """Guards against answers that reach the wrong request."""
+        caller = self.call()
+        slow = head(X_Request_Id="a", X_Standin_Run_Ms=50)
+        caller.send(slow + head(X_Request_Id="b") + head(X_Request_Id="c"))
+        told = [caller.answer()[1]["X-Request-Id"] for _ in range(3)]
+        self.assertEqual(told, ["a", "b", "c"])
+
+    def test_body_after_continue_and_in_chunks(self):
+        """Guards against callers that wait for 100 Continue forever."""
+        caller = self.call()
+        caller.send(head("PUT", Expect="100-continue", Transfer_Encoding="chunked"))
+        self.assertTrue(caller.socket.recv(100).startswith(b"HTTP/1.1 100 Continue"))
+        caller.send(b"3\r\nabc\r\n0\r\n\r\n")
+        self.assertIn(b'"body_bytes": 3', caller.answer()[2])
+
+    def test_hop_by_hop_headers(self):
+        """Guards against headers of one hop that reach the next."""
+        exchanges = []
+        send = self.process.path._connections.send
+        self.process.path._connections.send = lambda request, *rest: (
+            exchanges.append(request) or send(request, *rest)
+        )
+        self.ask(head(Connection="X-Private", X_Private="1", TE="x", X_Public="2"))
+        names = {name.lower() for name in exchanges[0].headers}
+        self.assertIn("x-public", names)
+        self.assertFalse(names & {"connection", "x-private", "te", "host"})
+
+
+class CallerGoneTests(EntryTestCase):
+    endpoints = 1
+
+    def setUp(self):
+        super().setUp()
+        self.decisions = self.process.path._decisions
+
+    def test_queued_request_is_dropped(self):
+        """Guards against work for callers that left while they waited."""
+        for _ in range(8):
+            self.call().send(head(X_Standin_Run_Ms=300))
+        wait_until(lambda: len(self.decisions.running) == 8)
+        late = self.call().send(head(X_Request_Id="late"))
+        wait_until(lambda: len(self.decisions.queue) == 1)
+        late.close()
+        wait_until(lambda: not self.decisions.queue)
+        wait_until(lambda: self.process.path.open_requests == 0)
+        self.assertNotIn("late", self.hosts[0].runs)
+
+    def test_running_request_frees_its_place(self):
+        """Guards against slots held for callers that left."""
+        caller = self.call().send(head(X_Standin_Run_Ms=600_000))
+        wait_until(lambda: self.decisions.running)
+        caller.close()
+        wait_until(lambda: not self.decisions.running)
+        self.assertEqual(self.process.path.open_requests, 0)
+
+
+class MemoryTests(EntryTestCase):
+    """Guards against callers that exhaust the host's memory."""
+
+    entry = {
+        "max_buffered_bytes": 2_097_152,
+        "max_connections": 40,
+        "caller_timeout_s": 1,
+        "max_header_bytes": 4096,
+    }
+    endpoints = 1
+    # Python objects of a connection and its request, generously.
+    overhead = 40 * 65_536
+
+    def setUp(self):
+        super().setUp()
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+
+    def assert_bounded(self):
+        budget = self.process.budget
+        self.assertLessEqual(budget.peak, 2_097_152)
+        # The parser's and the channel's copies double a body for a moment.
+        bound = 2 * 2_097_152 + 40 * (4096 + 16_384) + self.overhead
+        self.assertLess(tracemalloc.get_traced_memory()[1], bound)
+        wait_until(lambda: budget.used == 0)
+
+    def test_large_bodies_of_slow_callers(self):
+        """Unfinished bodies fill the budget, then others are refused and freed."""
+        callers = [
+            self.call().send(head("PUT", Content_Length=200_000) + b"x" * 150_000)
+            for _ in range(10)
+        ]
+        wait_until(lambda: self.process.budget.used == 2_000_000)
+        status, headers, _ = self.ask(head("PUT", Content_Length=200_000))
+        self.assertEqual((status, headers["X-Refusal-Reason"]), (503, "memory_limit"))
+        for caller in callers:
+            self.assertEqual(caller.socket.recv(1), b"")
+        self.assert_bounded()
+
+    def test_slow_readers(self):
+        """Answers that are not read are bounded and given up."""
+        for _ in range(8):
+            caller = self.call()
+            caller.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            caller.send(head(X_Standin_Bytes=1_000_000))
+        wait_until(lambda: self.metrics.value("refusals_total", reason="memory_limit"))
+        wait_until(lambda: self.metrics.value("caller_timeouts_total"))
+        self.assert_bounded()
+
+    def test_header_trickle_and_oversized_header(self):
+        """A trickled header ends at the timeout although bytes keep coming."""
+        callers = [self.call().send(b"GET / HTTP/1.1\r\n") for _ in range(30)]
+        big = self.ask(b"GET /wire/x HTTP/1.1\r\nA: " + b"x" * 100_000)
+        self.assertEqual(big[0], 400)
+
+        def all_closed():
+            for caller in list(callers):
+                try:
+                    caller.send(b"A")
+                except OSError:
+                    callers.remove(caller)
+            return not callers
+
+        wait_until(all_closed)
+        self.assert_bounded()
+
+    def test_pipelining_flood(self):
+        """Requests sent ahead are not parsed before their turn."""
+        for _ in range(10):
+            caller = self.call().send(head(X_Standin_Run_Ms=200))
+            caller.send(head() * 300)
+        wait_until(lambda: self.process.path.open_requests)
+        self.assertLessEqual(self.process.path.open_requests, 10)
+        for channel in self.process.callers._channels():
+            self.assertLessEqual(len(channel._pending), 16_384)
+
+    def test_connection_limit_frees_up(self):
+        """Idle connections do not keep others out for good."""
+        for _ in range(45):
+            self.call()
+        self.assertEqual(self.ask(head())[0], 200)
