Use the dispatcher in the entry process and in its tests

Change: the first-come stand-in is gone. The dispatcher counts its own refusals and retries, so the I/O side counts only those made before it. A whole 5xx answer that is not retried reaches the caller instead of the refusal endpoint_failed.

--- a/magnoliapier/entry.py
+++ b/magnoliapier/entry.py
@@ -14,6 +14,7 @@
 from magnoliapier.clock import Clock
 from magnoliapier.connections import EndpointConnections
 from magnoliapier.control_link import REPORT_INTERVAL_S, ControlLink, FleetView
+from magnoliapier.dispatcher import Dispatcher
 from magnoliapier.exceptions import MagnoliapierError
 from magnoliapier.http_server import HttpServer
 from magnoliapier.logs import configure_logs, get_logger
@@ -195,8 +196,6 @@
 
 def build_decisions(settings, clock, metrics):
     """Return the Dispatcher for the settings."""
-    from magnoliapier.dispatcher import Dispatcher
-
     return Dispatcher(
         clock,
         random.Random(settings.seed),
--- a/magnoliapier/request_path.py
+++ b/magnoliapier/request_path.py
@@ -209,14 +209,13 @@
             if isinstance(decision, Dispatch):
                 self._workers.put(decision)
             elif isinstance(decision, Refusal):
-                self._refuse(
+                # Counted by the decisions.
+                self._end_refused(
                     decision.request.payload,
                     decision.reason,
                     decision.run_state,
                     decision.retry_after_s,
                 )
-            elif isinstance(decision, Retry):
-                self._metrics.count("retries_total", reason=decision.reason.value)
 
     def _attempt(self, exchange, dispatch):
         """Send once, unless something forbids it by now."""
@@ -258,10 +257,15 @@
             self._busy[dispatch.endpoint.host] -= 1
             decisions = list(self._decisions.complete(entry, result))
             self._mark(decisions)
-            if exchange.gone and is_queued_again(decisions, entry):
+            if exchange.gone and is_sent_again(decisions, entry):
                 decisions.extend(self._cancel(exchange))
         if not delivered:
-            if concerns(decisions, entry):
+            # A whole 5xx answer that is not retried tells the caller more than a
+            # refusal does.
+            whole = report.answer is not None and result.run_state is RunState.RAN
+            if whole and not is_sent_again(decisions, entry) and not exchange.gone:
+                self._deliver(exchange, report)
+            elif concerns(decisions, entry):
                 self._drop_answer(report)
             else:
                 self._deliver(exchange, report)
@@ -297,7 +301,11 @@
         )
         return True
 
-    def _refuse(self, exchange, reason, run_state, retry_after_s=None, ran=False):
+    def _refuse(self, exchange, reason, run_state, ran=False):
+        self._metrics.count("refusals_total", reason=reason.value)
+        self._end_refused(exchange, reason, run_state, ran=ran)
+
+    def _end_refused(self, exchange, reason, run_state, retry_after_s=None, ran=False):
         if not self._end(exchange):
             return
         claim = exchange.claim
@@ -305,7 +313,6 @@
             self._claims.record(claim, ran=ran)
         elif claim is not None:
             self._claims.release(claim)
-        self._metrics.count("refusals_total", reason=reason.value)
         exchange.refuse(reason, run_state, retry_after_s)
 
     def _end(self, exchange):
@@ -320,14 +327,14 @@
 
 def concerns(decisions, entry):
     """Return whether a decision tells what becomes of ``entry``."""
-    return any(
-        (d.request is entry) for d in decisions if isinstance(d, (Dispatch, Refusal))
-    ) or is_queued_again(decisions, entry)
+    return any(decision.request is entry for decision in decisions)
 
 
-def is_queued_again(decisions, entry):
-    """Return whether ``entry`` is to be sent once more."""
-    return any(isinstance(d, Retry) and d.request is entry for d in decisions)
+def is_sent_again(decisions, entry):
+    """Return whether ``entry`` is queued or dispatched once more."""
+    return any(
+        d.request is entry for d in decisions if isinstance(d, (Dispatch, Retry))
+    )
 
 
 def gone_refusal(exchange):
--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -7,7 +7,7 @@
 import unittest
 
 from magnoliapier.clock import Clock
-from magnoliapier.entry import EntryProcess
+from magnoliapier.entry import EntryProcess, build_decisions
 from magnoliapier.manifest import canonical_json
 from magnoliapier.memory_platform import MemoryPlatform
 from magnoliapier.messages import StateUpdate
@@ -15,7 +15,6 @@
 from magnoliapier.settings import build_settings
 from magnoliapier.standin_endpoint import StandinEndpoint
 from magnoliapier.transport import parse_address
-from tests.first_come import FirstComeDecisions
 from tests.samples import commit_entry, sample_manifest, sample_state
 
 WAIT_S = 10
@@ -104,7 +103,11 @@
         )
         self.metrics = Metrics()
         process = EntryProcess(
-            settings, FirstComeDecisions(), self.platform.table, Clock(), self.metrics
+            settings,
+            build_decisions(settings, Clock(), self.metrics),
+            self.platform.table,
+            Clock(),
+            self.metrics,
         ).start()
         self.addCleanup(process.close)
         state = sample_state()
@@ -121,5 +124,9 @@
     def ask(self, data, process=None, method="GET"):
         return self.call(process).send(data).answer(method)
 
+    def demand(self, process=None):
+        """Return the queued and in-flight requests."""
+        return (process or self.process).path.load()[0].get("wire", (0, 0))
+
     def runs(self):
         return sum(sum(host.runs.values()) for host in self.hosts)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -93,28 +93,24 @@
 class CallerGoneTests(EntryTestCase):
     endpoints = 1
 
-    def setUp(self):
-        super().setUp()
-        self.decisions = self.process.path._decisions
-
     def test_queued_request_is_dropped(self):
         """Guards against work for callers that left while they waited."""
         for _ in range(8):
             self.call().send(head(X_Standin_Run_Ms=300))
-        wait_until(lambda: len(self.decisions.running) == 8)
+        wait_until(lambda: self.demand() == (0, 8))
         late = self.call().send(head(X_Request_Id="late"))
-        wait_until(lambda: len(self.decisions.queue) == 1)
+        wait_until(lambda: self.demand() == (1, 8))
         late.close()
-        wait_until(lambda: not self.decisions.queue)
+        wait_until(lambda: self.demand()[0] == 0)
         wait_until(lambda: self.process.path.open_requests == 0)
         self.assertNotIn("late", self.hosts[0].runs)
 
     def test_running_request_frees_its_place(self):
         """Guards against slots held for callers that left."""
         caller = self.call().send(head(X_Standin_Run_Ms=600_000))
-        wait_until(lambda: self.decisions.running)
+        wait_until(lambda: self.demand() == (0, 1))
         caller.close()
-        wait_until(lambda: not self.decisions.running)
+        wait_until(lambda: self.demand() == (0, 0))
         self.assertEqual(self.process.path.open_requests, 0)
 
 
