--- a/magnoliapier/fleet_policies.py
+++ b/magnoliapier/fleet_policies.py
@@ -9,6 +9,12 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
+from magnoliapier.capacity import (
+    failure_reserve,
+    held,
+    pick_arrival,
+    pick_departure,
+)
 from magnoliapier.manifest import SPARE_POOL
 from magnoliapier.planner import Planner, advance_drains
 from magnoliapier.planner_tables import PlanTables
@@ -73,16 +79,14 @@
     """Release surplus hosts to the spare, and fill pools from the spare."""
     spare = tables.spare_hosts()
     for pool, size in sorted(sizes.items()):
-        held = tables.serving[pool] + tables.incoming[pool]
-        while held < size and spare:
-            tables.drain(spare.pop(0), pool, "size")
-            held += 1
-        surplus = [
-            name
-            for name in reversed(tables.pool_hosts[pool])
-            if tables.state.assignments[name].takes_work and tables.is_live(name)
-        ]
-        for name in surplus[: max(0, held - size)]:
+        while held(tables, pool) < size and spare:
+            name = pick_arrival(tables, pool, spare)
+            spare.remove(name)
+            tables.drain(name, pool, "size")
+        while held(tables, pool) > size:
+            name = pick_departure(tables, pool)
+            if name is None:
+                break
             tables.drain(name, SPARE_POOL, "size")
 
 
@@ -121,18 +125,18 @@
         """Return sizes by present use alone."""
         result = {}
         for pool in tables.managed_pools():
-            held = tables.serving[pool] + tables.incoming[pool]
+            present = held(tables, pool)
             demand = tables.demand_of(pool)
-            size = held
-            if demand > UPPER_USE * held:
-                size = max(held + 1, math.ceil(demand / UPPER_USE))
+            size = present
+            if demand > UPPER_USE * present:
+                size = max(present + 1, math.ceil(demand / UPPER_USE))
             elif (
-                demand < LOWER_USE * held
+                demand < LOWER_USE * present
                 and tables.now - self._changed_at.get(pool, -math.inf) >= COOLDOWN_S
             ):
-                size = held - 1
+                size = present - 1
             size = max(size, tables.hosts_required(pool, 0.0) + 1)
-            if size != held:
+            if size != present:
                 self._changed_at[pool] = tables.now
             result[pool] = size
         return result
@@ -193,11 +197,3 @@
 def sliding_max(values, ahead):
     """Return the maximum of each value and the ``ahead`` values after it."""
     return [max(values[i : i + ahead + 1]) for i in range(len(values))]
-
-
-def failure_reserve(tables, pool):
-    """Return the hosts that a pool holds for failures: its most in one rack."""
-    racks = defaultdict(int)
-    for name in tables.pool_hosts.get(pool, ()):
-        racks[tables.manifest.hosts[name].rack] += 1
-    return max(1, *racks.values()) if racks else 1
