--- a/magnoliapier/planner_tables.py
+++ b/magnoliapier/planner_tables.py
@@ -96,7 +96,9 @@
 
     ``serving`` counts for each pool the hosts that take work and are listed live.
     ``incoming`` counts the hosts on their way into each pool. ``need`` is set by
-    the capacity system: the hosts that must serve now, by pool.
+    the capacity system: the hosts that must serve now, by pool. ``cover`` holds the
+    hosts that stand in during maintenance, and ``taken`` the hosts that maintenance
+    takes in this tick.
     """
 
     def __init__(self, inputs, platform):
@@ -129,6 +131,8 @@
             self._senders[row.data_centre].append(row)
         self.need = {}
         self.cover = {}
+        self.taken = defaultdict(int)
+        self._taken_hosts = set()
 
     def _read_tasks(self):
         try:
@@ -209,11 +213,19 @@
         """Add a note for operators to the output."""
         self.output.notes.append(Note(subject, reason))
 
+    def drain_later(self, name):
+        """Count a host out now whose drain is emitted later in this tick."""
+        pool = self.state.assignments[name].pool
+        self._taken_hosts.add(name)
+        self._changed.add(name)
+        self.taken[pool] += 1
+        self.serving[pool] -= 1
+
     def drain(self, name, target, reason):
         """Drain a host towards ``target`` and keep the counts of this tick right."""
         assignment = self.state.assignments[name]
         self._changed.add(name)
-        if self.is_live(name):
+        if self.is_live(name) and name not in self._taken_hosts:
             self.serving[assignment.pool] -= 1
             if target != assignment.pool:
                 self.incoming[target] = self.incoming.get(target, 0) + 1
