--- a/magnoliapier/fleet_platform.py
+++ b/magnoliapier/fleet_platform.py
@@ -125,6 +125,11 @@
                     task_id, (self._clock.monotonic() + CHECKPOINT_S, fence)
                 )
 
+    def renew(self, task_ids, fence):
+        """Renew the leases of the tasks whose workers can be reached."""
+        reached = [t for t in task_ids if self._tasks[t].host not in self.cut]
+        super().renew(reached, fence)
+
     def throttle(self, task_id, share, fence):
         """Limit a task that can be reached."""
         self._check_contact(task_id)
--- a/magnoliapier/maintenance.py
+++ b/magnoliapier/maintenance.py
@@ -200,22 +200,12 @@
                 self._actions.append((tables.begin_maintenance, host))
             return
         tables.note(f"host/{host}", f"It is draining for {self._name}; {waiting}.")
-        self._checkpoint_tasks(host)
+        tables.checkpoint_tasks(host)
         limit = self._settings.straggler_limit_s if self._settings else math.inf
         if tables.now - entry["since"] > limit:
             self._record["deferred"][host] = tables.now
             self._return(host, assignment, f"after {limit:g} s, {waiting}")
 
-    def _checkpoint_tasks(self, host):
-        tables = self._tables
-        for task in tables.tasks_by_host.get(host, ()):
-            try:
-                tables.platform.tasks.checkpoint(
-                    task.task_id, tables.inputs.lease_epoch
-                )
-            except PlatformError as error:
-                tables.note(f"task/{task.task_id}", f"No checkpoint yet: {error}")
-
     def _return(self, host, assignment, reason):
         """Return a drained host that was not rebooted; its pool does not change."""
         self._record["hosts"].pop(host)
--- a/magnoliapier/planner.py
+++ b/magnoliapier/planner.py
@@ -81,4 +81,5 @@
         if waiting is None:
             tables.assign(name, assignment.target, assignment.reason)
         else:
+            tables.checkpoint_tasks(name)
             tables.note(f"host/{name}", f"It is draining; {waiting}.")
--- a/magnoliapier/planner_tables.py
+++ b/magnoliapier/planner_tables.py
@@ -201,6 +201,14 @@
             return f"task {self.tasks_by_host[name][0].task_id} runs on it"
         return None
 
+    def checkpoint_tasks(self, name):
+        """Ask for a checkpoint of each task on a draining host; none is cut."""
+        for task in self.tasks_by_host.get(name, ()):
+            try:
+                self.platform.tasks.checkpoint(task.task_id, self.inputs.lease_epoch)
+            except PlatformError as error:
+                self.note(f"task/{task.task_id}", f"No checkpoint yet: {error}")
+
     def unchanged(self, name):
         """Whether no entry of this tick changes the host's assignment."""
         return name not in self._changed
