Fail two hosts of one rack in the rollback test

Cause: the sample's racks are named per data centre since the manifest checks refuse a rack in two, so wire-0 and wire-1 no longer share a wave. Change: the test fails wire-0 and wire-2, which do. Before: the wave was never bad. After: it is rolled back as required.

--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -74,7 +74,7 @@
         """Guards against a fault of the maintenance that spreads over the fleet."""
         faults = [
             Fault(90.0, "endpoint_down", 3600.0, "wire-0"),
-            Fault(90.0, "endpoint_down", 3600.0, "wire-1"),
+            Fault(90.0, "endpoint_down", 3600.0, "wire-2"),
         ]
         report = run(make_wave_header(), faults, hosts=0.5, drain_mean_s=1.0)
         wave = report.waves["kernel/wire"]
