--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -31,7 +31,7 @@
 
 def head(method="GET", path="/wire/x", **headers):
     """Return the lines of a request without its body."""
-    named = {"Host": "h", "X-Organisation": "desk-a", **headers}
+    named = {"Host": "h", "X_Organisation": "desk-a", **headers}
     lines = [f"{method} {path} HTTP/1.1"]
     lines += [f"{name.replace('_', '-')}: {value}" for name, value in named.items()]
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
