Test the control link and the entry program, and write claims out on a drain

Cause: a drained process could end before its last first-answers were written. Change: the drain waits up to 5 s for the claim writer; tests run the real program through SIGTERM with a request in flight, a slow body and a claimed request.

--- a/magnoliapier/claims.py
+++ b/magnoliapier/claims.py
@@ -301,8 +301,15 @@
         )
         self._retry_at = 0.0
 
+    @property
+    def idle(self):
+        """Whether everything to write has been written."""
+        with self._claims.lock:
+            claims = self._claims
+            return not (claims.flushing or claims.pending or claims.unrecorded)
+
     def close(self):
-        """Write what is pending and end the writer."""
+        """End the writer; what is pending then stays unwritten."""
         self._writer.stop()
 
     def tick(self):
--- a/magnoliapier/entry.py
+++ b/magnoliapier/entry.py
@@ -29,6 +29,9 @@
 
 TICK_S = 0.1
 DRAIN_POLL_S = 0.05
+# Answers that the store does not take by then stay unrecorded, and repeats of their
+# keys are refused with outcome_unknown.
+CLAIMS_WAIT_S = 5.0
 METRICS_THREADS = 2
 
 
@@ -125,6 +128,7 @@
                 log.warning("drain_cut", open_requests=self.path.open_requests)
                 return False
             self._clock.sleep(DRAIN_POLL_S)
+        self._write_claims()
         return True
 
     def close(self):
@@ -159,6 +163,12 @@
             draining=self._draining,
         )
 
+    def _write_claims(self):
+        """Let first answers reach the table, for repeats at other entry hosts."""
+        until = self._clock.monotonic() + CLAIMS_WAIT_S
+        while not self._claims.idle and self._clock.monotonic() < until:
+            self._clock.sleep(DRAIN_POLL_S)
+
     def _tick(self):
         last = self._clock.monotonic()
         report_at = last
--- /dev/null
+++ b/tests/test_control_link.py
@@ -0,0 +1,213 @@
+import json
+import socket
+import threading
+import unittest
+
+from magnoliapier.clock import Clock, VirtualClock
+from magnoliapier.control_link import ControlLink, FleetView
+from magnoliapier.fleet_state import LogEntry
+from magnoliapier.manifest import canonical_json
+from magnoliapier.messages import (
+    Demand,
+    EntryReport,
+    GrantedCentre,
+    Peer,
+    PeerView,
+    SnapshotOffer,
+    StateUpdate,
+)
+from magnoliapier.metrics import Metrics
+from magnoliapier.settings import build_settings
+from magnoliapier.transport import receive_message, send_message
+from tests.entry_harness import wait_until
+from tests.samples import sample_state
+
+KEY = "k"
+
+
+class Listener:
+    """Records what the view shows."""
+
+    def __init__(self):
+        self.endpoints = []
+        self.demand = {}
+        self.marked = []
+
+    def set_fleet(self, manifest, endpoints):
+        self.endpoints = endpoints
+
+    def set_peers(self, demand):
+        self.demand = demand
+
+    def mark_leaving(self, host):
+        self.marked.append(host)
+
+
+def snapshot(state, **options):
+    return StateUpdate(snapshot=canonical_json(state.to_values()), **options)
+
+
+def drain(state, host, seq=None):
+    body = {"host": host, "epoch": state.assignments[host].epoch + 1}
+    return LogEntry(seq or state.seq + 1, "host_drain", body, "i", "a", 0.0)
+
+
+def entries(*items):
+    return [json.dumps(item.to_row()).encode() for item in items]
+
+
+class FleetViewTests(unittest.TestCase):
+    def setUp(self):
+        self.clock = VirtualClock(100.0)
+        self.listener = Listener()
+        self.view = FleetView("dc-1", self.clock, Metrics())
+        self.view.attach(self.listener)
+        self.state = sample_state()
+
+    def hosts(self):
+        return {e.host for e in self.listener.endpoints if not e.leaving}
+
+    def test_state_never_goes_back(self):
+        """Guards against an older snapshot that undoes a drain."""
+        old = snapshot(self.state, eligible=True)
+        self.view.apply_update(old)
+        self.assertIn("wire-0", self.hosts())
+        entry = drain(self.state, "wire-0")
+        self.view.apply_update(StateUpdate(entries=entries(entry), eligible=True))
+        self.assertEqual(self.view.seq, 2)
+        self.view.apply_update(old)
+        self.assertEqual(self.view.seq, 2)
+        self.assertFalse(self.view.allows("wire-0"))
+        self.assertNotIn("wire-0", self.hosts())
+
+    def test_gap_asks_for_a_snapshot(self):
+        """Guards against entries that are applied out of order."""
+        self.view.apply_update(snapshot(self.state, eligible=True))
+        self.assertFalse(self.view.snapshot_wanted)
+        late = drain(self.state, "wire-0", seq=5)
+        self.view.apply_update(StateUpdate(entries=entries(late), eligible=True))
+        self.assertEqual(self.view.seq, 1)
+        self.assertTrue(self.view.snapshot_wanted)
+
+    def test_grants(self):
+        """Guards against a send to another data centre after its grant ended."""
+        self.view.apply_update(snapshot(self.state, eligible=True))
+        grants = [GrantedCentre("dc-2", 1, 3000)]
+        view = PeerView(grants=grants, eligible=True)
+        self.view.apply_view(view, self.clock.monotonic())
+        self.assertTrue(self.view.allows("wire-1"))
+        self.clock.advance(2.1)
+        self.view.refresh(drop_grants=False)
+        self.assertFalse(self.view.allows("wire-1"))
+        self.view.apply_view(view, self.clock.monotonic())
+        self.view.refresh(drop_grants=True)
+        self.assertFalse(self.view.allows("wire-1"))
+        self.assertTrue(self.view.allows("wire-0"))
+        self.view.apply_view(PeerView(eligible=False), self.clock.monotonic())
+        self.assertEqual(self.hosts(), set())
+
+    def test_leaving_hosts(self):
+        """Guards against new work for a host that anyone knows to be leaving."""
+        self.view.apply_update(snapshot(self.state, eligible=True))
+        peers = [Peer("entry-2", "dc-1", 500, [Demand("wire", 3, 4)])]
+        view = PeerView(peers=peers, leaving_hosts=["wire-0"], eligible=True)
+        self.view.apply_view(view, self.clock.monotonic())
+        self.assertFalse(self.view.allows("wire-0"))
+        self.assertEqual(self.listener.demand["wire"][0].queued, 3)
+        self.view.sign_leaving("wire-2", draining=False)
+        self.assertEqual(self.listener.marked, ["wire-2"])
+        self.assertFalse(self.view.allows("wire-2"))
+        self.assertEqual(self.view.leaving_hosts(), ["wire-2"])
+        self.clock.advance(6)
+        self.view.refresh(drop_grants=False)
+        self.assertTrue(self.view.allows("wire-2"))
+
+
+class ControlStandin:
+    """Accepts links, records what they send, and sends what it is told."""
+
+    def __init__(self):
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self.received = []
+        self.connections = []
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def close(self):
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        for connection in self.connections:
+            connection.close()
+
+    def send(self, message):
+        send_message(self.connections[-1], message, KEY)
+
+    def _serve(self):
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            self.connections.append(connection)
+            threading.Thread(target=self._read, args=(connection,)).start()
+
+    def _read(self, connection):
+        try:
+            while message := receive_message(connection, KEY):
+                self.received.append(message)
+        except OSError:
+            return
+
+
+class ControlLinkTests(unittest.TestCase):
+    """Guards against an entry process that follows no control process."""
+
+    def setUp(self):
+        self.own, self.other = ControlStandin(), ControlStandin()
+        self.addCleanup(self.other.close)
+        peers = [
+            {"name": "entry-2", "data_centre": "dc-1", "address": self.other.address},
+            {"name": "entry-3", "data_centre": "dc-2", "address": "127.0.0.1:1"},
+        ]
+        settings = build_settings(
+            {
+                "auth": {"peer_key": KEY},
+                "control": {"address": self.own.address, "peers": peers},
+            }
+        )
+        self.view = FleetView("dc-1", Clock(), Metrics())
+        self.view.attach(Listener())
+        self.link = ControlLink.start(
+            settings, self.view, self.report, Clock(), Metrics()
+        )
+        self.addCleanup(self.link.stop)
+
+    def report(self):
+        return EntryReport(name="entry-1", applied_seq=self.view.seq)
+
+    def reported(self, control, seq):
+        return any(getattr(m, "applied_seq", None) == seq for m in control.received)
+
+    def test_state_and_change_of_control_process(self):
+        wait_until(lambda: self.reported(self.own, 0))
+        self.own.send(snapshot(sample_state(), eligible=True))
+        wait_until(lambda: self.reported(self.own, 1))
+        self.assertFalse(self.other.connections)
+        self.own.close()
+        wait_until(lambda: self.reported(self.other, 1))
+        # The other control process may be a restarted one without a state.
+        offers = [m for m in self.other.received if isinstance(m, SnapshotOffer)]
+        self.assertEqual(json.loads(offers[0].snapshot)["seq"], 1)
+
+    def test_silent_control_process_is_left(self):
+        """A control process that accepts but says nothing counts as gone."""
+        self.addCleanup(self.own.close)
+        wait_until(lambda: len(self.own.connections) >= 2)
+
+    def test_forged_message(self):
+        self.addCleanup(self.own.close)
+        wait_until(lambda: self.own.connections)
+        forged = snapshot(sample_state(), eligible=True)
+        send_message(self.own.connections[0], forged, "other key")
+        wait_until(lambda: len(self.own.connections) >= 2)
+        self.assertEqual(self.view.seq, 0)
--- /dev/null
+++ b/tests/test_entry.py
@@ -0,0 +1,148 @@
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import unittest
+import urllib.request
+
+from magnoliapier.clock import Clock
+from magnoliapier.manifest import canonical_json
+from magnoliapier.memory_platform import MemoryPlatform
+from magnoliapier.messages import PeerView, StateUpdate
+from magnoliapier.standin import StandinServer
+from magnoliapier.standin_endpoint import StandinEndpoint
+from tests.entry_harness import Caller, EntryTestCase, head, wait_until
+from tests.samples import commit_entry, sample_manifest, sample_state
+from tests.test_control_link import KEY, ControlStandin
+
+SECRET = "not-to-be-shown"
+
+
+class DrainTests(EntryTestCase):
+    def test_health_and_metrics(self):
+        """Guards against a load balancer that sends to a draining host."""
+        url = f"http://{self.process.metrics_address}"
+        with urllib.request.urlopen(f"{url}/health") as answer:
+            self.assertEqual(answer.status, 200)
+        self.ask(head())
+        with urllib.request.urlopen(f"{url}/metrics") as answer:
+            self.assertIn(b'magnoliapier_answers_total{status="2"} 1', answer.read())
+        self.assertTrue(self.process.drain())
+        with self.assertRaises(urllib.error.HTTPError):
+            urllib.request.urlopen(f"{url}/health")
+
+    def test_new_requests_on_open_connections(self):
+        """Guards against work taken on after a drain began, refused as not run."""
+        caller = self.call()
+        caller.send(head()).answer()
+        slow = self.call().send(head(X_Standin_Run_Ms=500))
+        wait_until(lambda: self.demand() == (0, 1))
+        drained = threading.Thread(target=self.process.drain)
+        drained.start()
+        wait_until(lambda: self.process.callers.draining)
+        status, headers, _ = caller.send(head()).answer()
+        self.assertEqual((status, headers["X-Refusal-Reason"]), (503, "draining"))
+        self.assertEqual(headers["X-Run-State"], "not-run")
+        self.assertEqual(headers["Connection"], "close")
+        self.assertEqual(slow.answer()[0], 200)
+        drained.join()
+
+    def test_no_manifest(self):
+        self.process.view._state = None
+        status, headers, _ = self.ask(head())
+        self.assertEqual((status, headers["X-Refusal-Reason"]), (503, "no_manifest"))
+
+
+class ProgramTests(unittest.TestCase):
+    """Runs the real program."""
+
+    def start(self, settings, *options):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = pathlib.Path(folder.name, "settings.json")
+        path.write_text(settings if isinstance(settings, str) else json.dumps(settings))
+        process = subprocess.Popen(
+            [sys.executable, "-m", "magnoliapier.entry", "--settings", path, *options],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+            env={**os.environ, "PYTHONPATH": "."},
+        )
+        self.addCleanup(process.stdout.close)
+        self.addCleanup(process.stderr.close)
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        return process
+
+    def test_print_settings_hides_secrets(self):
+        process = self.start({"auth": {"peer_key": SECRET}}, "--print-settings")
+        printed = process.stdout.read()
+        self.assertEqual(process.wait(), 0)
+        self.assertNotIn(SECRET, printed)
+        self.assertEqual(json.loads(printed)["name"], "entry-1")
+
+    def test_exit_codes(self):
+        """Guards against a supervisor that cannot tell settings from a taken port."""
+        taken = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(taken.close)
+        address = f"127.0.0.1:{taken.getsockname()[1]}"
+        free = "127.0.0.1:0"
+        cases = [
+            ("{", 3),
+            ({"entry": {"threads": "many"}}, 3),
+            ({"entry": {"address": address, "metrics_address": free}}, 4),
+            ({"entry": {"address": free, "metrics_address": address}}, 4),
+        ]
+        for settings, code in cases:
+            with self.subTest(settings):
+                self.assertEqual(self.start(settings).wait(), code)
+
+    def test_drain_on_sigterm(self):
+        """Guards against a stop that cuts a request or an answer half sent."""
+        endpoint = StandinEndpoint().start()
+        self.addCleanup(endpoint.close)
+        platform = StandinServer(MemoryPlatform(Clock())).start()
+        self.addCleanup(platform.close)
+        control = ControlStandin()
+        self.addCleanup(control.close)
+        process = self.start(
+            {
+                "auth": {"peer_key": KEY},
+                "platform": {"url": f"http://{platform.address}"},
+                "entry": {"address": "127.0.0.1:0", "metrics_address": "127.0.0.1:0"},
+                "control": {"address": control.address},
+            }
+        )
+        address = process.stdout.readline().split()[-1]
+        wait_until(lambda: control.received)
+        manifest = sample_manifest(("wire",), 1)
+        manifest["hosts"]["wire-0"]["address"] = endpoint.address
+        state = sample_state()
+        state.apply(commit_entry(state, manifest))
+        data = canonical_json(state.to_values())
+        control.send(StateUpdate(snapshot=data, eligible=True))
+        control.send(PeerView(eligible=True))
+        wait_until(lambda: any(getattr(m, "applied_seq", 0) for m in control.received))
+        callers = [Caller(address) for _ in range(3)]
+        for caller in callers:
+            self.addCleanup(caller.close)
+        key = {"Idempotency_Key": "k", "Content_Length": 0}
+        callers[0].send(head(X_Standin_Run_Ms=700, X_Standin_Bytes=900_000))
+        callers[1].send(head("POST", X_Standin_Run_Ms=700, **key))
+        callers[2].send(head("PUT", Content_Length=4) + b"ab")
+        wait_until(lambda: len(endpoint.runs) == 2)
+        process.send_signal(signal.SIGTERM)
+        wait_until(lambda: control.received[-1].draining)
+        callers[2].send(b"cd")
+        status, headers, _ = callers[2].answer()
+        self.assertEqual((status, headers["X-Run-State"]), (503, "not-run"))
+        self.assertEqual(len(callers[0].answer()[2]), 900_000)
+        self.assertEqual(callers[1].answer()[0], 200)
+        self.assertEqual(process.wait(), 0, process.stderr.read)
+        rows = platform.platform.table.scan("claim/")
+        self.assertEqual([row.value["state"] for row in rows], ["answered"])
