Drop eligibility after a long pause, and answer with the caller's own request id

Cause: a process paused for more than 20 s kept its eligibility from before the pause (R5), and a repeat got the request id of the first request. Change: the gap since the last tick is passed to the fleet view, which drops grants after 1 s and eligibility after 20 s; the process then takes a new incarnation. Each answer carries the request id of its own request.

--- a/magnoliapier/callers.py
+++ b/magnoliapier/callers.py
@@ -180,8 +180,15 @@
     def answer(self, status, phrase, headers, body, held=0):
         """Send a whole answer; ``held`` bytes of the budget go with it."""
         lines = [f"HTTP/1.1 {status} {phrase or PHRASES.get(status, '')}"]
-        lines.extend(f"{name}: {value}" for name, value in headers)
-        names = {name.lower() for name, _ in headers}
+        names = set()
+        for name, value in headers:
+            lower = name.lower()
+            # A repeated first answer carries the id of the first request.
+            if lower != "x-request-id":
+                names.add(lower)
+                lines.append(f"{name}: {value}")
+        if self.request_id:
+            lines.append(f"X-Request-Id: {self.request_id}")
         if "date" not in names:
             lines.append(f"Date: {http_date(int(time.time()))}")
         if "content-length" not in names and status not in (204, 304):
@@ -216,8 +223,6 @@
         ]
         if retry_after_s is not None:
             headers.append(("Retry-After", str(retry_after_s)))
-        if self.request_id:
-            headers.append(("X-Request-Id", self.request_id))
         body = json.dumps(values).encode()
         self.answer(kind.status, None, headers, body)
 
--- a/magnoliapier/control_link.py
+++ b/magnoliapier/control_link.py
@@ -29,7 +29,7 @@
     SnapshotOffer,
     StateUpdate,
 )
-from magnoliapier.ownership import allowed_hosts
+from magnoliapier.ownership import DROP_GRANTS_GAP_S, STALE_GAP_S, allowed_hosts
 from magnoliapier.request_tables import EndpointEntry, PeerDemand
 from magnoliapier.transport import open_stream, receive_message, send_message
 
@@ -143,7 +143,7 @@
             else:
                 self.snapshot_wanted = state is None
             self._state = state
-            self.refresh(drop_grants=False)
+            self.refresh()
 
     def apply_view(self, view, received):
         """
@@ -161,15 +161,22 @@
                 for grant in view.grants
             }
             self._peer_leaving = frozenset(view.leaving_hosts)
-            self.refresh(drop_grants=False)
+            self.refresh()
         self._listener.set_peers(peer_demand(view))
 
-    def refresh(self, drop_grants=True):
-        """Compute the allowed hosts and show changes to the listener."""
+    def refresh(self, gap_s=0.0):
+        """
+        Compute the allowed hosts and show changes to the listener.
+
+        ``gap_s`` is how long the process was paused; by rule R5 it then drops its
+        grants, or waits to be registered again.
+        """
         now = self._clock.monotonic()
         with self._lock:
-            if drop_grants:
+            if gap_s > DROP_GRANTS_GAP_S:
                 self._grants = {}
+            if gap_s > STALE_GAP_S:
+                self._eligible = False
             if self._state is None:
                 return
             self._signs = {
@@ -208,10 +215,6 @@
         with self._lock:
             return sorted(self._signs)
 
-    def expire(self):
-        """Drop what has run out; called on each tick."""
-        self.refresh(drop_grants=False)
-
     def _epoch(self, host):
         state = self._state
         assignment = state.assignments.get(host) if state else None
--- a/magnoliapier/entry.py
+++ b/magnoliapier/entry.py
@@ -21,8 +21,9 @@
 from magnoliapier.memory_budget import MemoryBudget
 from magnoliapier.messages import Demand, EntryReport
 from magnoliapier.metrics import Metrics
+from magnoliapier.ownership import DROP_GRANTS_GAP_S, STALE_GAP_S
 from magnoliapier.platform_http import connect_platform
-from magnoliapier.request_path import MAX_TICK_GAP_S, RequestPath
+from magnoliapier.request_path import RequestPath
 from magnoliapier.settings import load_settings
 
 log = get_logger(__name__)
@@ -174,12 +175,15 @@
         report_at = last
         while not self._stopped.wait(TICK_S):
             now = self._clock.monotonic()
-            paused = now - last > MAX_TICK_GAP_S
+            gap = now - last
             last = now
-            if paused:
+            if gap > DROP_GRANTS_GAP_S:
                 self._metrics.count("tick_gaps_total")
-                log.warning("process_paused")
-            self.view.refresh(drop_grants=paused)
+                log.warning("process_paused", gap_s=gap)
+            if gap > STALE_GAP_S:
+                # The sender has to be registered anew (rule R5).
+                self._incarnation = new_incarnation()
+            self.view.refresh(gap)
             self.path.tick()
             self._claims.tick()
             if now >= report_at:
--- a/magnoliapier/request_path.py
+++ b/magnoliapier/request_path.py
@@ -12,6 +12,7 @@
 from magnoliapier.claims import Claim, ClaimRefused, request_digest
 from magnoliapier.connections import Send, failed
 from magnoliapier.logs import get_logger
+from magnoliapier.ownership import DROP_GRANTS_GAP_S
 from magnoliapier.reasons import RefusalReason, RunState
 from magnoliapier.request_tables import (
     Dispatch,
@@ -22,9 +23,6 @@
 
 log = get_logger(__name__)
 
-# A longer time between ticks means that the process was paused, so the set of
-# allowed hosts is computed again before the next send (rule R5).
-MAX_TICK_GAP_S = 1.0
 REASONS = {
     SendOutcome.FAILED: RefusalReason.ENDPOINT_FAILED,
     SendOutcome.BUSY: RefusalReason.ENDPOINT_BUSY,
@@ -221,8 +219,9 @@
         """Send once, unless something forbids it by now."""
         entry = dispatch.request
         now = self._clock.monotonic()
-        if now - self._last_tick > MAX_TICK_GAP_S:
-            self._fleet.refresh()
+        gap = now - self._last_tick
+        if gap > DROP_GRANTS_GAP_S:
+            self._fleet.refresh(gap)
         if exchange.gone or exchange.done:
             return failed(SendOutcome.CALLER_GONE, RunState.NOT_RUN, True)
         if not self._fleet.allows(dispatch.endpoint.host):
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -43,8 +43,9 @@
         first = self.ask(filing("k", X_Request_Id="r"))
         wait_until(self.recorded)
         for process in (self.process, self.other, self.start_entry("entry-1")):
-            status, headers, body = self.ask(filing("k"), process)
+            status, headers, body = self.ask(filing("k", X_Request_Id="s"), process)
             self.assertEqual((status, body), (200, first[2]))
+            self.assertEqual(headers.get_all("X-Request-Id"), ["s"])
         self.assertEqual(sum(host.runs.get("k", 0) for host in self.hosts), 1)
 
     def test_key_of_another_request(self):
--- a/tests/test_control_link.py
+++ b/tests/test_control_link.py
@@ -90,19 +90,23 @@
         self.assertTrue(self.view.snapshot_wanted)
 
     def test_grants(self):
-        """Guards against a send to another data centre after its grant ended."""
+        """Guards against sends after a grant ended, or after a pause (R2, R5)."""
         self.view.apply_update(snapshot(self.state, eligible=True))
         grants = [GrantedCentre("dc-2", 1, 3000)]
         view = PeerView(grants=grants, eligible=True)
         self.view.apply_view(view, self.clock.monotonic())
         self.assertTrue(self.view.allows("wire-1"))
         self.clock.advance(2.1)
-        self.view.refresh(drop_grants=False)
+        self.view.refresh()
         self.assertFalse(self.view.allows("wire-1"))
         self.view.apply_view(view, self.clock.monotonic())
-        self.view.refresh(drop_grants=True)
+        self.view.refresh(gap_s=1.1)
         self.assertFalse(self.view.allows("wire-1"))
         self.assertTrue(self.view.allows("wire-0"))
+        self.view.refresh(gap_s=20.1)
+        self.assertEqual(self.hosts(), set())
+        self.view.apply_view(view, self.clock.monotonic())
+        self.assertTrue(self.view.allows("wire-0"))
         self.view.apply_view(PeerView(eligible=False), self.clock.monotonic())
         self.assertEqual(self.hosts(), set())
 
@@ -119,7 +123,7 @@
         self.assertFalse(self.view.allows("wire-2"))
         self.assertEqual(self.view.leaving_hosts(), ["wire-2"])
         self.clock.advance(6)
-        self.view.refresh(drop_grants=False)
+        self.view.refresh()
         self.assertTrue(self.view.allows("wire-2"))
 
 
