--- /dev/null
+++ b/benchmarks/fleet.py
@@ -0,0 +1,376 @@
+"""
+Figures of the planner against their targets.
+
+Run as ``python -m benchmarks.fleet --output build/bench-fleet.json``. Each figure
+is a function in the registry :data:`figures`; other benchmark modules add theirs.
+"""
+
+import functools
+import json
+import math
+import time
+from collections import defaultdict
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from benchmarks.fleet_traces import (
+    DAY_S,
+    fleet_manifest,
+    month_events,
+    month_header,
+    urgent_events,
+)
+from magnoliapier.clock import VirtualClock
+from magnoliapier.fleet_replay import ReplayOptions, replay_fleet
+from magnoliapier.fleet_state import FleetState, LogEntry
+from magnoliapier.manifest import digest
+from magnoliapier.memory_platform import MemoryPlatform
+from magnoliapier.planner import Planner, PlannerInputs, SenderRow
+from magnoliapier.platform_api import HostStatus, ListedHost
+from magnoliapier.registry import Registry
+from magnoliapier.traces import DemandSample, Header
+
+SEED = 1
+URGENT_JOBS = 150
+URGENT_SEEDS = (3, 4)
+PLAN_TICKS = 12
+TEAMS = 52
+POOLS = 62
+WAVE_REBOOT_S = 180.0
+WAVE_DRAIN_S = 4.0
+MONTH_VARIANTS = {
+    "planner": ("planner", {}),
+    "static": ("static_peak", {}),
+    "threshold": ("threshold", {}),
+    "oracle": ("offline", {}),
+    "no_n_hit": ("planner", {"capacity": {"n_hit": False}}),
+    "no_learning": ("planner", {"forecast": {"learned": False}}),
+    "hysteresis_1": ("planner", {"capacity": {"hysteresis": 1}}),
+    "no_margin": ("planner", {"forecast": {"margin": 0.0}}),
+}
+
+figures = Registry("benchmark figure")
+
+
+@dataclass
+class Figure:
+    """A measured value with its target; ``at_most`` is None for context only."""
+
+    value: float
+    at_most: float | None = None
+    detail: dict | None = None
+
+    def to_values(self):
+        """Return the figure as plain JSON."""
+        met = None if self.at_most is None else self.value <= self.at_most
+        values = {"value": self.value, "target": self.at_most, "met": met}
+        return {**values, "detail": self.detail} if self.detail else values
+
+
+@functools.cache
+def month_report(variant):
+    """Return the report of the month trace under one variant, run only once."""
+    policy, options = MONTH_VARIANTS[variant]
+    return replay_fleet(
+        month_header(),
+        month_events(SEED),
+        policy,
+        SEED,
+        options=ReplayOptions(policy_options=options),
+    )
+
+
+def month_detail(*variants):
+    """Return buffer, moves and misses of some variants."""
+    return {
+        name: {
+            "buffer_host_hours": round(month_report(name).buffer_host_hours, 1),
+            "moves": month_report(name).moves,
+            "budget_misses": month_report(name).budget_misses,
+        }
+        for name in variants
+    }
+
+
+@figures.register("buffer_vs_static")
+def measure_buffer_vs_static():
+    """Buffer host-hours relative to static peak provisioning."""
+    ratio = (
+        month_report("planner").buffer_host_hours
+        / month_report("static").buffer_host_hours
+    )
+    return Figure(round(ratio, 3), 0.4, month_detail("planner", "static"))
+
+
+@figures.register("buffer_vs_oracle")
+def measure_buffer_vs_oracle():
+    """Buffer host-hours relative to a plan that knows the month's demand."""
+    ratio = (
+        month_report("planner").buffer_host_hours
+        / month_report("oracle").buffer_host_hours
+    )
+    return Figure(round(ratio, 3), 1.25, month_detail("oracle"))
+
+
+@figures.register("moves_vs_threshold")
+def measure_moves_vs_threshold():
+    """Host moves relative to a threshold autoscaler."""
+    ratio = month_report("planner").moves / month_report("threshold").moves
+    return Figure(round(ratio, 3), 0.5, month_detail("threshold"))
+
+
+@figures.register("budget_misses")
+def measure_budget_misses():
+    """Minutes of the month in which any budget is missed."""
+    detail = month_detail("no_n_hit", "no_learning", "hysteresis_1", "no_margin")
+    return Figure(month_report("planner").budget_misses, 0, detail)
+
+
+@figures.register("shortage_shares")
+def measure_shortage_shares():
+    """Worst pool's served share in a shortage, with and without shares by demand."""
+    results = {}
+    for shares in (True, False):
+        header, events = shortage_trace()
+        report = replay_fleet(
+            header,
+            events,
+            "planner",
+            SEED,
+            options=ReplayOptions(
+                tick_s=60.0, policy_options={"capacity": {"shares": shares}}
+            ),
+        )
+        served = [
+            min(1.0, sample.serving / sample.demand)
+            for sample in report.series
+            if sample.t >= DAY_S + 1800.0
+        ]
+        results["on" if shares else "off"] = {
+            "worst_share": round(min(served), 3),
+            "moves": report.moves,
+            "missed_pool_minutes": len(report.missed_minutes),
+        }
+    return Figure(results["on"]["worst_share"], None, results)
+
+
+def shortage_trace():
+    """Return a trace in which all pools want more than the fleet has."""
+    header = month_header(days=1)
+    hosts = header.manifest["hosts"]
+    for name in sorted(hosts)[80:]:
+        del hosts[name]
+    header.duration_s = DAY_S + 4 * 3600.0
+    header.manifest["calendar"]["month-end"].update(start_day=2, end_day=2)
+    events = []
+    for place, pool in enumerate(header.manifest["services"]):
+        events.append(DemandSample(0.0, pool, 1.0 + 0.5 * place))
+        events.append(DemandSample(DAY_S, pool, 10.0 + 5.0 * place))
+    return header, sorted(events, key=lambda event: event.t)
+
+
+def wave_header(workers=1000, pools=POOLS, limit=2, domain="data_centre"):
+    """Return the header of one maintenance over the whole fleet."""
+    manifest = fleet_manifest(workers, pools, TEAMS, limit=limit)
+    manifest["maintenance"] = {
+        "kernel": {
+            "pools": sorted(p for p in manifest["pools"] if p != "spare"),
+            "start": 0,
+            "end": 3600,
+            "domain": domain,
+            "work_s": WAVE_REBOOT_S,
+        }
+    }
+    entries = {f"entry-{n}": f"dc-{n + 1}" for n in range(8)}
+    return Header("wave", "one wave over the fleet", 3600.0, entries, manifest)
+
+
+def wave_bound_s(header, demand, limit):
+    """
+    Return the shortest time in which budgets permit all reboots.
+
+    Each pool has ``limit`` hosts out at any moment, or fewer where its demand
+    needs the others, and no time between one host and the next. The failure domain
+    is not part of the bound.
+    """
+    sizes = defaultdict(int)
+    for host in header.manifest["hosts"].values():
+        sizes[host["pool"]] += 1
+    rounds = max(
+        math.ceil(size / max(1, min(limit, size - math.ceil(demand.get(pool, 1)))))
+        for pool, size in sizes.items()
+    )
+    return rounds * (WAVE_REBOOT_S + WAVE_DRAIN_S)
+
+
+@functools.cache
+def wave_report(policy="planner", domain="data_centre"):
+    """Return the report of the wave over 1,000 hosts."""
+    header = wave_header(domain=domain)
+    services = header.manifest["services"].values()
+    events = [DemandSample(0.0, s["pool"], 8.0) for s in services]
+    options = ReplayOptions(
+        tick_s=1.0, reboot_s=WAVE_REBOOT_S, drain_mean_s=WAVE_DRAIN_S
+    )
+    return replay_fleet(header, events, policy, SEED, options=options)
+
+
+@figures.register("wave_vs_bound")
+def measure_wave_vs_bound():
+    """Duration of a wave over 1,000 hosts relative to what budgets permit."""
+    header = wave_header()
+    report = wave_report()
+    demand = {s["pool"]: 8.0 for s in header.manifest["services"].values()}
+    bound = wave_bound_s(header, demand, 2)
+    ends = [wave.t_end for wave in report.waves.values()]
+    finished = all(end is not None for end in ends)
+    duration = max(ends) if finished else header.duration_s
+    done = sum(wave.done for wave in report.waves.values())
+    detail = {
+        "duration_s": duration,
+        "bound_s": bound,
+        "hosts_done": done,
+        "finished": finished,
+        "budget_misses": report.budget_misses,
+        "moves": report.moves,
+    }
+    return Figure(round(duration / bound, 3), 1.2, detail)
+
+
+def plan_setting(workers, jobs_per_pool=100):
+    """Return (planner, inputs, platform, state) for a fleet of ``workers``."""
+    pools = max(4, round(POOLS * workers / 1000))
+    teams = max(4, round(TEAMS * workers / 1000))
+    values = fleet_manifest(workers, pools, teams, jobs_per_pool)
+    values["maintenance"] = {
+        "kernel": {
+            "pools": sorted(p for p in values["pools"] if p != "spare"),
+            "start": 0,
+            "end": 1_000_000,
+        }
+    }
+    clock = VirtualClock(100.0)
+    platform = MemoryPlatform(clock)
+    state = FleetState()
+    body = {"patch": values, "digest": digest(values)}
+    state.apply(LogEntry(1, "manifest_commit", body, "id", "operator", 0.0))
+    return Planner(clock, platform), clock, platform, state
+
+
+def plan_times(workers):
+    """Return the real seconds of each tick while waves and jobs are under way."""
+    planner, clock, platform, state = plan_setting(workers)
+    listed = [
+        ListedHost(name, HostStatus.LIVE, host.address)
+        for name, host in state.manifest.hosts.items()
+    ]
+    for host in listed:
+        platform.hosts.set_host(host)
+    demand = dict.fromkeys(state.manifest.services, 8 * 6.0)
+    times = []
+    for number in range(PLAN_TICKS):
+        clock.advance(1.0)
+        senders = [SenderRow(f"e{n}", f"dc-{n + 1}", state.seq) for n in range(8)]
+        inputs = PlannerInputs(state, demand, senders, listed, 1, clock.time())
+        started = time.perf_counter()
+        output = planner.tick(inputs)
+        times.append(time.perf_counter() - started)
+        for kind, body in output.entries:
+            row = LogEntry(state.seq + 1, kind, body, "id", "planner", 0.0, 1)
+            state.apply(row)
+        # A demand that swings makes the capacity system move hosts as well.
+        demand = dict.fromkeys(demand, 8 * (4.0 + 4.0 * (number % 2)))
+    return times
+
+
+@figures.register("plan_s_1000")
+def measure_plan_s():
+    """Planning time of the slowest tick at the target size, and its slope."""
+    slowest = {workers: max(plan_times(workers)) for workers in (40, 200, 1000)}
+    low, high = slowest[200], slowest[1000]
+    detail = {
+        "slowest_tick_s": {str(n): round(s, 4) for n, s in slowest.items()},
+        "exponent_200_to_1000": round(math.log(high / low) / math.log(5), 2),
+        "exponent_40_to_200": round(math.log(low / slowest[40]) / math.log(5), 2),
+    }
+    return Figure(round(slowest[1000], 4), 0.5, detail)
+
+
+def urgent_waits(seed, preempt=True):
+    """Return the waits of urgent jobs on a fleet full of other work."""
+    manifest = fleet_manifest(1000, POOLS, TEAMS, jobs_per_pool=120)
+    duration_s = 600.0
+    events = urgent_events(1000, POOLS, TEAMS, URGENT_JOBS, duration_s, seed)
+    entries = {f"entry-{n}": f"dc-{n + 1}" for n in range(8)}
+    header = Header("urgent", "urgent jobs on a full fleet", duration_s, entries, {})
+    header.manifest = manifest
+    options = ReplayOptions(tick_s=1.0, policy_options={"jobs": {"preempt": preempt}})
+    report = replay_fleet(header, events, "planner", seed, options=options)
+    starts = report.first_starts(urgent=True)
+    waits = [start.wait_s for start in starts]
+    # A job that never started waited at least until the end of the trace.
+    waits += [duration_s] * (URGENT_JOBS - len(waits))
+    lost = sum(end.outcome in ("failed", "stopped") for end in report.job_ends)
+    return waits, lost, report
+
+
+@figures.register("urgent_p99_s")
+def measure_urgent_p99():
+    """The 99th percentile of urgent starts at 1,000 workers."""
+    waits, lost = [], 0
+    for seed in URGENT_SEEDS:
+        found, ended, _ = urgent_waits(seed)
+        waits += found
+        lost += ended
+    plain, _, _ = urgent_waits(URGENT_SEEDS[0], preempt=False)
+    detail = {
+        "jobs": len(waits),
+        "p50_s": round(percentile(waits, 50), 2),
+        "max_s": round(max(waits), 2),
+        "work_lost": lost,
+        "p99_s_without_preemption": round(percentile(plain, 99), 2),
+    }
+    return Figure(round(percentile(waits, 99), 2), 4.7, detail)
+
+
+def percentile(values, share):
+    """Return the nearest-rank percentile."""
+    ordered = sorted(values)
+    return ordered[max(0, math.ceil(share / 100 * len(ordered)) - 1)]
+
+
+def run(names):
+    """Return the figures called ``names`` as plain JSON, and print each."""
+    results = {}
+    for name in names:
+        started = time.perf_counter()
+        results[name] = figures.get(name)().to_values()
+        row = results[name]
+        verdict = {True: "met", False: "MISSED", None: "no target"}[row["met"]]
+        print(
+            f"{name}={row['value']} target={row['target']} {verdict} "
+            f"seconds={time.perf_counter() - started:.1f} "
+            f"detail={json.dumps(row.get('detail'))}",
+            flush=True,
+        )
+    return results
+
+
+def main(
+    output: Annotated[Path, typer.Option(help="File for the figures as JSON.")],
+    only: Annotated[list[str] | None, typer.Option(help="Names of figures.")] = None,
+):
+    """Measure the planner's figures, print them and write them to a file."""
+    results = run(only or figures.names())
+    output.parent.mkdir(parents=True, exist_ok=True)
+    output.write_text(json.dumps(results, indent=2) + "\n", encoding="utf-8")
+
+
+if __name__ == "__main__":
+    # Other modules register their figures on this module under its import name.
+    from benchmarks import fleet
+
+    typer.run(fleet.main)
