Check planned stops in the replay and do not wait for cut hosts

Cause: a pool counted hosts of a cut data centre as coming, and the replay did not notice a move or reboot of a host in use.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -46,6 +46,7 @@
     "static": ("static_peak", {}),
     "threshold": ("threshold", {}),
     "oracle": ("offline", {}),
+    "oracle_without_reserve": ("offline", {"reserve": False}),
     "no_n_hit": ("planner", {"capacity": {"n_hit": False}}),
     "no_learning": ("planner", {"forecast": {"learned": False}}),
     "hysteresis_1": ("planner", {"capacity": {"hysteresis": 1}}),
@@ -112,7 +113,8 @@
         month_report("planner").buffer_host_hours
         / month_report("oracle").buffer_host_hours
     )
-    return Figure(round(ratio, 3), 1.25, month_detail("oracle"))
+    detail = month_detail("oracle", "oracle_without_reserve")
+    return Figure(round(ratio, 3), 1.25, detail)
 
 
 @figures.register("moves_vs_threshold")
--- a/benchmarks/fleet_traces.py
+++ b/benchmarks/fleet_traces.py
@@ -164,7 +164,7 @@
         "team": f"team-{team}",
         "pool": pool,
         "cores": rng.choice([2, 4, 8, 16]),
-        "memory_gb": rng.choice([4, 8, 16]),
+        "memory_gb": rng.choice([4, 16, 32, 64]),
         "accelerators": rng.choice([0, 0, 0, 1]),
         "urgent": urgent,
         "idempotent": rng.random() < 0.7,
--- a/magnoliapier/capacity.py
+++ b/magnoliapier/capacity.py
@@ -12,6 +12,7 @@
 
 LEAD_S = 900.0  # a drain with a straggler takes minutes, and the N-hit rule delays
 RELEASE_S = 3600.0  # a rise within this time makes a release cost two moves
+STUCK_S = 180.0  # a drain without consent for longer may never end, as in a cut
 SIGN_PERIOD_S = 20.0  # signs closer together come from the same demand reports
 SIGN_INTERVAL_S = 300.0
 SIGNS = 2
@@ -71,6 +72,8 @@
         self._hysteresis = hysteresis
         self._rises = HitCounter(signs if n_hit else 0)
         self._falls = HitCounter(signs if n_hit else 0)
+        self._draining = {}
+        self._stuck_centres = set()
 
     def measure(self, tables):
         """Set the hosts that must serve now, and soon, in ``tables.need``."""
@@ -80,6 +83,7 @@
 
     def run(self, tables):
         """Move hosts towards the wanted sizes of the pools."""
+        self._discount_stuck(tables)
         wanted, released = {}, {}
         for pool in tables.managed_pools():
             extra = failure_reserve(tables, pool) + tables.cover.get(pool, 0)
@@ -92,6 +96,26 @@
         self._fill(tables, missing, surplus)
         self._release(tables, surplus)
 
+    def _discount_stuck(self, tables):
+        """
+        Count no host as coming that has waited long for consent.
+
+        The senders of a data centre that is cut off cannot consent, and its hosts
+        would otherwise stand in for hosts that the pool needs now.
+        """
+        draining = {}
+        self._stuck_centres = set()
+        for name, assignment in tables.state.assignments.items():
+            if assignment.takes_work or assignment.target in (None, assignment.pool):
+                continue
+            key = (name, assignment.seq)
+            draining[key] = self._draining.get(key, tables.now)
+            if tables.now - draining[key] > STUCK_S:
+                self._stuck_centres.add(tables.manifest.hosts[name].data_centre)
+                if tables.is_live(name):
+                    tables.incoming[assignment.target] -= 1
+        self._draining = draining
+
     def _bounded(self, tables, pool, size):
         settings = tables.manifest.pools[pool]
         return min(max(size, settings.min_hosts), settings.max_hosts)
@@ -121,7 +145,12 @@
         return surplus
 
     def _fill(self, tables, missing, surplus):
-        spare = tables.spare_hosts()
+        hosts = tables.manifest.hosts
+        spare = [
+            name
+            for name in tables.spare_hosts()
+            if hosts[name].data_centre not in self._stuck_centres
+        ]
         total = sum(missing.values())
         donors = {}
         if total > len(spare):
--- a/magnoliapier/fleet_platform.py
+++ b/magnoliapier/fleet_platform.py
@@ -176,6 +176,14 @@
             return TaskStatus.SUCCEEDED
         return None
 
+    def hosts_in_use(self):
+        """Return the hosts on which a task really runs."""
+        return {
+            task.host
+            for task in self._tasks.values()
+            if task.status is TaskStatus.RUNNING or task.task_id in self.running_unseen
+        }
+
     def true_run_s(self, job):
         """Return the true run time of a job, fixed by the seed."""
         declared = self.jobs.get(job)
--- a/magnoliapier/fleet_policies.py
+++ b/magnoliapier/fleet_policies.py
@@ -149,11 +149,13 @@
 
     Hosts arrive ``OFFLINE_LEAD_S`` before they are needed. A pool keeps its hosts
     over a dip shorter than ``OFFLINE_MERGE_S``, which would cost two moves for
-    each host.
+    each host. It holds the planner's reserve for failures unless the option
+    ``reserve`` is false.
     """
 
     def __init__(self, setting):
         super().__init__(setting)
+        self._reserve = setting.options.get("reserve", True)
         self._plans = {}
         samples = defaultdict(list)
         for event in setting.events:
@@ -167,7 +169,7 @@
         place = int(tables.now // OFFLINE_STEP_S)
         return {
             pool: tables.hosts_required(pool, plan[min(place, len(plan) - 1)])
-            + failure_reserve(tables, pool)
+            + (failure_reserve(tables, pool) if self._reserve else 0)
             for pool, plan in self._plans.items()
         }
 
--- a/magnoliapier/fleet_replay.py
+++ b/magnoliapier/fleet_replay.py
@@ -115,7 +115,8 @@
     ``moves`` counts assignments to another pool, operators' moves not included.
     ``buffer_host_hours`` adds up the hosts that pools with a service hold beyond
     their demand; the shared spare is not counted. ``missed_minutes`` lists the
-    (minute, pool) in which fewer hosts served than required. ``tick_seconds``
+    (minute, pool) in which fewer hosts served than required. ``interrupted`` counts
+    planned stops and moves of hosts on which a request or task ran. ``tick_seconds``
     holds the real time of each tick and is the only field that differs between
     two runs.
     """
@@ -135,6 +136,7 @@
     notes: list = field(default_factory=list)
     series: list = field(default_factory=list)
     double_runs: int = 0
+    interrupted: int = 0
     rejected_commits: int = 0
     rejected_entries: int = 0
     planner_takeovers: int = 0
@@ -366,6 +368,11 @@
         )
         before = self.state.assignments.get(body.get("host"))
         self.state.apply(entry)
+        if epoch and (
+            kind == "host_maintenance"
+            or (kind == "host_assign" and before.pool != body["pool"])
+        ):
+            self.report.interrupted += self._in_use(body["host"])
         if kind == "host_drain":
             self._begin_drain(body["host"])
         if kind == "host_assign" and before.pool != body["pool"] and epoch:
@@ -374,6 +381,11 @@
                 (self.clock.time(), body["host"], before.pool, body["pool"])
             )
 
+    def _in_use(self, host):
+        if self._busy.get(host, 0.0) > self.clock.time():
+            return True
+        return host in self.platform.tasks.hosts_in_use()
+
     def _begin_drain(self, host):
         rng = random.Random(f"{self.seed}:{host}:{self.state.seq}")
         drain_s = rng.expovariate(1.0 / max(self.options.drain_mean_s, 1e-9))
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -34,6 +34,20 @@
         self.assertEqual(report.missed_minutes, [])
         self.assertGreater(report.moves, 0)
 
+    def test_hosts_of_a_cut_data_centre_are_not_waited_for(self):
+        """Guards against a pool that counts on hosts that cannot move."""
+        events = [
+            DemandSample(0.0, "wire", 2.0),
+            DemandSample(900.0, "wire", 4.0),
+            Fault(100.0, "data_centre_cut", 4000.0, "dc-1"),
+        ]
+        header = make_header(3600.0, hosts=8)
+        for name in ("wire-4", "wire-5", "wire-6", "wire-7"):
+            del header.manifest["hosts"][name]
+        report = replay_fleet(header, events, "planner", 1)
+        last = [s for s in report.series if s.pool == "wire"][-1]
+        self.assertGreaterEqual(last.serving, 8)
+
     def test_takeovers_change_no_outcome(self):
         """Guards against plans that live only in the memory of one process."""
         events = [DemandSample(0.0, "wire", 1.0), DemandSample(600.0, "wire", 4.0)]
