--- /dev/null
+++ b/magnoliapier/control_node.py
@@ -0,0 +1,530 @@
+"""
+The decisions of a control process, without I/O.
+
+A :class:`Node` joins the log follower, membership, grants and the sessions of
+attached entry processes. One actor owns it; sockets and the store are elsewhere.
+"""
+
+import json
+from dataclasses import dataclass, field
+
+from magnoliapier.fleet_log import LogFollower
+from magnoliapier.fleet_state import FleetState, LogEntry
+from magnoliapier.logs import get_logger
+from magnoliapier.manifest import canonical_json
+from magnoliapier.membership import DemandDifferences, LeavingHosts, Membership
+from magnoliapier.messages import (
+    GrantedCentre,
+    Heartbeat,
+    Peer,
+    PeerView,
+    PullReply,
+    StateUpdate,
+)
+from magnoliapier.ownership import (
+    GRANT_S,
+    MAX_REPORT_AGE_S,
+    Gap,
+    GapDetector,
+    GivenGrants,
+    HeldGrants,
+    Registration,
+    SenderRecord,
+    consent_record,
+)
+
+# A restarted process with no answer from the table waits this long for the seqs of
+# its entry process and its peers before it puts the highest of them in force.
+STARTUP_WAIT_S = 2.0
+PULL_SPREAD_S = 0.1
+# After a partition many processes are far behind at once.
+FAR_BEHIND_ENTRIES = 16
+FAR_PULL_SPREAD_S = 1.0
+PULL_RETRY_S = 2.0
+DIRECT_INTERVAL_S = 1.0
+
+log = get_logger(__name__)
+
+
+@dataclass
+class SenderSession:
+    """
+    One attached entry process.
+
+    ``consent_from`` is when grants given by an earlier control process have
+    expired; None until the holders were read from the table.
+    """
+
+    name: str
+    registration: Registration
+    given: GivenGrants
+    report: object = None
+    reported_at: float = 0.0
+    attached: bool = False
+    consent_from: float | None = None
+    written: SenderRecord | None = None
+
+
+@dataclass
+class Actions:
+    """What the owner of a node must do after a tick."""
+
+    heartbeats: list = field(default_factory=list)
+    direct: list = field(default_factory=list)
+    pull: tuple | None = None
+
+
+def parse_state(data):
+    """Return the :class:`FleetState` of a snapshot in canonical JSON."""
+    return FleetState.from_values(json.loads(data))
+
+
+def parse_entries(items):
+    """Return log entries from their canonical JSON."""
+    return [LogEntry.from_row(json.loads(item)) for item in items]
+
+
+def encode_entries(entries):
+    """Return log entries as canonical JSON."""
+    return [canonical_json(entry.to_row()) for entry in entries]
+
+
+class Node:
+    """
+    The state and decisions of one control process.
+
+    ``incarnation`` must be higher than that of any earlier process of this host.
+    """
+
+    def __init__(self, clock, name, data_centre, seeds, rng, incarnation, address=""):
+        self._clock = clock
+        self._name = name
+        self._data_centre = data_centre
+        self._rng = rng
+        self._address = address
+        self._started_at = clock.monotonic()
+        self._follower = LogFollower(clock)
+        self._members = Membership(clock, name, data_centre, incarnation, seeds, rng)
+        self._leaving = LeavingHosts(clock)
+        self._held = HeldGrants(clock, name)
+        self._gaps = GapDetector(clock)
+        self._sessions = {}
+        self._asks = {}
+        self._differences = {}
+        self._direct_at = {}
+        self._pull_at = None
+        self._in_force_elsewhere = 0
+        self._settled = False
+
+    @property
+    def state(self):
+        """The :class:`FleetState` in force."""
+        return self._follower.state
+
+    @property
+    def follower(self):
+        """The :class:`LogFollower`."""
+        return self._follower
+
+    @property
+    def members(self):
+        """The :class:`Membership`."""
+        return self._members
+
+    @property
+    def leaving(self):
+        """The :class:`LeavingHosts`."""
+        return self._leaving
+
+    @property
+    def held(self):
+        """The :class:`HeldGrants` of this host's sender."""
+        return self._held
+
+    @property
+    def sessions(self):
+        """The :class:`SenderSession` of each entry process seen, by name."""
+        return self._sessions
+
+    def tick(self):
+        """Advance by the clock and return the :class:`Actions` to take."""
+        self._apply_gap(self._gaps.tick())
+        for member, previous in self._members.tick():
+            log.info(
+                "member_changed",
+                peer=member.name,
+                previous=previous,
+                status=member.status,
+            )
+        self._activate()
+        actions = Actions(pull=self._choose_pull())
+        for member in self._members.due():
+            actions.heartbeats.append((member.address, self.heartbeat_for(member)))
+        actions.direct = self._direct_heartbeats()
+        return actions
+
+    def on_heartbeat(self, heartbeat, source):
+        """Take a peer's heartbeat."""
+        member = self._members.receive(heartbeat, source)
+        if member is None:
+            return
+        if heartbeat.sender_incarnation:
+            self._asks[member.name] = (
+                heartbeat.sender_incarnation,
+                heartbeat.sent_at_ms,
+                self._clock.monotonic(),
+            )
+            for session in self._sessions.values():
+                session.given.observe(
+                    member.name,
+                    heartbeat.sender_incarnation,
+                    heartbeat.sender_seq,
+                    heartbeat.busy_hosts,
+                    heartbeat.sent_at_ms,
+                )
+        for grant in heartbeat.grants:
+            if grant.data_centre == member.data_centre:
+                self._held.receive(member.name, grant)
+        self._leaving.hear(heartbeat.leaving_hosts)
+
+    def heartbeat_for(self, member, address=""):
+        """Return the heartbeat to send to ``member`` now."""
+        session = self._fresh_session(self._name)
+        report = session.report if session else None
+        state = self.state
+        differences = self._differences.setdefault(member.name, DemandDifferences())
+        return Heartbeat(
+            name=self._name,
+            data_centre=self._data_centre,
+            incarnation=self._members.incarnation,
+            seq=state.seq,
+            staged=self._follower.staged_seq,
+            sender_incarnation=report.incarnation if report else 0,
+            sender_seq=min(report.applied_seq, state.seq) if report else 0,
+            eligible=self.is_eligible(self._name),
+            sent_at_ms=self._held.ask(),
+            demand=differences.select(report.demand if report else []),
+            busy_hosts=leaving_busy_hosts(state, report) if report else [],
+            leaving_hosts=self._leaving.to_send(),
+            suspected=[member.name] if self._members.doubts(member) else [],
+            grants=self._grants_for(member),
+            address=address,
+        )
+
+    def on_log_read(self, read):
+        """Stage what a read of the table returned."""
+        if read.head_seq:
+            self._settled = True
+        if read.snapshot is not None:
+            self._follower.offer_state(read.snapshot)
+        self.offer_entries(read.entries)
+
+    def offer_entries(self, entries):
+        """Stage entries and tell the peers at once if any is new."""
+        if self._follower.offer_entries(entries):
+            self._members.hurry()
+        self._activate()
+
+    def on_pull(self, request):
+        """Return the reply to a peer that is behind."""
+        entries = self._follower.entries_after(request.after_seq)
+        snapshot = b""
+        if entries is None:
+            snapshot = canonical_json(self._follower.staged.to_values())
+            entries = []
+        return PullReply(
+            self._name, self.is_eligible(self._name), snapshot, encode_entries(entries)
+        )
+
+    def on_pull_reply(self, reply):
+        """Stage what a peer returned."""
+        self._pull_at = None
+        if reply.snapshot:
+            self._follower.offer_state(parse_state(reply.snapshot))
+        self.offer_entries(parse_entries(reply.entries))
+
+    def on_pull_failed(self):
+        """Try another peer soon."""
+        self._pull_at = self._clock.monotonic() + self._rng.uniform(0, PULL_SPREAD_S)
+
+    def on_snapshot_offer(self, offer):
+        """Take the state of an entry process, which was in force on its host."""
+        seq = 0
+        if offer.snapshot:
+            state = parse_state(offer.snapshot)
+            seq = state.seq
+            self._follower.offer_state(state)
+        entries = parse_entries(offer.entries)
+        self._in_force_elsewhere = max(
+            self._in_force_elsewhere, seq, *(entry.seq for entry in entries)
+        )
+        self.offer_entries(entries)
+
+    def on_report(self, report):
+        """Take the report of an attached entry process."""
+        session = self._sessions.get(report.name)
+        if session is None:
+            session = SenderSession(
+                report.name,
+                Registration(),
+                GivenGrants(self._clock, self._data_centre),
+            )
+            self._sessions[report.name] = session
+        if not session.attached and report.name != self._name:
+            # Its own control process may have given grants in its name since.
+            session.consent_from = None
+            session.written = None
+        if session.registration.incarnation != report.incarnation:
+            self._register_anew(session, report.incarnation)
+        if report.name == self._name:
+            self._held.incarnation = report.incarnation
+        session.report = report
+        session.reported_at = self._clock.monotonic()
+        session.attached = True
+        self.sign_leaving(report.leaving_hosts)
+
+    def on_detach(self, name):
+        """The connection of an entry process ended."""
+        if name in self._sessions:
+            self._sessions[name].attached = False
+
+    def sign_leaving(self, hosts):
+        """Take credible signs that hosts leave and spread new ones at once."""
+        if hosts and self._leaving.sign(hosts):
+            self._members.hurry()
+
+    def peer_view(self, name):
+        """Return the answer to a report of the entry process ``name``."""
+        now = self._clock.monotonic()
+        session = self._sessions[name]
+        grants = {}
+        if name == self._name:
+            grants = self._held.usable(session.report.applied_seq)
+        return PeerView(
+            peers=[
+                Peer(
+                    member.name,
+                    member.data_centre,
+                    max(0, int((now - member.heard_at) * 1000)),
+                    [d for d in member.demand.values() if d.queued or d.in_flight],
+                )
+                for member in self._members.live()
+            ],
+            grants=[
+                GrantedCentre(
+                    grant.data_centre, grant.seq, int((grant.expires - now) * 1000)
+                )
+                for grant in grants.values()
+            ],
+            leaving_hosts=self._leaving.current(),
+            eligible=self.is_eligible(name),
+        )
+
+    def state_update(self, name, after_seq):
+        """
+        Return the update for an entry process that has ``after_seq``, or None.
+
+        An entry process without state gets a snapshot.
+        """
+        state = self.state
+        if state.seq <= after_seq:
+            return None
+        entries = self._follower.entries_after(after_seq, state.seq)
+        eligible = self.is_eligible(name)
+        if after_seq == 0 or entries is None:
+            return StateUpdate(canonical_json(state.to_values()), [], eligible)
+        return StateUpdate(b"", encode_entries(entries), eligible)
+
+    def is_eligible(self, name):
+        """Return whether the sender of an attached entry process is eligible."""
+        session = self._fresh_session(name)
+        return session is not None and session.registration.eligible(
+            session.report.incarnation,
+            min(session.report.applied_seq, self.state.seq),
+        )
+
+    def records_to_write(self):
+        """Return the :class:`SenderRecord` of each session whose row is outdated."""
+        records = []
+        for name in list(self._sessions):
+            session = self._fresh_session(name)
+            if session is None:
+                continue
+            record = self._record_of(session)
+            if record != session.written:
+                records.append(record)
+        return records
+
+    def on_record_written(self, record):
+        """The table holds ``record``."""
+        session = self._sessions[record.name]
+        session.written = record
+        session.registration.written(record.incarnation)
+
+    def on_record_lost(self, name):
+        """Another process changed or removed the row; register again."""
+        session = self._sessions[name]
+        self._register_anew(session, session.registration.incarnation)
+
+    def registrations_to_read(self):
+        """Return (name, incarnation) of sessions that need senders and log read."""
+        return [
+            (name, session.registration.incarnation)
+            for name, session in self._sessions.items()
+            if session.registration.is_written
+            and (session.registration.wants_log_read or session.consent_from is None)
+        ]
+
+    def on_registration_read(self, name, incarnation, senders, read):
+        """
+        Take the names of all registered senders and a log read, in this order.
+
+        Both reads began after the record was written.
+        """
+        self.on_log_read(read)
+        session = self._sessions[name]
+        if session.consent_from is None:
+            heard = {m.name for m in self._members.live() if m.sender_incarnation}
+            session.given.assume_earlier((heard | set(senders)) - {name})
+            session.consent_from = self._clock.monotonic() + GRANT_S
+        session.registration.log_read(incarnation, read.head_seq)
+
+    def demand(self):
+        """Return the slots asked for by service, summed over live entry hosts."""
+        total = {}
+        live = self._members.live()
+        reports = [m.demand.values() for m in live if m.sender_incarnation]
+        reported = {m.name for m in live if m.sender_incarnation}
+        for name in self._sessions:
+            session = self._fresh_session(name)
+            if session and name not in reported:
+                reports.append(session.report.demand)
+        for items in reports:
+            for item in items:
+                slots = item.queued + item.in_flight
+                total[item.service] = total.get(item.service, 0) + slots
+        return total
+
+    def _activate(self):
+        waited = self._clock.monotonic() - self._started_at >= STARTUP_WAIT_S
+        if not (self._settled or waited):
+            return
+        self._settled = True
+        before = self.state
+        self._follower.raise_to(self._in_force_elsewhere)
+        self._follower.activate(self._members.best_staged())
+        if self.state is not before:
+            self._on_state_change(before)
+
+    def _on_state_change(self, before):
+        log.info(
+            "state_in_force", seq=self.state.seq, version=self.state.manifest_version
+        )
+        returned = [
+            name
+            for name, assignment in self.state.assignments.items()
+            if assignment.takes_work and assignment != before.assignments.get(name)
+        ]
+        if before.seq:
+            self._leaving.clear(returned)
+        for entry in self._follower.entries_after(before.seq, self.state.seq) or ():
+            if entry.kind == "sender_removed":
+                self._on_sender_removed(entry.body)
+
+    def _on_sender_removed(self, body):
+        for session in self._sessions.values():
+            session.given.forget(body["name"])
+        session = self._sessions.get(body["name"])
+        if session and session.registration.incarnation <= body["incarnation"]:
+            self._register_anew(session, session.registration.incarnation)
+
+    def _register_anew(self, session, incarnation):
+        session.registration.begin(incarnation)
+        session.written = None
+
+    def _apply_gap(self, gap):
+        if gap is Gap.NONE:
+            return
+        log.warning("process_paused", effect=gap.value)
+        self._held.drop()
+        if gap is Gap.STALE:
+            for session in self._sessions.values():
+                self._register_anew(session, session.registration.incarnation)
+
+    def _fresh_session(self, name):
+        session = self._sessions.get(name)
+        if session is None or not session.attached:
+            return None
+        if self._clock.monotonic() - session.reported_at > MAX_REPORT_AGE_S:
+            return None
+        return session
+
+    def _record_of(self, session):
+        now = self._clock.monotonic()
+        report = session.report
+        if session.consent_from is None or now < session.consent_from:
+            return SenderRecord(session.name, self._data_centre, report.incarnation)
+        record = consent_record(
+            session.name, self._data_centre, report, self.state, session.given
+        )
+        busy = [h for h in record.busy if not takes_work(self.state, h)]
+        return SenderRecord(
+            record.name,
+            record.data_centre,
+            record.incarnation,
+            record.applied,
+            frozenset(busy),
+        )
+
+    def _grants_for(self, member):
+        ask = self._asks.pop(member.name, None)
+        session = self._fresh_session(self._name)
+        if ask is None or session is None or not self.is_eligible(self._name):
+            return []
+        incarnation, asked_at_ms, heard_at = ask
+        if self._clock.monotonic() - heard_at > GRANT_S:
+            return []
+        if member.data_centre == self._data_centre and member.eligible:
+            return []
+        return [
+            session.given.give(member.name, incarnation, self.state.seq, asked_at_ms)
+        ]
+
+    def _choose_pull(self):
+        now = self._clock.monotonic()
+        staged = self._follower.staged_seq
+        source = self._members.pull_source(staged)
+        if source is None:
+            self._pull_at = None
+            return None
+        if self._pull_at is None:
+            far = source.staged - staged > FAR_BEHIND_ENTRIES
+            spread = FAR_PULL_SPREAD_S if far else PULL_SPREAD_S
+            self._pull_at = now + self._rng.uniform(0, spread)
+        if now < self._pull_at:
+            return None
+        self._pull_at = now + PULL_RETRY_S
+        return source.address, staged
+
+    def _direct_heartbeats(self):
+        # A peer that does not hear our datagrams may still be reached by TCP.
+        now = self._clock.monotonic()
+        direct = []
+        for member in self._members.live():
+            due = self._direct_at.get(member.name, 0.0) <= now
+            if member.suspects_us and due:
+                self._direct_at[member.name] = now + DIRECT_INTERVAL_S
+                heartbeat = self.heartbeat_for(member, self._address)
+                direct.append((member.address, heartbeat))
+        return direct
+
+
+def takes_work(state, host):
+    """Return whether ``host`` is assigned in ``state``."""
+    assignment = state.assignments.get(host)
+    return assignment is not None and assignment.takes_work
+
+
+def leaving_busy_hosts(state, report):
+    """Return the busy hosts of a report that take no new work in ``state``."""
+    return [host for host in report.busy_hosts if not takes_work(state, host)]
--- a/magnoliapier/exceptions.py
+++ b/magnoliapier/exceptions.py
@@ -52,6 +52,10 @@
     exit_code = 6
 
 
+class ControlBusyError(MagnoliapierError):
+    """A part of the control process did not answer in time or is stopping."""
+
+
 class AuthenticationError(MagnoliapierError):
     """A token or message authentication code is missing, wrong or expired."""
 
--- a/magnoliapier/fleet_log.py
+++ b/magnoliapier/fleet_log.py
@@ -448,6 +448,11 @@
         """The :class:`FleetState` in force; seq 0 means none."""
         return self._state
 
+    @property
+    def staged(self):
+        """The newest state that this process holds."""
+        return self._staged
+
     @property
     def staged_seq(self):
         """The newest seq that this process holds."""
@@ -471,24 +476,23 @@
             self._staged_at = self._clock.monotonic()
         return self._staged.seq > before
 
-    def offer_state(self, state, in_force=False):
-        """
-        Stage a whole state if it is newer; return whether it was.
-
-        ``in_force`` marks a state that already was in force on this host.
-        """
-        if state.seq > self._staged.seq:
-            self._staged = state
-            self._pending.clear()
-            self._pending.append((None, state))
-            self._recent.clear()
-            self._staged_at = self._clock.monotonic()
-            if in_force:
-                self._activate(state.seq)
-            return True
-        if in_force:
-            self._activate(state.seq)
-        return False
+    def offer_state(self, state):
+        """Stage a whole state if it is newer; return whether it was."""
+        if state.seq <= self._staged.seq:
+            return False
+        self._staged = state
+        self._pending.clear()
+        self._pending.append((None, state))
+        self._recent.clear()
+        self._staged_at = self._clock.monotonic()
+        return True
+
+    def raise_to(self, seq):
+        """Put staged entries up to ``seq`` in force; return whether any were."""
+        before = self._state.seq
+        while self._pending and self._pending[0][1].seq <= seq:
+            self._state = self._pending.popleft()[1]
+        return self._state.seq > before
 
     def activate(self, peer_staged):
         """
@@ -500,12 +504,12 @@
         now = self._clock.monotonic()
         if peer_staged is not None:
             self._alone_since = None
-            return self._activate(peer_staged)
+            return self.raise_to(peer_staged)
         if self._alone_since is None:
             self._alone_since = now
         if now - max(self._alone_since, self._staged_at) < SOLO_ACTIVATION_S:
             return False
-        return self._activate(self._staged.seq)
+        return self.raise_to(self._staged.seq)
 
     def entries_after(self, seq, last=None):
         """
@@ -520,9 +524,3 @@
     def recent_entries(self):
         """Return the entries held in memory, oldest first."""
         return list(self._recent)
-
-    def _activate(self, seq):
-        before = self._state.seq
-        while self._pending and self._pending[0][1].seq <= seq:
-            self._state = self._pending.popleft()[1]
-        return self._state.seq > before
--- a/magnoliapier/membership.py
+++ b/magnoliapier/membership.py
@@ -95,8 +95,7 @@
         self._rng = rng
         self._members = {}
         for seed in seeds:
-            if seed.name != name:
-                self._add(seed.name, seed.data_centre, seed.address, is_seed=True)
+            self.add_seed(seed.name, seed.data_centre, seed.address)
 
     @property
     def incarnation(self):
@@ -108,6 +107,11 @@
         """All known members by name."""
         return self._members
 
+    def add_seed(self, name, data_centre, address):
+        """Add a peer by its first address; the own name is ignored."""
+        if name != self._name:
+            self._add(name, data_centre, address, is_seed=True)
+
     def live(self, data_centre=None):
         """Return the members that are alive, of one data centre if given."""
         return [
--- a/magnoliapier/ownership.py
+++ b/magnoliapier/ownership.py
@@ -27,6 +27,7 @@
 # A heartbeat carries a sender's report only while the report is younger than this.
 MAX_REPORT_AGE_S = 1.0
 SENDER_PREFIX = "sender/"
+ANY_INCARNATION = 0
 
 
 @dataclass(frozen=True)
@@ -227,14 +228,14 @@
 
     def assume_earlier(self, holders):
         """
-        Assume unknown grants to each (name, incarnation) of ``holders``.
+        Assume unknown grants to each name of ``holders``, of any incarnation.
 
         A process that takes over a sender, or was restarted, does not know what was
         granted in the sender's name before.
         """
         now = self._clock.monotonic()
-        for holder, incarnation in holders:
-            self._add(GivenGrant(holder, incarnation, 0, now + GRANT_S))
+        for holder in holders:
+            self._add(GivenGrant(holder, ANY_INCARNATION, 0, now + GRANT_S))
 
     def observe(self, holder, incarnation, seq, busy, sent_at_ms):
         """Take a holder's report; an older incarnation or instant is ignored."""
@@ -282,7 +283,7 @@
         report = self._reports.get(grant.holder)
         if report is None or report.incarnation < grant.incarnation:
             return True
-        if report.incarnation > grant.incarnation:
+        if report.incarnation > grant.incarnation != ANY_INCARNATION:
             return self._clock.monotonic() < grant.expires
         return report.seq < seq or host in report.busy
 
@@ -305,7 +306,10 @@
             settled = (
                 incarnation == report.incarnation and seq < covered and not report.busy
             )
-            replaced = incarnation < report.incarnation and now >= grant.expires
+            replaced = (
+                ANY_INCARNATION != incarnation < report.incarnation
+                and now >= grant.expires
+            )
             if settled or replaced:
                 del grants[(incarnation, seq)]
 
--- a/tests/test_fleet_log.py
+++ b/tests/test_fleet_log.py
@@ -162,8 +162,10 @@
         newer = fleet_log.fold(
             state, [commit_entry(state, sample_manifest(services=("wire",)))]
         )
-        self.assertTrue(self.follower.offer_state(newer, in_force=True))
-        self.assertFalse(self.follower.offer_state(state, in_force=True))
+        self.assertTrue(self.follower.offer_state(newer))
+        self.follower.raise_to(2)
+        self.assertFalse(self.follower.offer_state(state))
+        self.assertFalse(self.follower.raise_to(1))
         self.assertFalse(self.follower.offer_entries([self.entry]))
         self.assertEqual(self.follower.state.seq, 2)
 
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -94,10 +94,12 @@
 
     def test_unknown_grants_of_earlier_process_block(self):
         """Guards against a restarted granter that forgot what it granted."""
-        self.given.assume_earlier([("entry-9", 5)])
+        self.given.assume_earlier(["entry-8", "entry-9"])
         self.clock.advance(60)
+        self.given.observe("entry-9", 5, self.state.seq, ["wire-0"], 10)
+        self.given.forget("entry-8")
         self.assertEqual(self.missing(), ["entry-1"])
-        self.given.forget("entry-9")
+        self.given.observe("entry-9", 5, self.state.seq, [], 20)
         self.assertEqual(self.missing(), [])
 
 
