--- a/magnoliapier/control_node.py
+++ b/magnoliapier/control_node.py
@@ -24,6 +24,7 @@
 from magnoliapier.ownership import (
     GRANT_S,
     MAX_REPORT_AGE_S,
+    STALE_GAP_S,
     Gap,
     GapDetector,
     GivenGrants,
@@ -274,7 +275,9 @@
             # Its own control process may have given grants in its name since.
             session.consent_from = None
             session.written = None
-        if session.registration.incarnation != report.incarnation:
+        silence = self._clock.monotonic() - session.reported_at
+        restarted = session.registration.incarnation != report.incarnation
+        if restarted or silence > STALE_GAP_S:
             self._register_anew(session, report.incarnation)
         if report.name == self._name:
             self._held.incarnation = report.incarnation
--- a/magnoliapier/fleet_log.py
+++ b/magnoliapier/fleet_log.py
@@ -49,6 +49,7 @@
 MAX_RACES = 20
 SOLO_ACTIVATION_S = 0.5
 KEPT_IN_MEMORY = 1024
+MAX_PATHS_NAMED = 8
 
 log = get_logger(__name__)
 
@@ -414,13 +415,20 @@
     ]
 
 
+def shorten(paths):
+    """Return the first paths as text, with the number of the others."""
+    text = ", ".join(paths[:MAX_PATHS_NAMED])
+    others = len(paths) - MAX_PATHS_NAMED
+    return f"{text} and {others} more" if others > 0 else text
+
+
 def describe_commits(commits):
     """Return commits as one line of text."""
     if not commits:
         return "the commits are no longer in the log"
     return "; ".join(
         f"version {commit['version']} by {commit['author']} changed "
-        f"{', '.join(commit['changed'])}"
+        f"{shorten(commit['changed'])}"
         for commit in commits
     )
 
