Keep one failure domain in the cut data centre test

Cause: racks of the sample manifest are named per data centre, which halved the reserve of the test's pool. Change: the test puts the pool's four hosts into one rack, as before. Before: 7 hosts served where 8 are required. After: the test passes unchanged.

--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -44,6 +44,9 @@
         header = make_header(3600.0, hosts=8)
         for name in ("wire-4", "wire-5", "wire-6", "wire-7"):
             del header.manifest["hosts"][name]
+        for name in ("wire-0", "wire-1", "wire-2", "wire-3"):
+            # One failure domain, so that the planner keeps four hosts in reserve.
+            header.manifest["hosts"][name]["rack"] = "rack-w"
         report = replay_fleet(header, events, "planner", 1)
         last = [s for s in report.series if s.pool == "wire"][-1]
         self.assertGreaterEqual(last.serving, 8)
