Lend unused slots to short work and learn the reserve from bursts

Change: short work with priority may try slots beyond the share, and takes over a slot that became free; the reserve follows a high quantile of the recent demand; requests that ran into their deadline are charged and learned as longer.

--- a/magnoliapier/dispatcher.py
+++ b/magnoliapier/dispatcher.py
@@ -1,5 +1,6 @@
 """The request decisions of one entry host, as one object without threads or I/O."""
 
+import math
 from collections import OrderedDict
 
 from magnoliapier.admission import check_arrival, choose_victim, is_hopeless, refuse
@@ -23,20 +24,23 @@
 # Requests that wait for an endpoint they were not sent to yet, looked at again
 # when another request ends.
 PARKED_PER_END = 2
+# Slots of others that a request may try; each busy answer excludes an endpoint.
+MAX_BORROWED = 6
 
 
 class ServiceState:
     """The tables of one service at this entry host."""
 
-    def __init__(self, name, estimates, entry, data_centre, random):
+    def __init__(self, name, queue, entry, data_centre, random):
         self.name = name
-        self.queue = ServiceQueue(estimates)
+        self.queue = queue
         self.ejections = Ejections()
         self.pool = EndpointPool(data_centre, random, self.ejections)
         self.shares = SlotShares(entry, data_centre)
         self.parked = OrderedDict()
         self.peers = []
         self.reported = None
+        self.unused = 0
 
     @property
     def demand(self):
@@ -62,17 +66,28 @@
         """Recompute the share of each endpoint's slots."""
         demand = sum(self.demand if self.reported is None else self.reported)
         shares = self.shares.shares(self.peers, demand, peers_age_s)
+        self.queue.rank = self.shares.rank(self.peers)
         for endpoint in self.pool.endpoints.values():
             share = shares.get(endpoint.name, 0)
             if share != endpoint.share:
                 endpoint.share = share
                 self.pool.refresh(endpoint)
 
+    def update_unused(self):
+        """Estimate this entry host's part of the slots that nobody uses."""
+        running = self.pool.in_flight + sum(peer.in_flight for peer in self.peers)
+        parts = len(self.peers) + 1
+        reserve = 0
+        if self.queue.slots:
+            reserve = self.queue.reserve * self.pool.slots / self.queue.slots
+        unused = (self.pool.slots - running - reserve) / parts
+        self.unused = math.ceil(unused) if unused > 0 else 0
+
     def wake(self, now):
         """Let endpoints take work again whose pause, ejection or hold has ended."""
         for name in self.ejections.wake(now):
             self.pool.refresh(self.pool.endpoints[name])
-        self.pool.release_due(now)
+        self.pool.raise_holds(now)
 
 
 class Dispatcher:
@@ -90,6 +105,7 @@
     """
 
     estimates_class = RunTimeEstimates
+    queue_class = ServiceQueue
 
     def __init__(self, clock, random, name, data_centre, max_queue=2000, metrics=None):
         self._clock = clock
@@ -174,7 +190,12 @@
         service = flight.service
         outcome = result.outcome
         service.pool.end(flight.endpoint)
-        service.queue.end(flight, now, ran=outcome is SendOutcome.OK)
+        service.queue.end(
+            flight,
+            now,
+            ran=outcome is SendOutcome.OK,
+            given_up=outcome is SendOutcome.TIMEOUT,
+        )
         self._judge_endpoint(service, flight.endpoint, request, result, now)
         decisions = []
         if outcome is SendOutcome.OK:
@@ -183,23 +204,46 @@
             decisions.append(self._follow_up(service, flight, result, now))
         for _ in range(min(len(service.parked), PARKED_PER_END)):
             self._unpark(service, now)
+        if outcome is SendOutcome.OK:
+            decisions.extend(self._reuse_slot(service, flight.endpoint, now))
         decisions.extend(self._start(service, now))
         return decisions
 
+    def _reuse_slot(self, service, endpoint, now):
+        """
+        Start short work in a slot that became free beyond this entry host's share.
+
+        Unlike a slot that is borrowed at a guess, this one is known to be free.
+        """
+        if not service.queue.queued or not service.pool.has_spare_slot(endpoint):
+            return []
+
+        def allows(request):
+            return (
+                service.pool.allows(endpoint, request)
+                and self._late_reason(service.queue, request, now) is None
+            )
+
+        request = service.queue.next_priority(allows)
+        if request is None:
+            return []
+        return [self._dispatch(service, request, endpoint, now)]
+
     def _judge_endpoint(self, service, endpoint, request, result, now):
         outcome = result.outcome
         if service.pool.endpoints.get(endpoint.name) is not endpoint:
             return
         if outcome is SendOutcome.BUSY:
-            service.pool.hold_busy(endpoint, now)
+            service.pool.hold(endpoint, now)
         elif outcome is SendOutcome.DRAINING:
             self._sign_leaving(endpoint.host, now)
         elif outcome is SendOutcome.OK:
-            service.pool.release(endpoint)
             self._failures.add(request, False)
             if service.ejections.observe(endpoint.name, result, 0.0, now):
                 service.pool.refresh(endpoint)
         elif outcome in FAILURE_WEIGHTS:
+            if outcome is SendOutcome.TIMEOUT:
+                service.pool.hold(endpoint, now)
             blame = self._failures.add(request, True)
             if service.ejections.observe(endpoint.name, result, blame, now):
                 service.pool.refresh(endpoint)
@@ -255,10 +299,15 @@
         """Start queued requests while endpoints have room."""
         queue, pool = service.queue, service.pool
         queue.slots = pool.usable
+        queue.all_slots = pool.slots
         queue.check_overdue(now)
         decisions = []
-        while queue.queued and pool.has_room:
-            request = queue.next_request()
+        while queue.queued:
+            borrow = not pool.has_room
+            request = None if borrow else queue.next_request()
+            if request is None:
+                borrow = True
+                request = self._next_borrower(service)
             if request is None:
                 break
             reason = self._late_reason(queue, request, now)
@@ -266,7 +315,7 @@
                 self._unqueue(request)
                 decisions.append(self._refuse(request, reason))
                 continue
-            endpoint = pool.choose(request)
+            endpoint = pool.choose_wide(request) if borrow else pool.choose(request)
             if endpoint is None:
                 queue.remove(request)
                 service.parked[request.request_id] = request
@@ -274,6 +323,30 @@
             decisions.append(self._dispatch(service, request, endpoint, now))
         return decisions
 
+    def _next_borrower(self, service):
+        """
+        Return a request to send beyond this entry host's share, or None.
+
+        Short work with priority may try any slot. Long work may try those that the
+        peers' reports show as unused.
+        """
+        if not service.pool.has_wide_room:
+            return None
+        request = service.queue.next_priority(self._may_borrow)
+        if request is None and service.unused >= 1:
+            service.unused -= 1
+            request = service.queue.next_long()
+            if request is not None and not self._may_borrow(request):
+                return None
+        return request
+
+    def _may_borrow(self, request):
+        """Return whether a busy answer would leave endpoints and tokens enough."""
+        known = len(self._services[request.service].pool.endpoints)
+        return len(request.excluded) < min(
+            MAX_BORROWED, known // 2
+        ) and self._budget.allows_borrowing(request.service, request.organisation)
+
     def _late_reason(self, queue, request, now):
         if request.deadline <= now:
             return RefusalReason.DEADLINE_PASSED
@@ -341,9 +414,9 @@
     def _set_service(self, name, declared, endpoints, now):
         service = self._services.get(name)
         if service is None:
-            estimates = self.estimates_class(declared)
+            queue = self.queue_class(self.estimates_class(declared))
             service = ServiceState(
-                name, estimates, self._name, self._data_centre, self._random
+                name, queue, self._name, self._data_centre, self._random
             )
             self._services[name] = service
             self._queues[name] = service.queue
@@ -377,6 +450,7 @@
         for name, service in self._services.items():
             service.peers = demand.get(name, [])
             service.update_shares(0.0)
+            service.update_unused()
             decisions.extend(self._start(service, now))
         return decisions
 
--- a/magnoliapier/request_policies.py
+++ b/magnoliapier/request_policies.py
@@ -17,13 +17,14 @@
     SendOutcome,
     WorkClass,
 )
+from magnoliapier.scheduling import ServiceQueue
 
 policies = Registry("request policy")
 FAILURES = frozenset(SendOutcome) - {SendOutcome.OK, SendOutcome.CALLER_GONE}
 
 
-@policies.register("fifo")
-class FifoPolicy:
+@policies.register("uncoordinated")
+class UncoordinatedPolicy:
     """
     One FIFO queue for each service, round robin over endpoints with a free slot.
 
@@ -212,7 +213,7 @@
 
 
 @policies.register("round_robin")
-class RoundRobinPolicy(FifoPolicy):
+class RoundRobinPolicy(UncoordinatedPolicy):
     """Organisations in turn by number of requests, whatever their run times."""
 
     def _make_queue(self):
@@ -220,7 +221,7 @@
 
 
 @policies.register("static_split")
-class StaticSplitPolicy(FifoPolicy):
+class StaticSplitPolicy(UncoordinatedPolicy):
     """FIFO, with the slots of each endpoint divided evenly among entry hosts."""
 
     def _limit(self, endpoint):
@@ -229,7 +230,7 @@
 
 
 @policies.register("unlimited_retries")
-class UnlimitedRetriesPolicy(FifoPolicy):
+class UnlimitedRetriesPolicy(UncoordinatedPolicy):
     """FIFO, repeating idempotent requests on other endpoints until none is left."""
 
     def _handle_failure(self, request, result):
@@ -261,6 +262,40 @@
     estimates_class = TrueRunTimes
 
 
+class FifoQueue(ServiceQueue):
+    """A queue in order of arrival, without classes, reserve or fair shares."""
+
+    def __init__(self, estimates):
+        super().__init__(estimates)
+        self._order = deque()
+
+    def add(self, request, now, first=False):
+        """Queue a request last, or first."""
+        super().add(request, now, first)
+        if first:
+            self._order.appendleft(request)
+        else:
+            self._order.append(request)
+
+    def next_priority(self):
+        """Return None: no request has priority."""
+
+    def next_request(self):
+        """Return the oldest request."""
+        while self._order:
+            if self._holds(self._order[0]):
+                return self._order[0]
+            self._order.popleft()
+        return None
+
+
+@policies.register("fifo")
+class FifoPolicy(Dispatcher):
+    """The Dispatcher's slots, routing and retries with one FIFO per service."""
+
+    queue_class = FifoQueue
+
+
 @policies.register("dispatcher")
 class DispatcherPolicy(Dispatcher):
     """The decisions that are in service."""
--- a/magnoliapier/request_replay.py
+++ b/magnoliapier/request_replay.py
@@ -114,14 +114,27 @@
     samples: list = field(default_factory=list)
     late_sends: list = field(default_factory=list)
 
-    def waits(self, work_class=None, organisation=None, ends=("ok",)):
-        """Return the sorted waits in seconds of the records that match."""
+    def waits(
+        self,
+        work_class=None,
+        organisation=None,
+        ends=("ok",),
+        longest_run_s=math.inf,
+        start=0.0,
+    ):
+        """
+        Return the sorted waits in seconds of the records that match.
+
+        ``ends`` is None for all ends, and ``longest_run_s`` bounds the true run time.
+        """
         return sorted(
             record.wait_s
             for record in self.records
             if (work_class is None or record.work_class == work_class)
             and (organisation is None or record.organisation == organisation)
             and (ends is None or record.end in ends)
+            and record.run_s <= longest_run_s
+            and record.arrived >= start
         )
 
     def goodput_s(self, organisation=None, start=0.0, end=math.inf):
--- a/magnoliapier/retries.py
+++ b/magnoliapier/retries.py
@@ -9,7 +9,9 @@
 FIRST_TOKENS = 3.0
 MAX_TOKENS = 20.0
 # A send that provably did not run costs its endpoint no slot time.
-NOT_RUN_COST = 0.25
+NOT_RUN_COST = 0.1
+# Busy answers to borrowed slots leave these tokens for other retries.
+KEPT_TOKENS = 2.0
 # Sends of one request that may have run; more only add load during a failure.
 MAX_RUNNING_ATTEMPTS = 3
 
@@ -48,6 +50,11 @@
         tokens = self._tokens.get(key, FIRST_TOKENS) + DEPOSIT
         self._tokens[key] = min(tokens, MAX_TOKENS)
 
+    def allows_borrowing(self, service, organisation):
+        """Return whether the budget has tokens beyond those kept for failures."""
+        tokens = self._tokens.get((service, organisation), FIRST_TOKENS)
+        return tokens > KEPT_TOKENS
+
     def withdraw(self, service, organisation, run_state):
         """Take a retry's cost from the budget; return whether it sufficed."""
         key = (service, organisation)
--- a/magnoliapier/routing.py
+++ b/magnoliapier/routing.py
@@ -5,7 +5,7 @@
 # Random picks before a request with excluded endpoints looks through all.
 PICKS = 8
 # About the time between reports of peers, after which shares may fit again.
-BUSY_HOLD_S = 0.5
+HOLD_S = 0.5
 
 
 class IndexedSet:
@@ -54,16 +54,27 @@
         self._data_centre = data_centre
         self._random = random
         self._ejections = ejections
-        self._near = IndexedSet()
-        self._far = IndexedSet()
-        self._caps = {}
+        self._clear()
         self._holds = {}
         self._hosts = {}
         self._staying = 0
         self.endpoints = {}
-        self.usable = 0
         self.in_flight = 0
 
+    def _clear(self):
+        # Endpoints with room in our share, and with room if we borrow.
+        self._near, self._far = IndexedSet(), IndexedSet()
+        self._near_wide, self._far_wide = IndexedSet(), IndexedSet()
+        self._own = set()
+        self._caps = {}
+        self.usable = 0
+        self.slots = 0
+
+    @property
+    def has_wide_room(self):
+        """Whether some endpoint may have a slot that others leave unused."""
+        return len(self._near_wide) > 0 or len(self._far_wide) > 0
+
     @property
     def has_room(self):
         """Whether some endpoint can take a request now."""
@@ -88,10 +99,7 @@
     def replace(self, endpoints):
         """Set the endpoints, a dict from name to EndpointEntry."""
         self.endpoints = endpoints
-        self._near = IndexedSet()
-        self._far = IndexedSet()
-        self._caps = {}
-        self.usable = 0
+        self._clear()
         self.in_flight = sum(e.in_flight for e in endpoints.values())
         self._hosts = {}
         for endpoint in endpoints.values():
@@ -104,50 +112,69 @@
         health = self._ejections.health(endpoint.name)
         endpoint.ejected = health.state == "ejected"
         stopped = endpoint.leaving or health.until > 0.0
-        cap = 0 if stopped else min(endpoint.share, health.limit)
+        wide = 0 if stopped else min(endpoint.slots, health.limit)
         hold = self._holds.get(endpoint.name)
         if hold is not None:
-            cap = min(cap, hold[0])
-        self.usable += cap - self._caps.get(endpoint.name, 0)
-        self._caps[endpoint.name] = cap
-        self._place(endpoint, cap)
+            wide = min(wide, hold[0])
+        cap = min(endpoint.share, wide)
+        old_cap, old_slots, _ = self._caps.get(endpoint.name, (0, 0, 0))
+        slots = 0 if stopped else endpoint.slots
+        self.usable += cap - old_cap
+        self.slots += slots - old_slots
+        self._caps[endpoint.name] = (cap, slots, wide)
+        if endpoint.share > 0 and not stopped:
+            self._own.add(endpoint.name)
+        else:
+            self._own.discard(endpoint.name)
+        self._place(endpoint)
 
-    def _place(self, endpoint, cap):
-        group = self._near if endpoint.data_centre == self._data_centre else self._far
+    def _place(self, endpoint):
+        near = endpoint.data_centre == self._data_centre
+        cap, _, wide = self._caps[endpoint.name]
+        group = self._near if near else self._far
         if endpoint.in_flight < cap:
             group.add(endpoint.name)
         else:
             group.discard(endpoint.name)
+        group = self._near_wide if near else self._far_wide
+        if endpoint.in_flight < wide:
+            group.add(endpoint.name)
+        else:
+            group.discard(endpoint.name)
 
-    def hold_busy(self, endpoint, now):
-        """Send an endpoint that was busy no more than it runs for us, for a while."""
-        self._holds[endpoint.name] = (endpoint.in_flight, now + BUSY_HOLD_S)
-        self.refresh(endpoint)
+    def hold(self, endpoint, now):
+        """
+        Send an endpoint no more than it runs for us now, then one more at a time.
 
-    def release(self, endpoint):
-        """End the hold of an endpoint, one of whose slots became free."""
-        if self._holds.pop(endpoint.name, None) is not None:
-            self.refresh(endpoint)
+        It was busy, or it still runs a request that was given up.
+        """
+        self._holds[endpoint.name] = (endpoint.in_flight, now + HOLD_S)
+        self.refresh(endpoint)
 
-    def release_due(self, now):
-        """End the holds that have lasted long enough."""
-        for name in [name for name, hold in self._holds.items() if hold[1] <= now]:
-            del self._holds[name]
-            if name in self.endpoints:
-                self.refresh(self.endpoints[name])
+    def raise_holds(self, now):
+        """Raise the holds that lasted HOLD_S; drop those that limit nothing."""
+        due = [(n, cap) for n, (cap, until) in self._holds.items() if until <= now]
+        for name, cap in due:
+            endpoint = self.endpoints.get(name)
+            if endpoint is None or cap + 1 >= endpoint.share:
+                del self._holds[name]
+            else:
+                self._holds[name] = (cap + 1, now + HOLD_S)
+            if endpoint is not None:
+                self.refresh(endpoint)
 
     def begin(self, endpoint):
         """Count a request that starts on an endpoint."""
         endpoint.in_flight += 1
         self.in_flight += 1
-        self._place(endpoint, self._caps[endpoint.name])
+        self._place(endpoint)
 
     def end(self, endpoint):
         """Count a request that ended on an endpoint."""
         endpoint.in_flight -= 1
         if self.endpoints.get(endpoint.name) is endpoint:
             self.in_flight -= 1
-            self._place(endpoint, self._caps[endpoint.name])
+            self._place(endpoint)
 
     def choose(self, request):
         """Return an endpoint with room that the request may use, or None."""
@@ -155,6 +182,21 @@
             self._far, request
         )
 
+    def choose_wide(self, request):
+        """
+        Return an endpoint that may have a slot to borrow, or None.
+
+        A busy answer excludes the endpoint, so half of those that this entry host
+        has a share in are kept for when its share has room.
+        """
+        excluded = request.excluded
+        own = sum(name in self._own for name in excluded) if excluded else 0
+        if 2 * (own + 1) <= len(self._own):
+            endpoint = self._choose_from(self._near_wide, request)
+            if endpoint is not None:
+                return endpoint
+        return self._choose_from(self._far_wide, request)
+
     def _choose_from(self, group, request):
         if not group:
             return None
@@ -169,14 +211,23 @@
     def _pick(self, group, request):
         for _ in range(PICKS):
             endpoint = self.endpoints[group.pick(self._random)]
-            if self._allows(endpoint, request):
+            if self.allows(endpoint, request):
                 return endpoint
         for name in group:
-            if self._allows(self.endpoints[name], request):
+            if self.allows(self.endpoints[name], request):
                 return self.endpoints[name]
         return None
 
-    def _allows(self, endpoint, request):
+    def has_spare_slot(self, endpoint):
+        """Return whether an endpoint of ours has no room in our share, but a slot."""
+        caps = self._caps.get(endpoint.name)
+        if caps is None or self.endpoints[endpoint.name] is not endpoint:
+            return False
+        trusted = self._ejections.health(endpoint.name).limit == UNLIMITED
+        return caps[1] > endpoint.in_flight >= caps[0] and trusted
+
+    def allows(self, endpoint, request):
+        """Return whether a request may be sent to an endpoint."""
         if endpoint.name in request.excluded:
             return False
         # Only idempotent requests probe an endpoint that is not trusted.
@@ -186,7 +237,7 @@
 
     def _load(self, endpoint):
         health = self._ejections.health(endpoint.name)
-        return (endpoint.in_flight + 1 + health.score) / endpoint.share
+        return (endpoint.in_flight + 1 + health.score) / (endpoint.share or 1)
 
     def has_alternative(self, request):
         """Return whether an endpoint is left that the request was not sent to."""
--- a/magnoliapier/scheduling.py
+++ b/magnoliapier/scheduling.py
@@ -20,14 +20,21 @@
 # Requests of a kind not yet proven short that may be queued or run as short work
 # at once per organisation; enough to learn a kind within a few run times.
 TRIALS = 2
-# The reserve is the mean of short work in slots plus this many standard
-# deviations of a Poisson number of that mean.
+# The reserve covers the demand of short work, averaged over DEMAND_WINDOW_S, for
+# this share of the time, so that it is kept through the pauses between bursts.
+RESERVE_SHARE = 0.75
+RESERVE_LEARNING_S = 4.0
 RESERVE_DEVIATIONS = 1.0
-# Short work seen within this time keeps at least one slot in reserve.
+DEMAND_WINDOW_S = 3.0
+MEAN_WINDOW_S = 30.0
+# Short work seen within this time keeps this many slots of the service in reserve.
 RESERVE_MEMORY_S = 30.0
-DEMAND_WINDOW_S = 10.0
+MIN_RESERVE = 2.0
 # Overdue requests are charged again each time their run time doubles.
 CHECK_FACTOR = 2.0
+# Requests that may not borrow slots must not keep those behind them from it.
+LOOK_AHEAD = 8
+GIVEN_UP_FACTOR = 2.0
 
 
 @dataclass(eq=False, slots=True)
@@ -102,7 +109,9 @@
         self.organisations = {}
         self.queued = 0
         self.slots = 0
-        self.reserve = 0.0
+        self.all_slots = 0
+        self.rank = 0
+        self.reserve = 0
         self.long_in_flight = 0
         self._weight_active = 0.0
         self._virtual_use = 0.0
@@ -115,6 +124,8 @@
         self._numbers = itertools.count()
         self._last_short = -math.inf
         self._updated = 0.0
+        self._mean_demand = 0.0
+        self._high_demand = 0.0
 
     # Organisations.
 
@@ -194,8 +205,9 @@
         self._insert(organisation, request, estimate, first)
         self.queued += 1
         if request.work_class is SHORT:
-            organisation.short_demand += request.estimate_s
             self._last_short = now
+            if request.attempts == 0:
+                organisation.short_demand += request.estimate_s
         entry = (request.deadline, next(self._numbers), request)
         heapq.heappush(self._deadlines, entry)
         if len(self._deadlines) > 2 * self.queued + 1024:
@@ -282,15 +294,38 @@
         """Return whether a slot outside the reserve is free for long work."""
         return self.long_in_flight < max(self.slots - self.reserve, min(self.slots, 1))
 
-    def next_request(self):
-        """Return the request that should start next, or None; it stays queued."""
+    def next_long(self):
+        """Return the next long request, whatever the reserve, or None."""
+        organisation = self._top(self._long)
+        return next(iter(organisation.long.values())) if organisation else None
+
+    def next_priority(self, allows=None):
+        """
+        Return the next short request with priority, or None.
+
+        An organisation whose first LOOK_AHEAD ones ``allows`` rejects is passed over
+        until its state changes.
+        """
         while (organisation := self._top(self._priority)) is not None:
             if not self._has_priority(organisation):
                 heapq.heappop(self._priority)
                 continue
             request = self._first_short(organisation)
-            if request is not None:
+            if request is None:
+                continue
+            if allows is None:
                 return request
+            for candidate in itertools.islice(organisation.short.values(), LOOK_AHEAD):
+                if allows(candidate):
+                    return candidate
+            heapq.heappop(self._priority)
+        return None
+
+    def next_request(self):
+        """Return the request that should start next, or None; it stays queued."""
+        request = self.next_priority()
+        if request is not None:
+            return request
         long = self._top(self._long) if self.long_may_start() else None
         while (short := self._top(self._short)) is not None:
             if long is not None and long.use_tag < short.use_tag:
@@ -377,18 +412,25 @@
             heapq.heappush(self._checks, entry)
             self._settle(organisation)
 
-    def end(self, flight, now, ran):
-        """Count the end of a request in flight; ``ran`` says it ran to its end."""
+    def end(self, flight, now, ran, given_up=False):
+        """
+        Count the end of a request in flight.
+
+        ``ran`` says that it ran to its end. One that was ``given_up`` still runs on
+        its endpoint; it is taken to need as long again.
+        """
         organisation, estimate = flight.organisation, flight.estimate
         flight.check_at = math.inf
         elapsed = now - flight.started
+        if given_up:
+            elapsed *= GIVEN_UP_FACTOR
         self._charge(flight, elapsed)
         counted = flight.counted
         setattr(organisation, counted, getattr(organisation, counted) - 1)
         if counted != "short_in_flight":
             self.long_in_flight -= 1
         organisation.trials.discard(flight.request.request_id)
-        if ran:
+        if ran or given_up:
             known_short = estimate.is_proven and estimate.work_class is SHORT
             if counted != "overdue":
                 estimate.add_class_sign(elapsed > self.estimates.threshold_s)
@@ -426,15 +468,26 @@
         elapsed = now - self._updated
         self._updated = now
         decay = math.exp(-elapsed / DEMAND_WINDOW_S)
-        mean = 0.0
+        demand = 0.0
         for organisation in self.organisations.values():
-            demand = organisation.short_demand
-            if demand > 0.0:
-                slots = demand / DEMAND_WINDOW_S
-                if slots > 0.01:
-                    mean += min(slots, self.fair_slots(organisation))
-                organisation.short_demand = demand * decay
-        reserve = mean + RESERVE_DEVIATIONS * math.sqrt(mean)
+            recent = organisation.short_demand
+            if recent > 0.0:
+                slots = recent / DEMAND_WINDOW_S
+                demand += min(slots, self.fair_slots(organisation))
+                organisation.short_demand = recent * decay if slots > 0.001 else 0.0
+        self._mean_demand += (demand - self._mean_demand) * min(
+            elapsed / MEAN_WINDOW_S, 1.0
+        )
+        step = max(self._mean_demand, 0.1) * elapsed / RESERVE_LEARNING_S
+        above = demand > self._high_demand
+        self._high_demand += step * (RESERVE_SHARE if above else RESERVE_SHARE - 1)
+        self._high_demand = max(self._high_demand, self._mean_demand)
+        parts = max(self.all_slots / self.slots, 1.0) if self.slots else 1.0
+        reserve = self._high_demand
+        reserve += RESERVE_DEVIATIONS * math.sqrt(self._high_demand / parts)
+        # Entry hosts share the reserve, since short work may borrow slots of others.
         if now - self._last_short < RESERVE_MEMORY_S:
-            reserve = max(reserve, 1.0)
-        self.reserve = min(round(reserve), max(self.slots - 1, 0))
+            reserve = max(reserve, MIN_RESERVE / parts)
+        # Rounded so that the reserves of consecutive ranks add up.
+        whole = math.floor((self.rank + 1) * reserve) - math.floor(self.rank * reserve)
+        self.reserve = min(whole, max(self.slots - 1, 0))
--- a/magnoliapier/slots.py
+++ b/magnoliapier/slots.py
@@ -163,6 +163,10 @@
             data_centre: SlotLayout(group) for data_centre, group in groups.items()
         }
 
+    def rank(self, peers):
+        """Return the place of this entry host in the order of names."""
+        return sum(peer.name < self._name for peer in peers)
+
     def shares(self, peers, own_demand, peers_age_s):
         """
         Return {endpoint: slots} by the peers' reports.
--- a/tests/test_request_replay.py
+++ b/tests/test_request_replay.py
@@ -30,7 +30,7 @@
 class RequestReplayTest(unittest.TestCase):
     """Guards the driver: wrong records would hide faults of every policy."""
 
-    def replay(self, events, head=None, policy="fifo"):
+    def replay(self, events, head=None, policy="uncoordinated"):
         return replay_requests(head or header(), events, policies.get(policy), seed=1)
 
     def test_waits_and_slots_follow_true_run_times(self):
