Take turns by settled use and expected use apart

Change: use is charged as it happens and expected use only decides turns; long work no longer borrows slots, which cost more waits of short work than it gained slots; short work keeps priority through bursts up to a bounded excess of its fair share.

--- a/benchmarks/request_load.py
+++ b/benchmarks/request_load.py
@@ -45,7 +45,8 @@
     Requests of one organisation and kind, arriving at random.
 
     ``slots`` is the mean work per second in slots. During a burst of ``burst_s``
-    the rate is five times the mean, in between a twentieth. ``straggler_share`` of
+    the rate is five times the mean, in between a twentieth; ``turn``, 0 to 1, is its
+    place in the period, random if None. ``straggler_share`` of
     the requests run ``straggler_factor`` times longer. ``sigma`` is the spread of
     the logarithm of run times.
     """
@@ -59,6 +60,7 @@
     start_s: float = 0.0
     end_s: float = math.inf
     burst_s: float = 0.0
+    turn: float | None = None
     sigma: float = 0.6
     straggler_share: float = 0.0
     straggler_factor: float = 50.0
@@ -74,7 +76,8 @@
         t = self.start_s
         # Share of time in bursts so that the mean rate stays as given.
         share = (1 - 1 / 20) / (5 - 1 / 20)
-        phase = source.uniform(0, self.burst_s / share) if self.burst_s else 0.0
+        turn = source.random() if self.turn is None else self.turn
+        phase = turn * self.burst_s / share
         count = 0
         while True:
             t += source.expovariate(5 * rate if self.burst_s else rate)
@@ -151,17 +154,20 @@
     return Stream(organisation, kind, "long", slots=slots, **values)
 
 
-def month_end_load(faults=False):
+def month_end_load(faults=False, coinciding=False):
     """
     Return month-end: bursts of short work, more long work than fits, wrong labels.
 
+    Organisations burst in turn, or at random times if ``coinciding``.
     Short work takes about a fifth of the slots, long work wants more than the
     rest. One desk declares archive runs as short, another its filings as long, and
     one in 200 short requests is a straggler.
     """
     streams = []
-    for name in ORGANISATIONS:
-        streams.append(short(name, 2.0, burst_s=5.0, straggler_share=0.005))
+    for number, name in enumerate(ORGANISATIONS):
+        turn = None if coinciding else number / len(ORGANISATIONS)
+        options = {"burst_s": 5.0, "turn": turn, "straggler_share": 0.005}
+        streams.append(short(name, 2.0, **options))
         streams.append(long(name, 10.0))
     streams.append(short("desk-c", 6.0, "short/index", run_s=LONG_S))
     streams.append(short("desk-d", 0.5, "long/filing", deadline_s=30.0, burst_s=5.0))
--- a/magnoliapier/dispatcher.py
+++ b/magnoliapier/dispatcher.py
@@ -1,6 +1,5 @@
 """The request decisions of one entry host, as one object without threads or I/O."""
 
-import math
 from collections import OrderedDict
 
 from magnoliapier.admission import check_arrival, choose_victim, is_hopeless, refuse
@@ -40,7 +39,6 @@
         self.parked = OrderedDict()
         self.peers = []
         self.reported = None
-        self.unused = 0
 
     @property
     def demand(self):
@@ -73,16 +71,6 @@
                 endpoint.share = share
                 self.pool.refresh(endpoint)
 
-    def update_unused(self):
-        """Estimate this entry host's part of the slots that nobody uses."""
-        running = self.pool.in_flight + sum(peer.in_flight for peer in self.peers)
-        parts = len(self.peers) + 1
-        reserve = 0
-        if self.queue.slots:
-            reserve = self.queue.reserve * self.pool.slots / self.queue.slots
-        unused = (self.pool.slots - running - reserve) / parts
-        self.unused = math.ceil(unused) if unused > 0 else 0
-
     def wake(self, now):
         """Let endpoints take work again whose pause, ejection or hold has ended."""
         for name in self.ejections.wake(now):
@@ -327,18 +315,11 @@
         """
         Return a request to send beyond this entry host's share, or None.
 
-        Short work with priority may try any slot. Long work may try those that the
-        peers' reports show as unused.
+        Short work with priority may try any slot; the endpoint says if it is taken.
         """
         if not service.pool.has_wide_room:
             return None
-        request = service.queue.next_priority(self._may_borrow)
-        if request is None and service.unused >= 1:
-            service.unused -= 1
-            request = service.queue.next_long()
-            if request is not None and not self._may_borrow(request):
-                return None
-        return request
+        return service.queue.next_priority(self._may_borrow)
 
     def _may_borrow(self, request):
         """Return whether a busy answer would leave endpoints and tokens enough."""
@@ -450,7 +431,6 @@
         for name, service in self._services.items():
             service.peers = demand.get(name, [])
             service.update_shares(0.0)
-            service.update_unused()
             decisions.extend(self._start(service, now))
         return decisions
 
--- a/magnoliapier/request_policies.py
+++ b/magnoliapier/request_policies.py
@@ -212,14 +212,6 @@
         return request
 
 
-@policies.register("round_robin")
-class RoundRobinPolicy(UncoordinatedPolicy):
-    """Organisations in turn by number of requests, whatever their run times."""
-
-    def _make_queue(self):
-        return OrganisationTurns()
-
-
 @policies.register("static_split")
 class StaticSplitPolicy(UncoordinatedPolicy):
     """FIFO, with the slots of each endpoint divided evenly among entry hosts."""
@@ -229,8 +221,16 @@
         return max(endpoint.slots // (len(names) + 1), 1)
 
 
+@policies.register("round_robin")
+class RoundRobinPolicy(StaticSplitPolicy):
+    """Organisations in turn by number of requests, whatever their run times."""
+
+    def _make_queue(self):
+        return OrganisationTurns()
+
+
 @policies.register("unlimited_retries")
-class UnlimitedRetriesPolicy(UncoordinatedPolicy):
+class UnlimitedRetriesPolicy(StaticSplitPolicy):
     """FIFO, repeating idempotent requests on other endpoints until none is left."""
 
     def _handle_failure(self, request, result):
@@ -277,7 +277,7 @@
         else:
             self._order.append(request)
 
-    def next_priority(self):
+    def next_priority(self, allows=None):
         """Return None: no request has priority."""
 
     def next_request(self):
--- a/magnoliapier/scheduling.py
+++ b/magnoliapier/scheduling.py
@@ -22,9 +22,12 @@
 TRIALS = 2
 # The reserve covers the demand of short work, averaged over DEMAND_WINDOW_S, for
 # this share of the time, so that it is kept through the pauses between bursts.
-RESERVE_SHARE = 0.75
+RESERVE_SHARE = 0.95
 RESERVE_LEARNING_S = 4.0
 RESERVE_DEVIATIONS = 1.0
+# Of a sum of Poisson arrivals with decaying weights, at RESERVE_SHARE; the root of
+# a half is 0.7 and the quantile 1.64, and run times vary.
+NOISE_DEVIATIONS = 1.4
 DEMAND_WINDOW_S = 3.0
 MEAN_WINDOW_S = 30.0
 # Short work seen within this time keeps this many slots of the service in reserve.
@@ -32,6 +35,13 @@
 MIN_RESERVE = 2.0
 # Overdue requests are charged again each time their run time doubles.
 CHECK_FACTOR = 2.0
+# An organisation that returns keeps a claim to at most these seconds of its fair
+# share, from when others had more.
+CREDIT_S = 10.0
+# Short work keeps its priority up to this many times the fair share of slots, as
+# long as its recent use exceeds the fair share by no more than these seconds' worth.
+BURST_FACTOR = 5.0
+BURST_S = 3.0
 # Requests that may not borrow slots must not keep those behind them from it.
 LOOK_AHEAD = 8
 GIVEN_UP_FACTOR = 2.0
@@ -42,8 +52,10 @@
     """
     What one organisation has queued and in flight at one service.
 
-    ``use_tag`` is its use of the service in slot-seconds over its weight, and
-    ``short_tag`` its use by short work alone. ``overdue`` counts requests in flight
+    ``use_tag`` is its use of the service in slot-seconds over its weight so far,
+    ``pending_tag`` what its requests in flight are expected to use yet, and
+    ``short_tag`` its use by short work alone. ``burst_tag`` is the fair use that its
+    recent short work amounts to. ``overdue`` counts requests in flight
     that started as short work and outlived it.
     """
 
@@ -53,7 +65,9 @@
     long: OrderedDict = field(default_factory=OrderedDict)
     kinds: dict = field(default_factory=dict)
     use_tag: float = 0.0
+    pending_tag: float = 0.0
     short_tag: float = 0.0
+    burst_tag: float = 0.0
     short_in_flight: int = 0
     long_in_flight: int = 0
     overdue: int = 0
@@ -64,6 +78,11 @@
     version: int = 0
     active: bool = False
 
+    @property
+    def turn_tag(self):
+        """The use by which organisations take turns."""
+        return self.use_tag + self.pending_tag
+
     @property
     def queued(self):
         """The number of queued requests."""
@@ -81,7 +100,7 @@
     A request in flight.
 
     ``counted`` is the counter of its organisation that it is part of, and
-    ``charged_s`` the slot-seconds charged so far.
+    ``charged_s`` the slot-seconds charged so far, ``pending_s`` those expected yet.
     """
 
     request: RequestEntry
@@ -90,6 +109,8 @@
     counted: str
     started: float
     charged_s: float = 0.0
+    short_charged_s: float = 0.0
+    pending_s: float = 0.0
     check_at: float = math.inf
     endpoint: object = None
     service: object = None
@@ -115,6 +136,7 @@
         self.long_in_flight = 0
         self._weight_active = 0.0
         self._virtual_use = 0.0
+        self._mean_use = 0.0
         self._virtual_short = 0.0
         self._priority = []
         self._short = []
@@ -126,6 +148,7 @@
         self._updated = 0.0
         self._mean_demand = 0.0
         self._high_demand = 0.0
+        self._short_s = 0.0
 
     # Organisations.
 
@@ -157,7 +180,9 @@
             self._weight_active += organisation.weight
         if not organisation.queued:
             # Nobody saves up a claim to slots from a time without work.
-            organisation.use_tag = max(organisation.use_tag, self._virtual_use)
+            credit = CREDIT_S * self.slots / self._weight_active
+            floor = max(self._virtual_use, self._mean_use - credit)
+            organisation.use_tag = max(organisation.use_tag, floor)
             organisation.short_tag = max(organisation.short_tag, self._virtual_short)
 
     def _settle(self, organisation):
@@ -173,10 +198,10 @@
             if self._has_priority(organisation):
                 entry = (organisation.short_tag, number, version, organisation)
                 heapq.heappush(self._priority, entry)
-            entry = (organisation.use_tag, number, version, organisation)
+            entry = (organisation.turn_tag, number, version, organisation)
             heapq.heappush(self._short, entry)
         if organisation.long:
-            entry = (organisation.use_tag, number, version, organisation)
+            entry = (organisation.turn_tag, number, version, organisation)
             heapq.heappush(self._long, entry)
         limit = 4 * len(self.organisations) + 64
         for heap in (self._priority, self._short, self._long):
@@ -186,7 +211,11 @@
 
     def _has_priority(self, organisation):
         used = organisation.short_in_flight + organisation.overdue
-        return used < max(self.fair_slots(organisation), 1.0)
+        fair = self.fair_slots(organisation)
+        if used < max(fair, 1.0):
+            return True
+        ahead = (organisation.burst_tag - self._mean_use) * organisation.weight
+        return used < BURST_FACTOR * fair and ahead < BURST_S * fair
 
     def _top(self, heap):
         while heap and heap[0][2] != heap[0][3].version:
@@ -208,6 +237,7 @@
             self._last_short = now
             if request.attempts == 0:
                 organisation.short_demand += request.estimate_s
+                self._short_s += 0.01 * (request.estimate_s - self._short_s)
         entry = (request.deadline, next(self._numbers), request)
         heapq.heappush(self._deadlines, entry)
         if len(self._deadlines) > 2 * self.queued + 1024:
@@ -294,11 +324,6 @@
         """Return whether a slot outside the reserve is free for long work."""
         return self.long_in_flight < max(self.slots - self.reserve, min(self.slots, 1))
 
-    def next_long(self):
-        """Return the next long request, whatever the reserve, or None."""
-        organisation = self._top(self._long)
-        return next(iter(organisation.long.values())) if organisation else None
-
     def next_priority(self, allows=None):
         """
         Return the next short request with priority, or None.
@@ -328,7 +353,7 @@
             return request
         long = self._top(self._long) if self.long_may_start() else None
         while (short := self._top(self._short)) is not None:
-            if long is not None and long.use_tag < short.use_tag:
+            if long is not None and long.turn_tag < short.turn_tag:
                 break
             request = self._first_short(short)
             if request is not None:
@@ -375,20 +400,36 @@
             flight.check_at = now + max(CHECK_FACTOR * cost, self.estimates.threshold_s)
         heapq.heappush(self._checks, (flight.check_at, next(self._numbers), flight))
         setattr(organisation, counted, getattr(organisation, counted) + 1)
-        self._charge(flight, cost)
+        self._expect(flight, cost)
+        if was_short:
+            self._charge_short(flight, cost)
         self._settle(organisation)
         return flight
 
+    def _expect(self, flight, seconds):
+        """Replace the slot-seconds that a request is expected to use yet."""
+        organisation = flight.organisation
+        organisation.pending_tag += (seconds - flight.pending_s) / organisation.weight
+        flight.pending_s = seconds
+
+    def _charge_short(self, flight, seconds):
+        """Charge an organisation's short work up to the given slot-seconds."""
+        organisation = flight.organisation
+        part = (seconds - flight.short_charged_s) / organisation.weight
+        flight.short_charged_s = seconds
+        organisation.short_tag += part
+        organisation.burst_tag = part + max(organisation.burst_tag, self._mean_use)
+
     def _charge(self, flight, seconds):
-        """Charge an organisation for slot-seconds beyond those charged so far."""
+        """Charge an organisation for the slot-seconds used up to now."""
         organisation = flight.organisation
         part = (seconds - flight.charged_s) / organisation.weight
         flight.charged_s = seconds
         organisation.use_tag += part
-        if flight.counted != "long_in_flight":
-            organisation.short_tag += part
         if self._weight_active > 0:
-            self._virtual_use += part * organisation.weight / self._weight_active
+            self._mean_use += part * organisation.weight / self._weight_active
+        if flight.counted != "long_in_flight":
+            self._charge_short(flight, seconds)
 
     # Running and ending.
 
@@ -406,7 +447,9 @@
                 organisation.overdue += 1
                 self.long_in_flight += 1
                 flight.estimate.add_class_sign(True)
-            self._charge(flight, max(elapsed, flight.charged_s))
+            self._charge(flight, elapsed)
+            # A request that outlived its estimate is taken to need as long again.
+            self._expect(flight, elapsed)
             flight.check_at = now + elapsed * (CHECK_FACTOR - 1)
             entry = (flight.check_at, next(self._numbers), flight)
             heapq.heappush(self._checks, entry)
@@ -425,6 +468,7 @@
         if given_up:
             elapsed *= GIVEN_UP_FACTOR
         self._charge(flight, elapsed)
+        self._expect(flight, 0.0)
         counted = flight.counted
         setattr(organisation, counted, getattr(organisation, counted) - 1)
         if counted != "short_in_flight":
@@ -483,8 +527,12 @@
         self._high_demand += step * (RESERVE_SHARE if above else RESERVE_SHARE - 1)
         self._high_demand = max(self._high_demand, self._mean_demand)
         parts = max(self.all_slots / self.slots, 1.0) if self.slots else 1.0
-        reserve = self._high_demand
-        reserve += RESERVE_DEVIATIONS * math.sqrt(self._high_demand / parts)
+        mean = self._mean_demand
+        # The noise of one entry host's arrivals averages out over all of them, so
+        # only what the high demand exceeds it by counts as bursts.
+        noise = NOISE_DEVIATIONS * math.sqrt(mean * self._short_s / DEMAND_WINDOW_S)
+        reserve = max(self._high_demand - noise, mean)
+        reserve += RESERVE_DEVIATIONS * math.sqrt(reserve / parts)
         # Entry hosts share the reserve, since short work may borrow slots of others.
         if now - self._last_short < RESERVE_MEMORY_S:
             reserve = max(reserve, MIN_RESERVE / parts)
