Back off from busy endpoints and plan with slots beyond holds

Change: holds double up to 1 s; holds no longer change the planned slots; half of the standard deviation in reserve.

--- a/magnoliapier/routing.py
+++ b/magnoliapier/routing.py
@@ -6,6 +6,7 @@
 PICKS = 8
 # About the time between reports of peers, after which shares may fit again.
 HOLD_S = 0.5
+MAX_HOLD_S = 1.0
 
 
 class IndexedSet:
@@ -113,15 +114,17 @@
         endpoint.ejected = health.state == "ejected"
         stopped = endpoint.leaving or health.until > 0.0
         wide = 0 if stopped else min(endpoint.slots, health.limit)
+        own = min(endpoint.share, wide)
         hold = self._holds.get(endpoint.name)
         if hold is not None:
             wide = min(wide, hold[0])
-        cap = min(endpoint.share, wide)
-        old_cap, old_slots, _ = self._caps.get(endpoint.name, (0, 0, 0))
+        cap = min(own, wide)
+        _, old_slots, _, old_own = self._caps.get(endpoint.name, (0, 0, 0, 0))
         slots = 0 if stopped else endpoint.slots
-        self.usable += cap - old_cap
+        # Holds pass; the slots that are planned with do not change with them.
+        self.usable += own - old_own
         self.slots += slots - old_slots
-        self._caps[endpoint.name] = (cap, slots, wide)
+        self._caps[endpoint.name] = (cap, slots, wide, own)
         if endpoint.share > 0 and not stopped:
             self._own.add(endpoint.name)
         else:
@@ -130,7 +133,7 @@
 
     def _place(self, endpoint):
         near = endpoint.data_centre == self._data_centre
-        cap, _, wide = self._caps[endpoint.name]
+        cap, _, wide, _ = self._caps[endpoint.name]
         group = self._near if near else self._far
         if endpoint.in_flight < cap:
             group.add(endpoint.name)
@@ -146,20 +149,25 @@
         """
         Send an endpoint no more than it runs for us now, then one more at a time.
 
-        It was busy, or it still runs a request that was given up.
+        It was busy, or it still runs a request that was given up. Each busy answer
+        in a row doubles the time to the next attempt, since it costs a request the
+        use of the endpoint.
         """
-        self._holds[endpoint.name] = (endpoint.in_flight, now + HOLD_S)
+        previous = self._holds.get(endpoint.name)
+        seconds = HOLD_S if previous is None else min(2 * previous[2], MAX_HOLD_S)
+        self._holds[endpoint.name] = (endpoint.in_flight, now + seconds, seconds)
         self.refresh(endpoint)
 
     def raise_holds(self, now):
-        """Raise the holds that lasted HOLD_S; drop those that limit nothing."""
-        due = [(n, cap) for n, (cap, until) in self._holds.items() if until <= now]
-        for name, cap in due:
+        """Raise the holds that lasted long enough; drop those that limit nothing."""
+        due = [(n, hold) for n, hold in self._holds.items() if hold[1] <= now]
+        for name, (cap, _, seconds) in due:
             endpoint = self.endpoints.get(name)
-            if endpoint is None or cap + 1 >= endpoint.share:
+            if endpoint is None or cap > endpoint.in_flight + 1:
+                # The last raise was not used up; nothing shows that it would fail.
                 del self._holds[name]
             else:
-                self._holds[name] = (cap + 1, now + HOLD_S)
+                self._holds[name] = (cap + 1, now + seconds, seconds)
             if endpoint is not None:
                 self.refresh(endpoint)
 
--- a/magnoliapier/scheduling.py
+++ b/magnoliapier/scheduling.py
@@ -24,7 +24,7 @@
 # this share of the time, so that it is kept through the pauses between bursts.
 RESERVE_SHARE = 0.95
 RESERVE_LEARNING_S = 4.0
-RESERVE_DEVIATIONS = 1.0
+RESERVE_DEVIATIONS = 0.5
 # Of a sum of Poisson arrivals with decaying weights, at RESERVE_SHARE; the root of
 # a half is 0.7 and the quantile 1.64, and run times vary.
 NOISE_DEVIATIONS = 1.4
