--- a/magnoliapier/estimates.py
+++ b/magnoliapier/estimates.py
@@ -17,6 +17,9 @@
 # Two limits, so that a kind near one of them does not change class at each run.
 LONG_ABOVE = 0.30
 SHORT_BELOW = 0.15
+# Fewer signs do not make a kind long, so that one straggler among the first runs
+# does not.
+MIN_SIGNS = 4
 # Callers choose kinds freely; beyond this number per service and organisation
 # the kinds of one class share one estimate.
 MAX_KINDS = 256
@@ -28,13 +31,15 @@
     What is known of one kind of request.
 
     ``mean_s`` is the mean run time, ``long_share`` the share of recent runs that
-    exceeded the service's threshold. ``runs`` counts up to PROVEN_RUNS only.
+    exceeded the service's threshold, learned from ``signs`` runs. ``runs`` counts
+    those that ended, as far as it matters.
     """
 
     mean_s: float
     work_class: WorkClass
     long_share: float = 0.0
     runs: int = 0
+    signs: int = 0
 
     @property
     def is_proven(self):
@@ -43,9 +48,10 @@
 
     def add_class_sign(self, is_long):
         """Learn from one run whether it exceeded the threshold."""
-        weight = max(1 / (self.runs + 1), MIN_WEIGHT)
+        self.signs += 1
+        weight = max(1 / self.signs, MIN_WEIGHT)
         self.long_share += weight * (is_long - self.long_share)
-        if self.long_share > LONG_ABOVE:
+        if self.long_share > LONG_ABOVE and self.signs >= MIN_SIGNS:
             self.work_class = WorkClass.LONG
         elif self.long_share < SHORT_BELOW and (self.is_proven or is_long):
             self.work_class = WorkClass.SHORT
--- a/magnoliapier/slots.py
+++ b/magnoliapier/slots.py
@@ -178,10 +178,12 @@
         if peers_age_s > STALE_S:
             return self._safe_shares()
         self._known = len(local) + 1
-        members = [Member(self._name, self._data_centre, own_demand)]
+        # One slot for an idle entry host, or its first request would have to wait
+        # until its report reaches the others.
+        members = [Member(self._name, self._data_centre, max(own_demand, 1))]
         for peer in peers:
             stale = peer.age_s + peers_age_s > STALE_S
-            demand = None if stale else peer.queued + peer.in_flight
+            demand = None if stale else max(peer.queued + peer.in_flight, 1)
             members.append(Member(peer.name, peer.data_centre, demand))
         totals = {name: layout.total for name, layout in self._layouts.items()}
         result = {}
