--- a/magnoliapier/admission.py
+++ b/magnoliapier/admission.py
@@ -20,10 +20,11 @@
 MAX_RETRY_AFTER_S = 60
 
 
-def expected_wait_s(queue, organisation, work_class, has_room):
+def expected_wait_s(queue, organisation, estimate, has_room):
     """Return the expected wait in seconds of a new request of an organisation."""
     ahead = organisation.short_queued_s
-    if work_class is WorkClass.LONG:
+    # Most short work that is not proven short queues with the long work.
+    if estimate.work_class is WorkClass.LONG or not estimate.is_proven:
         ahead += organisation.long_queued_s
     if ahead <= 0.0 or (has_room and queue.queued == 0):
         return 0.0
@@ -38,7 +39,7 @@
         return refuse(request, RefusalReason.DEADLINE_PASSED)
     organisation = queue.organisations[request.organisation]
     estimate = queue.estimates.find(request)
-    wait = expected_wait_s(queue, organisation, estimate.work_class, has_room)
+    wait = expected_wait_s(queue, organisation, estimate, has_room)
     if wait <= 0.0:
         return None
     run = estimate.mean_s if estimate.is_proven else 0.0
--- a/magnoliapier/dispatcher.py
+++ b/magnoliapier/dispatcher.py
@@ -1,6 +1,7 @@
 """The request decisions of one entry host, as one object without threads or I/O."""
 
 from collections import OrderedDict
+from dataclasses import replace
 
 from magnoliapier.admission import check_arrival, choose_victim, is_hopeless, refuse
 from magnoliapier.ejection import FAILURE_WEIGHTS, Ejections, KindFailures
@@ -51,7 +52,8 @@
         for endpoint in endpoints:
             entry = self.pool.endpoints.get(endpoint.name)
             if entry is None:
-                entry = endpoint
+                # A copy, since the caller's entry tells what the fleet state says.
+                entry = replace(endpoint, share=0, in_flight=0, ejected=False)
             else:
                 entry.address = endpoint.address
                 entry.slots = endpoint.slots
