--- a/benchmarks/request_load.py
+++ b/benchmarks/request_load.py
@@ -241,3 +241,10 @@
         streams.append(short(name, 0.2 * CAPACITY_SLOTS / len(ORGANISATIONS)))
         streams.append(long(name, 1.5 * CAPACITY_SLOTS / len(ORGANISATIONS)))
     return Load("saturation", 120.0, streams, warm_s=40.0)
+
+
+def long_only_load():
+    """Return the long work of the saturation load alone."""
+    load = saturation_load()
+    load.streams = [s for s in load.streams if s.work_class == "long"]
+    return load
--- a/magnoliapier/dispatcher.py
+++ b/magnoliapier/dispatcher.py
@@ -16,7 +16,7 @@
 )
 from magnoliapier.routing import EndpointPool
 from magnoliapier.scheduling import ServiceQueue
-from magnoliapier.slots import SlotShares
+from magnoliapier.slots import STALE_S, SlotShares
 
 # A sign that a host is leaving counts this long even if the fleet state does not
 # confirm it; the design allows the state to lag by seconds.
@@ -369,7 +369,7 @@
                 decisions.append(self._refuse(request, reason))
             service.wake(now)
             service.queue.update_reserve(now)
-            if self._peers_at is not None and now > self._peers_at:
+            if self._peers_at is not None and now - self._peers_at > STALE_S:
                 service.update_shares(now - self._peers_at)
             decisions.extend(self._start(service, now))
         return decisions
