Keep the claim writer, the link and the ticks alive after an error

Cause: an exception in a message handler ends a pykka actor, and one in the tick thread ends it, after which claims, state or deadlines would stand still. With a store that does not answer, each waiting group ran into the timeout after the other. Change: errors are logged and counted, all waiting writes fail together, waitress's messages are written as events, and a test holds the store while idempotent requests are served.

--- a/magnoliapier/claims.py
+++ b/magnoliapier/claims.py
@@ -161,10 +161,15 @@
 
     def on_receive(self, message):
         """Write a group, or do what is due by time."""
-        if message == FLUSH:
-            self._flush()
-        elif message == TICK:
-            self._expire()
+        # An exception would end the actor, and all later claims would wait.
+        try:
+            if message == FLUSH:
+                self._flush()
+            elif message == TICK:
+                self._expire()
+        except Exception as error:
+            self._metrics.count("worker_errors_total")
+            log.error("claim_writer_failed", error=repr(error))
 
     def _flush(self):
         self._wait_for_turn()
@@ -195,11 +200,11 @@
                 self._wait_for_turn()
             try:
                 group = self._try(group)
-            except PlatformError as error:
-                self._pause_store(error)
+            except Exception as error:
+                group += self._pause_store(error)
                 break
         for item in group:
-            item.failed()
+            self._tell(item.failed)
 
     def _try(self, group):
         """Write a group once; return the writes that have to be repeated."""
@@ -213,7 +218,7 @@
             rows = self._table.read([item.key for item in group])
             return self._sort(group, rows, all_rows=True)
         for item in group:
-            item.written(versions.get(item.key, 0))
+            self._tell(item.written, versions.get(item.key, 0))
         return []
 
     def _sort(self, group, rows, all_rows):
@@ -225,11 +230,11 @@
                 continue
             row = rows.get(item.key)
             if item.matches(row):
-                item.written(row.version if row else 0)
+                self._tell(item.written, row.version if row else 0)
             elif item.may_repeat(row):
                 repeated.append(item)
             else:
-                item.conflicted(row)
+                self._tell(item.conflicted, row)
         return repeated
 
     def _writes(self, group):
@@ -242,12 +247,24 @@
             writes.append(Write(name, {"keys": keys}))
         return writes
 
+    def _tell(self, callback, *arguments):
+        """Tell the outcome of a write; one failure must not affect the others."""
+        try:
+            callback(*arguments)
+        except Exception as error:
+            self._metrics.count("worker_errors_total")
+            log.error("claim_callback_failed", error=repr(error))
+
     def _pause_store(self, error):
+        """Note a failed call; return what waits, which would only fail later."""
         log.warning("claims_store_failed", error=error)
         self._metrics.count("claim_store_failures_total")
         with self._claims.lock:
             until = self._clock.monotonic() + STORE_PAUSE_S
             self._claims.store_paused_until = until
+            waiting = list(self._claims.pending)
+            self._claims.pending.clear()
+        return waiting
 
     def _expire(self):
         """Delete one bucket of claims that nobody can send under any more."""
--- a/magnoliapier/control_link.py
+++ b/magnoliapier/control_link.py
@@ -282,7 +282,14 @@
 
     def on_receive(self, message):
         """Apply a message of the control process, or send a report when told."""
-        kind, value, received = message
+        # An exception would end the actor, and the fleet state would stand still.
+        try:
+            self._handle(*message)
+        except Exception as error:
+            self._metrics.count("worker_errors_total")
+            log.error("control_link_failed", error=repr(error))
+
+    def _handle(self, kind, value, received):
         if kind == "connected":
             self._connection = value
             state = self._view.state
--- a/magnoliapier/entry.py
+++ b/magnoliapier/entry.py
@@ -1,6 +1,7 @@
 """The program ``magnoliapier-entry``: the data path of an entry host."""
 
 import json
+import logging
 import random
 import signal
 import sys
@@ -36,6 +37,14 @@
 METRICS_THREADS = 2
 
 
+class WaitressHandler(logging.Handler):
+    """Writes waitress's own messages as events."""
+
+    def emit(self, record):
+        """Write one message."""
+        log.warning("waitress", message=record.getMessage())
+
+
 class EntryProcess:
     """
     One entry process: callers, decisions, claims, endpoints and control link.
@@ -85,7 +94,10 @@
         self.path.attach_workers(self.callers.workers)
         self.view.attach(self.path)
         self._link = None
-        self._ticker = threading.Thread(target=self._tick, name="ticker", daemon=True)
+        self._ticker = threading.Thread(
+            target=self._run_ticks, name="ticker", daemon=True
+        )
+        self._report_at = 0.0
 
     @property
     def address(self):
@@ -170,25 +182,31 @@
         while not self._claims.idle and self._clock.monotonic() < until:
             self._clock.sleep(DRAIN_POLL_S)
 
-    def _tick(self):
+    def _run_ticks(self):
         last = self._clock.monotonic()
-        report_at = last
         while not self._stopped.wait(TICK_S):
             now = self._clock.monotonic()
-            gap = now - last
+            try:
+                self._tick(now, now - last)
+            except Exception as error:
+                # Deadlines and grants depend on the ticks that follow.
+                self._metrics.count("worker_errors_total")
+                log.error("tick_failed", error=repr(error))
             last = now
-            if gap > DROP_GRANTS_GAP_S:
-                self._metrics.count("tick_gaps_total")
-                log.warning("process_paused", gap_s=gap)
-            if gap > STALE_GAP_S:
-                # The sender has to be registered anew (rule R5).
-                self._incarnation = new_incarnation()
-            self.view.refresh(gap)
-            self.path.tick()
-            self._claims.tick()
-            if now >= report_at:
-                report_at = now + REPORT_INTERVAL_S
-                self._link.tell(("report", None, now))
+
+    def _tick(self, now, gap):
+        if gap > DROP_GRANTS_GAP_S:
+            self._metrics.count("tick_gaps_total")
+            log.warning("process_paused", gap_s=gap)
+        if gap > STALE_GAP_S:
+            # The sender has to be registered anew (rule R5).
+            self._incarnation = new_incarnation()
+        self.view.refresh(gap)
+        self.path.tick()
+        self._claims.tick()
+        if now >= self._report_at:
+            self._report_at = now + REPORT_INTERVAL_S
+            self._link.tell(("report", None, now))
 
     def _show_metrics(self, environ, start_response):
         path = environ["PATH_INFO"]
@@ -253,6 +271,7 @@
             typer.echo(json.dumps(loaded.public(), indent=2))
             return
         configure_logs(loaded.log_level)
+        logging.getLogger("waitress").addHandler(WaitressHandler())
         code = run(loaded)
     except MagnoliapierError as error:
         typer.echo(str(error), err=True)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -96,6 +96,19 @@
         wait_until(lambda: self.ask(filing("k"))[0] == 200)
         self.assertEqual(sum(host.runs.get("k", 0) for host in self.hosts), 1)
 
+    def test_slow_store_holds_no_slots(self):
+        """Requests that wait for a claim must not keep idempotent ones out."""
+        returned, transact = threading.Event(), self.platform.table.transact
+        self.platform.table.transact = lambda writes: (
+            returned.wait() and transact(writes)
+        )
+        callers = [self.call().send(filing(f"k{n}")) for n in range(20)]
+        wait_until(lambda: self.process.path.open_requests == 20)
+        self.assertEqual(self.demand(), (0, 0))
+        self.assertEqual(self.ask(head())[0], 200)
+        returned.set()
+        self.assertEqual([caller.answer()[0] for caller in callers], [200] * 20)
+
     def test_lost_answer_then_store_away(self):
         """The row exists although its request was refused; a repeat takes it over."""
         read = self.platform.table.read
