--- a/magnoliapier/fleet_log.py
+++ b/magnoliapier/fleet_log.py
@@ -49,6 +49,7 @@
 MAX_RACES = 20
 SOLO_ACTIVATION_S = 0.5
 KEPT_IN_MEMORY = 1024
+MAX_PATHS_NAMED = 8
 
 log = get_logger(__name__)
 
@@ -414,13 +415,20 @@
     ]
 
 
+def shorten(paths):
+    """Return the first paths as text, with the number of the others."""
+    text = ", ".join(paths[:MAX_PATHS_NAMED])
+    others = len(paths) - MAX_PATHS_NAMED
+    return f"{text} and {others} more" if others > 0 else text
+
+
 def describe_commits(commits):
     """Return commits as one line of text."""
     if not commits:
         return "the commits are no longer in the log"
     return "; ".join(
         f"version {commit['version']} by {commit['author']} changed "
-        f"{', '.join(commit['changed'])}"
+        f"{shorten(commit['changed'])}"
         for commit in commits
     )
 
@@ -448,6 +456,11 @@
         """The :class:`FleetState` in force; seq 0 means none."""
         return self._state
 
+    @property
+    def staged(self):
+        """The newest state that this process holds."""
+        return self._staged
+
     @property
     def staged_seq(self):
         """The newest seq that this process holds."""
@@ -471,24 +484,23 @@
             self._staged_at = self._clock.monotonic()
         return self._staged.seq > before
 
-    def offer_state(self, state, in_force=False):
-        """
-        Stage a whole state if it is newer; return whether it was.
-
-        ``in_force`` marks a state that already was in force on this host.
-        """
-        if state.seq > self._staged.seq:
-            self._staged = state
-            self._pending.clear()
-            self._pending.append((None, state))
-            self._recent.clear()
-            self._staged_at = self._clock.monotonic()
-            if in_force:
-                self._activate(state.seq)
-            return True
-        if in_force:
-            self._activate(state.seq)
-        return False
+    def offer_state(self, state):
+        """Stage a whole state if it is newer; return whether it was."""
+        if state.seq <= self._staged.seq:
+            return False
+        self._staged = state
+        self._pending.clear()
+        self._pending.append((None, state))
+        self._recent.clear()
+        self._staged_at = self._clock.monotonic()
+        return True
+
+    def raise_to(self, seq):
+        """Put staged entries up to ``seq`` in force; return whether any were."""
+        before = self._state.seq
+        while self._pending and self._pending[0][1].seq <= seq:
+            self._state = self._pending.popleft()[1]
+        return self._state.seq > before
 
     def activate(self, peer_staged):
         """
@@ -500,12 +512,12 @@
         now = self._clock.monotonic()
         if peer_staged is not None:
             self._alone_since = None
-            return self._activate(peer_staged)
+            return self.raise_to(peer_staged)
         if self._alone_since is None:
             self._alone_since = now
         if now - max(self._alone_since, self._staged_at) < SOLO_ACTIVATION_S:
             return False
-        return self._activate(self._staged.seq)
+        return self.raise_to(self._staged.seq)
 
     def entries_after(self, seq, last=None):
         """
@@ -520,9 +532,3 @@
     def recent_entries(self):
         """Return the entries held in memory, oldest first."""
         return list(self._recent)
-
-    def _activate(self, seq):
-        before = self._state.seq
-        while self._pending and self._pending[0][1].seq <= seq:
-            self._state = self._pending.popleft()[1]
-        return self._state.seq > before
--- a/magnoliapier/fleet_platform.py
+++ b/magnoliapier/fleet_platform.py
@@ -125,6 +125,11 @@
                     task_id, (self._clock.monotonic() + CHECKPOINT_S, fence)
                 )
 
+    def renew(self, task_ids, fence):
+        """Renew the leases of the tasks whose workers can be reached."""
+        reached = [t for t in task_ids if self._tasks[t].host not in self.cut]
+        super().renew(reached, fence)
+
     def throttle(self, task_id, share, fence):
         """Limit a task that can be reached."""
         self._check_contact(task_id)
@@ -171,6 +176,14 @@
             return TaskStatus.SUCCEEDED
         return None
 
+    def hosts_in_use(self):
+        """Return the hosts on which a task really runs."""
+        return {
+            task.host
+            for task in self._tasks.values()
+            if task.status is TaskStatus.RUNNING or task.task_id in self.running_unseen
+        }
+
     def true_run_s(self, job):
         """Return the true run time of a job, fixed by the seed."""
         declared = self.jobs.get(job)
