--- a/magnoliapier/dispatcher.py
+++ b/magnoliapier/dispatcher.py
@@ -1,6 +1,7 @@
 """The request decisions of one entry host, as one object without threads or I/O."""
 
 from collections import OrderedDict
+from dataclasses import replace
 
 from magnoliapier.admission import check_arrival, choose_victim, is_hopeless, refuse
 from magnoliapier.ejection import FAILURE_WEIGHTS, Ejections, KindFailures
@@ -15,7 +16,7 @@
 )
 from magnoliapier.routing import EndpointPool
 from magnoliapier.scheduling import ServiceQueue
-from magnoliapier.slots import SlotShares
+from magnoliapier.slots import STALE_S, SlotShares
 
 # A sign that a host is leaving counts this long even if the fleet state does not
 # confirm it; the design allows the state to lag by seconds.
@@ -23,14 +24,16 @@
 # Requests that wait for an endpoint they were not sent to yet, looked at again
 # when another request ends.
 PARKED_PER_END = 2
+# Slots of others that a request may try; each busy answer excludes an endpoint.
+MAX_BORROWED = 6
 
 
 class ServiceState:
     """The tables of one service at this entry host."""
 
-    def __init__(self, name, estimates, entry, data_centre, random):
+    def __init__(self, name, queue, entry, data_centre, random):
         self.name = name
-        self.queue = ServiceQueue(estimates)
+        self.queue = queue
         self.ejections = Ejections()
         self.pool = EndpointPool(data_centre, random, self.ejections)
         self.shares = SlotShares(entry, data_centre)
@@ -49,7 +52,8 @@
         for endpoint in endpoints:
             entry = self.pool.endpoints.get(endpoint.name)
             if entry is None:
-                entry = endpoint
+                # A copy, since the caller's entry tells what the fleet state says.
+                entry = replace(endpoint, share=0, in_flight=0, ejected=False)
             else:
                 entry.address = endpoint.address
                 entry.slots = endpoint.slots
@@ -62,6 +66,7 @@
         """Recompute the share of each endpoint's slots."""
         demand = sum(self.demand if self.reported is None else self.reported)
         shares = self.shares.shares(self.peers, demand, peers_age_s)
+        self.queue.rank = self.shares.rank(self.peers)
         for endpoint in self.pool.endpoints.values():
             share = shares.get(endpoint.name, 0)
             if share != endpoint.share:
@@ -72,7 +77,7 @@
         """Let endpoints take work again whose pause, ejection or hold has ended."""
         for name in self.ejections.wake(now):
             self.pool.refresh(self.pool.endpoints[name])
-        self.pool.release_due(now)
+        self.pool.raise_holds(now)
 
 
 class Dispatcher:
@@ -90,6 +95,7 @@
     """
 
     estimates_class = RunTimeEstimates
+    queue_class = ServiceQueue
 
     def __init__(self, clock, random, name, data_centre, max_queue=2000, metrics=None):
         self._clock = clock
@@ -174,7 +180,12 @@
         service = flight.service
         outcome = result.outcome
         service.pool.end(flight.endpoint)
-        service.queue.end(flight, now, ran=outcome is SendOutcome.OK)
+        service.queue.end(
+            flight,
+            now,
+            ran=outcome is SendOutcome.OK,
+            given_up=outcome is SendOutcome.TIMEOUT,
+        )
         self._judge_endpoint(service, flight.endpoint, request, result, now)
         decisions = []
         if outcome is SendOutcome.OK:
@@ -183,23 +194,46 @@
             decisions.append(self._follow_up(service, flight, result, now))
         for _ in range(min(len(service.parked), PARKED_PER_END)):
             self._unpark(service, now)
+        if outcome is SendOutcome.OK:
+            decisions.extend(self._reuse_slot(service, flight.endpoint, now))
         decisions.extend(self._start(service, now))
         return decisions
 
+    def _reuse_slot(self, service, endpoint, now):
+        """
+        Start short work in a slot that became free beyond this entry host's share.
+
+        Unlike a slot that is borrowed at a guess, this one is known to be free.
+        """
+        if not service.queue.queued or not service.pool.has_spare_slot(endpoint):
+            return []
+
+        def allows(request):
+            return (
+                service.pool.allows(endpoint, request)
+                and self._late_reason(service.queue, request, now) is None
+            )
+
+        request = service.queue.next_priority(allows)
+        if request is None:
+            return []
+        return [self._dispatch(service, request, endpoint, now)]
+
     def _judge_endpoint(self, service, endpoint, request, result, now):
         outcome = result.outcome
         if service.pool.endpoints.get(endpoint.name) is not endpoint:
             return
         if outcome is SendOutcome.BUSY:
-            service.pool.hold_busy(endpoint, now)
+            service.pool.hold(endpoint, now)
         elif outcome is SendOutcome.DRAINING:
             self._sign_leaving(endpoint.host, now)
         elif outcome is SendOutcome.OK:
-            service.pool.release(endpoint)
             self._failures.add(request, False)
             if service.ejections.observe(endpoint.name, result, 0.0, now):
                 service.pool.refresh(endpoint)
         elif outcome in FAILURE_WEIGHTS:
+            if outcome is SendOutcome.TIMEOUT:
+                service.pool.hold(endpoint, now)
             blame = self._failures.add(request, True)
             if service.ejections.observe(endpoint.name, result, blame, now):
                 service.pool.refresh(endpoint)
@@ -255,10 +289,15 @@
         """Start queued requests while endpoints have room."""
         queue, pool = service.queue, service.pool
         queue.slots = pool.usable
+        queue.all_slots = pool.slots
         queue.check_overdue(now)
         decisions = []
-        while queue.queued and pool.has_room:
-            request = queue.next_request()
+        while queue.queued:
+            borrow = not pool.has_room
+            request = None if borrow else queue.next_request()
+            if request is None:
+                borrow = True
+                request = self._next_borrower(service)
             if request is None:
                 break
             reason = self._late_reason(queue, request, now)
@@ -266,7 +305,7 @@
                 self._unqueue(request)
                 decisions.append(self._refuse(request, reason))
                 continue
-            endpoint = pool.choose(request)
+            endpoint = pool.choose_wide(request) if borrow else pool.choose(request)
             if endpoint is None:
                 queue.remove(request)
                 service.parked[request.request_id] = request
@@ -274,6 +313,23 @@
             decisions.append(self._dispatch(service, request, endpoint, now))
         return decisions
 
+    def _next_borrower(self, service):
+        """
+        Return a request to send beyond this entry host's share, or None.
+
+        Short work with priority may try any slot; the endpoint says if it is taken.
+        """
+        if not service.pool.has_wide_room:
+            return None
+        return service.queue.next_priority(self._may_borrow)
+
+    def _may_borrow(self, request):
+        """Return whether a busy answer would leave endpoints and tokens enough."""
+        known = len(self._services[request.service].pool.endpoints)
+        return len(request.excluded) < min(
+            MAX_BORROWED, known // 2
+        ) and self._budget.allows_borrowing(request.service, request.organisation)
+
     def _late_reason(self, queue, request, now):
         if request.deadline <= now:
             return RefusalReason.DEADLINE_PASSED
@@ -313,7 +369,7 @@
                 decisions.append(self._refuse(request, reason))
             service.wake(now)
             service.queue.update_reserve(now)
-            if self._peers_at is not None and now > self._peers_at:
+            if self._peers_at is not None and now - self._peers_at > STALE_S:
                 service.update_shares(now - self._peers_at)
             decisions.extend(self._start(service, now))
         return decisions
@@ -341,9 +397,9 @@
     def _set_service(self, name, declared, endpoints, now):
         service = self._services.get(name)
         if service is None:
-            estimates = self.estimates_class(declared)
+            queue = self.queue_class(self.estimates_class(declared))
             service = ServiceState(
-                name, estimates, self._name, self._data_centre, self._random
+                name, queue, self._name, self._data_centre, self._random
             )
             self._services[name] = service
             self._queues[name] = service.queue
