Time grants and eligibility from the report that a view answers

Cause: a PeerView carries no time, so one read late could extend a grant, and one from before a pause could restore eligibility. The control process answers each report with one view, in order. Change: the link keeps when and with which incarnation each report was sent; grants are timed from there, and a view for an earlier incarnation gives no eligibility.

--- a/benchmarks/forwarder.py
+++ b/benchmarks/forwarder.py
@@ -28,7 +28,7 @@
 from magnoliapier.fleet_state import FleetState, LogEntry
 from magnoliapier.manifest import canonical_json, digest, make_patch
 from magnoliapier.memory_platform import MemoryPlatform
-from magnoliapier.messages import StateUpdate
+from magnoliapier.messages import PeerView, StateUpdate
 from magnoliapier.metrics import Metrics
 from magnoliapier.settings import build_settings
 from magnoliapier.transport import parse_address
@@ -126,7 +126,8 @@
     ).start()
     state = fleet_state(endpoint)
     data = canonical_json(state.to_values())
-    process.view.apply_update(StateUpdate(snapshot=data, eligible=True))
+    process.view.apply_view(PeerView(), clock.monotonic(), eligible=True)
+    process.view.apply_update(StateUpdate(snapshot=data))
     print(process.address, flush=True)
     signal.pause()
 
--- a/magnoliapier/control_link.py
+++ b/magnoliapier/control_link.py
@@ -7,6 +7,7 @@
 to, which may have been restarted without one.
 """
 
+import collections
 import contextlib
 import json
 import socket
@@ -38,12 +39,9 @@
 REPORT_INTERVAL_S = 0.25
 OWN_CONTROL_GRACE_S = 1.0
 CONNECT_TIMEOUT_S = 0.5
-# A PeerView comes every 0.25 s; a control process silent for this long is gone. The
-# same gap follows a pause of this process, whose socket then holds old views.
+# Each report is answered; a control process silent for this long is gone. The same
+# gap follows a pause of this process, whose socket then holds old messages.
 SILENT_LINK_S = 1.0
-# A view carries no time of its own and may be this old when it is read, because a
-# longer gap ends the link.
-MAX_VIEW_AGE_S = SILENT_LINK_S
 RETRY_PAUSE_S = 0.1
 # A refused connection may be a restart, a draining answer is a statement; both end
 # earlier when the host is assigned anew.
@@ -120,9 +118,13 @@
         return host in self._allowed
 
     def apply_update(self, update):
-        """Apply a StateUpdate as far as it leads forward."""
+        """
+        Apply a StateUpdate as far as it leads forward.
+
+        Its ``eligible`` is not used: an update may be older than a pause of this
+        process, and a PeerView follows within the report interval.
+        """
         with self._lock:
-            self._eligible = update.eligible
             state = self._state
             try:
                 if update.snapshot:
@@ -145,18 +147,19 @@
             self._state = state
             self.refresh()
 
-    def apply_view(self, view, received):
+    def apply_view(self, view, asked, eligible):
         """
         Take what the control process knows of peers, grants and leaving hosts.
 
-        ``received`` is the monotonic instant at which the view was read.
+        ``asked`` is the monotonic instant before the report was sent that the view
+        answers; grants are timed from it (R2). ``eligible`` is whether the sender
+        that made the report, by its incarnation, is eligible.
         """
-        start = received - MAX_VIEW_AGE_S
         with self._lock:
-            self._eligible = view.eligible
+            self._eligible = eligible
             self._grants = {
                 grant.data_centre: CentreGrant(
-                    grant.seq, start + grant.remaining_ms / 1000
+                    grant.seq, asked + grant.remaining_ms / 1000
                 )
                 for grant in view.grants
             }
@@ -265,6 +268,8 @@
         self._clock = clock
         self._metrics = metrics
         self._connection = None
+        # (instant, incarnation) of each report that is not answered yet.
+        self._asked = collections.deque()
         self._closed = threading.Event()
         self._reader = threading.Thread(
             target=self._read, name="control-link", daemon=True
@@ -289,21 +294,39 @@
             self._metrics.count("worker_errors_total")
             log.error("control_link_failed", error=repr(error))
 
-    def _handle(self, kind, value, received):
+    def _handle(self, kind, value):
         if kind == "connected":
             self._connection = value
+            self._asked.clear()
             state = self._view.state
             if state is not None and state.seq:
                 offer = SnapshotOffer(snapshot=canonical_json(state.to_values()))
                 self._send(offer)
-            self._send(self._report())
+            self._send_report()
         elif kind == "report":
-            self._send(self._report())
+            self._send_report()
         elif isinstance(value, StateUpdate):
             self._view.apply_update(value)
-            self._send(self._report())
+            self._send_report()
         elif isinstance(value, PeerView):
-            self._view.apply_view(value, received)
+            self._take_view(value)
+
+    def _take_view(self, view):
+        """Apply a view, which answers the oldest open report of this connection."""
+        if not self._asked:
+            log.warning("control_view_unasked")
+            self._drop(self._connection)
+            return
+        asked, incarnation = self._asked.popleft()
+        current = incarnation == self._report().incarnation
+        self._view.apply_view(view, asked, view.eligible and current)
+
+    def _send_report(self):
+        if self._connection is None:
+            return
+        report = self._report()
+        self._asked.append((self._clock.monotonic(), report.incarnation))
+        self._send(report)
 
     def _send(self, message):
         connection = self._connection
@@ -351,7 +374,7 @@
         with connection:
             try:
                 previous = self._clock.monotonic()
-                self.actor_ref.tell(("connected", connection, previous))
+                self.actor_ref.tell(("connected", connection))
                 while not self._closed.is_set():
                     message = receive_message(connection, self._key)
                     now = self._clock.monotonic()
@@ -359,7 +382,7 @@
                         log.warning("control_lost", gap_s=now - previous)
                         return
                     previous = now
-                    self.actor_ref.tell(("message", message, now))
+                    self.actor_ref.tell(("message", message))
             except (OSError, MessageError, AuthenticationError) as error:
                 log.warning("control_lost", error=error)
             except pykka.ActorDeadError:
--- a/magnoliapier/entry.py
+++ b/magnoliapier/entry.py
@@ -132,7 +132,7 @@
         Return False if requests were left after ``drain_timeout_s``.
         """
         self._draining = True
-        self._link.tell(("report", None, 0.0))
+        self._link.tell(("report", None))
         self.path.drain()
         self.callers.stop_accepting()
         until = self._clock.monotonic() + self._settings.entry.drain_timeout_s
@@ -206,7 +206,7 @@
         self._claims.tick()
         if now >= self._report_at:
             self._report_at = now + REPORT_INTERVAL_S
-            self._link.tell(("report", None, now))
+            self._link.tell(("report", None))
 
     def _show_metrics(self, environ, start_response):
         path = environ["PATH_INFO"]
