--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -1,8 +1,14 @@
 import unittest
 
+from magnoliapier.clock import VirtualClock
 from magnoliapier.fleet_replay import ReplayOptions, replay_fleet
+from magnoliapier.memory_platform import MemoryPlatform
+from magnoliapier.planner import Planner, PlannerInputs
+from magnoliapier.platform_api import HostStatus, ListedHost
 from magnoliapier.traces import Commit, DemandSample, Fault
+from tests.samples import sample_state
 from tests.test_fleet_replay import make_header
+from tests.test_planner import apply_all
 
 
 def make_wave_header(duration_s=3600.0, spare=True, **changes):
@@ -70,6 +76,36 @@
         self.assertIn("Paused with", reasons(report))
         self.assertEqual(report.waves["kernel/wire"].done, 8)
 
+    def test_draining_hosts_return_when_others_fail(self):
+        """Guards against holding drained hosts that the budget needs again."""
+        header = make_wave_header(900.0, spare=False)
+        header.manifest["pools"]["wire"]["min_hosts"] = 8
+        faults = [Fault(65.0, "endpoint_down", 900.0, f"wire-{n}") for n in (5, 7)]
+        report = run(header, faults, straggler_share=1.0, straggler_s=300.0)
+        self.assertIn("returns to service: 5 hosts serve and 6 must", reasons(report))
+
+    def test_new_planner_waits_for_the_list_before_a_reboot(self):
+        """Guards against a second reboot of a host that is just verified."""
+        clock = VirtualClock(1000.0)
+        platform = MemoryPlatform(clock)
+        state = sample_state()
+        for name, host in state.manifest.hosts.items():
+            platform.hosts.set_host(ListedHost(name, HostStatus.LIVE, host.address))
+        drain = {"host": "wire-0", "epoch": 2, "target": "wire", "reason": ""}
+        steps = [("host_drain", drain), ("host_maintenance", {**drain, "epoch": 3})]
+        apply_all(state, steps)
+        planner = Planner(clock, platform)
+        statuses = []
+        for _ in range(3):
+            listed = platform.hosts.hosts()
+            inputs = PlannerInputs(state, {}, [], listed, 2, clock.time())
+            apply_all(state, planner.tick(inputs).entries)
+            rows = {host.name: host.status for host in platform.hosts.hosts()}
+            statuses.append(rows["wire-0"])
+            clock.advance(20.0)
+        live = HostStatus.LIVE
+        self.assertEqual(statuses, [live, live, HostStatus.REBOOTING])
+
     def test_bad_wave_is_rolled_back(self):
         """Guards against a fault of the maintenance that spreads over the fleet."""
         faults = [
