Limit the serial baseline to one host

Cause: the baseline took as many hosts of a pool as max_unavailable at once. Conclusion: the baseline is what its name says.

--- a/magnoliapier/maintenance.py
+++ b/magnoliapier/maintenance.py
@@ -84,6 +84,8 @@
         if self._serial and any(held_out(tables, p) for p in tables.manifest.pools):
             return 0, "another host is in maintenance"
         by_limit = settings.max_unavailable - held_out(tables, pool)
+        if self._serial:
+            by_limit = min(by_limit, 1)
         floor = serving_floor(tables, pool)
         by_budget = tables.serving[pool] - floor
         if by_budget < by_limit:
--- a/tests/test_fleet_policies.py
+++ b/tests/test_fleet_policies.py
@@ -2,7 +2,7 @@
 import unittest
 
 from magnoliapier.fleet_policies import plan_peaks, policies
-from magnoliapier.fleet_replay import replay_fleet
+from magnoliapier.fleet_replay import ReplayOptions, replay_fleet
 from magnoliapier.traces import DemandSample, Drain, Fault
 from tests.test_jobs import job, job_manifest
 from tests.test_maintenance import make_wave_header
@@ -43,11 +43,15 @@
     def test_serial_maintenance_holds_one_host(self):
         """Guards against a baseline that is as fast as what it is compared with."""
         header = make_wave_header(900.0, pools=["archive", "wire"])
+        header.manifest["pools"]["archive"]["max_unavailable"] = 3
         done = {}
+        options = ReplayOptions(reboot_s=60.0)
         for name in ("serial_maintenance", "planner"):
-            waves = replay_fleet(header, [], name, 1).waves
+            waves = replay_fleet(header, [], name, 1, options=options).waves
             done[name] = sum(wave.done for wave in waves.values())
         self.assertLess(done["serial_maintenance"], done["planner"])
+        # One host after the other, none faster than the 60 s of a reboot.
+        self.assertLessEqual(done["serial_maintenance"], 900 // 60)
 
     def test_all_policies_run_with_random_faults(self):
         """
