--- /dev/null
+++ b/tests/test_modelcheck.py
@@ -0,0 +1,76 @@
+import unittest
+from typing import NamedTuple
+
+from magnoliapier import modelcheck
+from magnoliapier.registry import Registry
+from magnoliapier.specification import Specification, specifications
+
+
+class Count(NamedTuple):
+    value: int = 0
+
+
+class CounterSpecification(Specification):
+    name = "counter"
+    initial = Count()
+    mistakes = Registry("counter mistake")
+    scenarios = {"small": {"limit": 3}}
+    goal = 3
+
+    def successors(self, state):
+        if state.value < self.bounds["limit"]:
+            yield "increment", Count(state.value + 1)
+
+    def invariants(self):
+        return {"below_four": lambda state: state.value < 4}
+
+    def witnesses(self):
+        return {"reaches_goal": lambda state: state.value == self.goal}
+
+
+class BrokenCounter(CounterSpecification):
+    scenarios = {"small": {"limit": 10}}
+
+
+class IdleCounter(CounterSpecification):
+    goal = 9
+
+
+class ExploreTests(unittest.TestCase):
+    def test_counts_the_whole_space(self):
+        result = modelcheck.explore(CounterSpecification("small"))
+        self.assertEqual((result.states, result.holds), (4, True))
+
+    def test_reports_the_shortest_counterexample(self):
+        result = modelcheck.explore(BrokenCounter("small"))
+        self.assertFalse(result.holds)
+        self.assertEqual(len(result.violations["below_four"]), 5)
+        self.assertEqual(modelcheck.find_mistake(BrokenCounter)[0], "small")
+
+    def test_unreached_witness_fails(self):
+        """Guards against a specification that is safe because nothing happens."""
+        result = modelcheck.explore(IdleCounter("small"))
+        self.assertEqual(result.unreached, ["reaches_goal"])
+        self.assertFalse(result.holds)
+
+    def test_cut_off_search_is_no_proof(self):
+        """Guards against a bound that hides the states behind it."""
+        limit = modelcheck.MAX_STATES
+        modelcheck.MAX_STATES = 2
+        self.addCleanup(setattr, modelcheck, "MAX_STATES", limit)
+        self.assertFalse(modelcheck.explore(CounterSpecification("small")).holds)
+
+    def test_mistake_that_is_not_found_fails(self):
+        specifications.register("counter")(CounterSpecification)
+        self.addCleanup(specifications._entries.pop, "counter")
+        CounterSpecification.mistakes.register("harmless")(CounterSpecification)
+        summary, good = modelcheck.check("counter", write=lambda text: None)
+        self.assertEqual((summary["mutants"], summary["killed"]), (1, 0))
+        self.assertFalse(good)
+
+
+class SpecificationTests(unittest.TestCase):
+    def test_every_specification_has_mistakes(self):
+        """Guards against a checker that finds nothing because nothing is seeded."""
+        for name in modelcheck.load_specifications():
+            self.assertGreaterEqual(len(specifications.get(name).mistakes.names()), 5)
