Read, write and record traces strictly

Cause: traces had event types but no file format, and nothing recorded them. Change: JSON Lines reading and writing, plain or gzip by file name, with every field and reference checked and sizes bounded; TraceRecorder for the entry and control processes, bounded by bytes, with caller-chosen ids replaced by salted digests. A new completion event carries the run time that a recorder only learns at the end of a request.

--- a/magnoliapier/traces.py
+++ b/magnoliapier/traces.py
@@ -1,29 +1,99 @@
 """
-Events of a recorded trace.
+Recorded traces: event types, reading, writing and recording.
 
 A trace is a JSON Lines file: a :class:`Header`, then events in order of time.
-Times and durations are seconds; ``t`` counts from the start of the trace.
+Times and durations are seconds; ``t`` counts from the start of the trace. A name
+that ends in ``.jsonl.gz`` is compressed, one that ends in ``.jsonl`` is plain.
+
+Example::
+
+    trace = read_trace("traces/month-end.jsonl.gz")
+    write_trace("copy.jsonl", trace.header, trace.events)
 """
 
-from dataclasses import dataclass, field
+import gzip
+import hashlib
+import json
+import secrets
+import threading
+import zlib
+from dataclasses import MISSING, dataclass, field, fields, replace
+from pathlib import Path
+from typing import Annotated, Literal
 
+from pydantic import Field, TypeAdapter, ValidationError
+
+from magnoliapier.clock import Clock
+from magnoliapier.exceptions import ManifestError, TraceError
+from magnoliapier.logs import get_logger
+from magnoliapier.manifest import (
+    MAX_DEPTH,
+    json_path,
+    nesting_depth,
+    parse_integer,
+    parse_number,
+    reject_constant,
+    reject_duplicates,
+    validate_manifest,
+)
 from magnoliapier.registry import Registry
 
+log = get_logger(__name__)
+
+TRACE_VERSION = 1
+# A trace is read into memory; the limits keep a hostile or runaway file from
+# exhausting it. The header's line carries the manifest and may be longer.
+MAX_TRACE_BYTES = 67_108_864
+MAX_HEADER_BYTES = 8_388_608
+MAX_EVENT_BYTES = 65_536
+MAX_EVENTS = 500_000
+MAX_NAME = 200
+
 event_types = Registry("trace event")
 
+# Strictness is set on each type: on a whole data class it would refuse a dict.
+STRICT = {"extra": "forbid", "allow_inf_nan": False}
+
+Flag = Annotated[bool, Field(strict=True)]
+Seconds = Annotated[float, Field(strict=True, ge=0, le=1e9)]
+Text = Annotated[str, Field(strict=True, max_length=MAX_NAME)]
+Identifier = Annotated[str, Field(strict=True, min_length=1, max_length=MAX_NAME)]
+
+FaultKind = Literal[
+    "endpoint_failing",
+    "endpoint_down",
+    "endpoint_silent",
+    "endpoint_slow",
+    "store_down",
+    "store_slow",
+    "store_lost_answers",
+    "data_centre_cut",
+    "rack_lost",
+    "entry_paused",
+    "entry_restart",
+    "planner_paused",
+]
+
 
 @event_types.register("header")
 @dataclass(slots=True)
 class Header:
-    """The setting of a trace: its entry hosts (name to data centre) and manifest."""
+    """
+    The setting of a trace: its entry hosts (name to data centre) and manifest.
+
+    A recorder does not know ``duration_s`` when it writes the header and leaves
+    it 0; :func:`read_trace` then sets it to the time of the last event.
+    """
+
+    __pydantic_config__ = STRICT
 
-    name: str
-    description: str
-    duration_s: float
-    entry_hosts: dict
+    name: Identifier
+    description: Annotated[str, Field(strict=True, max_length=2000)]
+    duration_s: Seconds
+    entry_hosts: dict[Identifier, Identifier]
     manifest: dict
-    seed: int = 0
-    version: int = 1
+    seed: Annotated[int, Field(strict=True, ge=0)] = 0
+    version: Annotated[int, Field(strict=True)] = TRACE_VERSION
 
 
 @event_types.register("arrival")
@@ -37,20 +107,38 @@
     ``cancel_s`` is when the caller leaves, counted from the arrival.
     """
 
-    t: float
-    entry: str
-    request_id: str
-    service: str
-    organisation: str
-    kind: str
-    work_class: str
-    run_s: float
-    deadline_s: float
-    idempotent: bool = True
-    declared_s: float | None = None
-    key: str | None = None
-    cancel_s: float | None = None
-    body_bytes: int = 0
+    __pydantic_config__ = STRICT
+
+    t: Seconds
+    entry: Identifier
+    request_id: Identifier
+    service: Identifier
+    organisation: Identifier
+    kind: Identifier
+    work_class: Literal["short", "long"]
+    run_s: Seconds
+    deadline_s: Annotated[float, Field(strict=True, gt=0, le=1e9)]
+    idempotent: Flag = True
+    declared_s: Seconds | None = None
+    key: Identifier | None = None
+    cancel_s: Seconds | None = None
+    body_bytes: Annotated[int, Field(strict=True, ge=0, le=1_000_000_000)] = 0
+
+
+@event_types.register("completion")
+@dataclass(slots=True)
+class Completion:
+    """
+    The true run time of an earlier arrival, as a recorder learns it.
+
+    :func:`read_trace` writes ``run_s`` into the arrival and drops this event.
+    """
+
+    __pydantic_config__ = STRICT
+
+    t: Seconds
+    request_id: Identifier
+    run_s: Seconds
 
 
 @event_types.register("fault")
@@ -66,11 +154,13 @@
     needs one.
     """
 
-    t: float
-    kind: str
-    duration_s: float
-    target: str = ""
-    value: float = 1.0
+    __pydantic_config__ = STRICT
+
+    t: Seconds
+    kind: FaultKind
+    duration_s: Seconds
+    target: Text = ""
+    value: Annotated[float, Field(strict=True, ge=0, le=1e6)] = 1.0
 
 
 @event_types.register("drain")
@@ -78,10 +168,12 @@
 class Drain:
     """A host is drained, for maintenance or for a move to ``target``."""
 
-    t: float
-    host: str
-    target: str | None = None
-    duration_s: float = 0.0
+    __pydantic_config__ = STRICT
+
+    t: Seconds
+    host: Identifier
+    target: Identifier | None = None
+    duration_s: Seconds = 0.0
 
 
 @event_types.register("commit")
@@ -89,9 +181,11 @@
 class Commit:
     """An operator commits a merge patch that builds on manifest version ``base``."""
 
-    t: float
-    operator: str
-    base: int
+    __pydantic_config__ = STRICT
+
+    t: Seconds
+    operator: Identifier
+    base: Annotated[int, Field(strict=True, ge=0)]
     patch: dict = field(default_factory=dict)
 
 
@@ -100,7 +194,407 @@
 class DemandSample:
     """The hosts' worth of work that a pool is asked for, for fleet traces."""
 
-    t: float
-    pool: str
-    hosts: float
-    burst: float = 0.0
+    __pydantic_config__ = STRICT
+
+    t: Seconds
+    pool: Identifier
+    hosts: Annotated[float, Field(strict=True, ge=0, le=1e6)]
+    burst: Annotated[float, Field(strict=True, ge=0, le=1e6)] = 0.0
+
+
+TYPE_NAMES = {event_types.get(name): name for name in event_types.names()}
+ADAPTERS = {name: TypeAdapter(event_types.get(name)) for name in event_types.names()}
+FIELDS = {kind: fields(kind) for kind in TYPE_NAMES}
+
+
+@dataclass(slots=True)
+class Trace:
+    """A trace in memory; ``events`` are in order of time."""
+
+    header: Header
+    events: list
+
+
+def event_to_values(event):
+    """Return an event as JSON values; fields at their default are left out."""
+    values = {"type": TYPE_NAMES[type(event)]}
+    for item in FIELDS[type(event)]:
+        value = getattr(event, item.name)
+        if item.default is MISSING or value != item.default:
+            values[item.name] = value
+    return values
+
+
+def encode_event(event):
+    """Return an event as one line of JSON in bytes, line end included."""
+    text = json.dumps(event_to_values(event), separators=(",", ":"), allow_nan=False)
+    return text.encode() + b"\n"
+
+
+def decode_event(line, number):
+    """
+    Return the event of one line (bytes), checked field by field.
+
+    ``number`` is the line's number, which a TraceError names.
+    """
+    values = decode_line(line, number)
+    name = values.pop("type", None)
+    if not isinstance(name, str) or name not in event_types:
+        known = ", ".join(event_types.names())
+        raise line_error(number, f"unknown event type {name!r}", f"Use one of: {known}")
+    try:
+        return ADAPTERS[name].validate_python(values)
+    except ValidationError as error:
+        faults = "; ".join(
+            f"{json_path(fault['loc'])}: {fault['msg']}"
+            for fault in error.errors(include_url=False, include_input=False)
+        )
+        raise line_error(
+            number, f"wrong fields of a {name}: {faults}", "Correct the fields"
+        ) from None
+
+
+def decode_line(line, number):
+    """Return the JSON object of one line, read strictly."""
+    try:
+        text = line.decode("utf-8")
+        if len(line) > MAX_EVENT_BYTES and nesting_depth(text) > MAX_DEPTH:
+            raise ValueError(f"it is nested deeper than {MAX_DEPTH} levels")
+        values = json.loads(
+            text,
+            object_pairs_hook=reject_duplicates,
+            parse_constant=reject_constant,
+            parse_int=parse_integer,
+            parse_float=parse_number,
+        )
+    except (ValueError, RecursionError) as error:
+        raise line_error(
+            number, f"unusable JSON: {error}", "Correct or remove the line"
+        ) from None
+    if not isinstance(values, dict):
+        raise line_error(number, "not a JSON object", "Write one object per line")
+    return values
+
+
+def line_error(number, fault, remedy):
+    """Return a TraceError that names the line, what is wrong and the remedy."""
+    return TraceError(f"Line {number}: {fault}. {remedy}.")
+
+
+def open_trace(path, mode):
+    """
+    Open a trace file for bytes, compressed or plain by its name.
+
+    Raise TraceError for a name that is neither.
+    """
+    path = Path(path)
+    if path.name.endswith(".jsonl.gz"):
+        # Without name and time, the same events give the same bytes.
+        return GzipTrace(path, mode)
+    if path.name.endswith(".jsonl"):
+        return path.open(mode)
+    raise TraceError(
+        f"Trace file {path.name} has an unknown ending; name it .jsonl or .jsonl.gz."
+    )
+
+
+class GzipTrace(gzip.GzipFile):
+    """A gzip file that also closes the file beneath it."""
+
+    def __init__(self, path, mode):
+        self._file = path.open(mode)
+        super().__init__(filename="", mode=mode, fileobj=self._file, mtime=0)
+
+    def close(self):
+        """Close both files."""
+        try:
+            super().close()
+        finally:
+            self._file.close()
+
+
+def read_trace(path):
+    """
+    Return the :class:`Trace` in the file at ``path``.
+
+    Raise TraceError that names the line and the remedy for a file that is
+    unreadable, too large, out of order or that refers to unknown names.
+    """
+    try:
+        with open_trace(path, "rb") as file:
+            return parse_trace(file)
+    except TraceError as error:
+        raise TraceError(f"{Path(path).name}: {error}") from None
+    except (OSError, EOFError, zlib.error) as error:
+        raise TraceError(
+            f"Trace file {path} cannot be read ({error}); "
+            "check its name or record it again."
+        ) from None
+
+
+def parse_trace(file):
+    """Return the :class:`Trace` in an open file of bytes."""
+    line = file.readline(MAX_HEADER_BYTES + 1)
+    check_length(line, 1, MAX_HEADER_BYTES)
+    header = decode_event(line, 1)
+    names = check_header(header)
+    events = []
+    size = len(line)
+    number = 1
+    while line := file.readline(MAX_EVENT_BYTES + 1):
+        number += 1
+        size += len(line)
+        check_length(line, number, MAX_EVENT_BYTES)
+        if size > MAX_TRACE_BYTES or len(events) >= MAX_EVENTS:
+            raise line_error(
+                number,
+                f"the trace has over {MAX_TRACE_BYTES} bytes or {MAX_EVENTS} events",
+                "Split it",
+            )
+        event = decode_event(line, number)
+        check_event(event, number, header, names)
+        if events and event.t < events[-1].t:
+            raise line_error(number, "t is before the last line's", "Sort by t")
+        events.append(event)
+    if not header.duration_s and events:
+        header.duration_s = events[-1].t
+    return Trace(header, join_completions(events))
+
+
+def check_length(line, number, limit):
+    """Raise TraceError for a line over the limit, or cut off before its end."""
+    if len(line) > limit:
+        raise line_error(number, f"over {limit} bytes", "Shorten the line")
+    if not line.endswith(b"\n"):
+        raise line_error(
+            number, "the file ends inside this line", "Remove the line or record again"
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class KnownNames:
+    """The names that a header declares, which events may refer to."""
+
+    hosts: frozenset
+    racks: frozenset
+    data_centres: frozenset
+    entry_hosts: frozenset
+    services: frozenset
+    pools: frozenset
+
+    def targets(self, fault_kind):
+        """Return the names that a fault of this kind may have as its target."""
+        if fault_kind.startswith("endpoint_"):
+            return self.hosts
+        if fault_kind.startswith("entry_"):
+            return self.entry_hosts
+        if fault_kind == "rack_lost":
+            return self.racks
+        if fault_kind == "data_centre_cut":
+            return self.data_centres
+        return frozenset({""})
+
+
+def check_header(header):
+    """Return the :class:`KnownNames` of a header; raise TraceError if invalid."""
+    if not isinstance(header, Header):
+        raise line_error(1, "not a header", "Begin the file with a header line")
+    if header.version != TRACE_VERSION:
+        raise line_error(
+            1,
+            f"version {header.version} of the format is unknown",
+            f"Write version {TRACE_VERSION}",
+        )
+    try:
+        manifest = validate_manifest(header.manifest)
+    except ManifestError as error:
+        raise line_error(
+            1, f"wrong manifest: {error}", "Correct the manifest"
+        ) from None
+    hosts = manifest.hosts
+    return KnownNames(
+        hosts=frozenset(hosts),
+        racks=frozenset(host.rack for host in hosts.values()),
+        data_centres=frozenset(host.data_centre for host in hosts.values())
+        | frozenset(header.entry_hosts.values()),
+        entry_hosts=frozenset(header.entry_hosts),
+        services=frozenset(manifest.services),
+        pools=frozenset(manifest.pools),
+    )
+
+
+def check_event(event, number, header, names):
+    """Raise TraceError if an event refers to unknown names or a wrong time."""
+    if isinstance(event, Header):
+        raise line_error(number, "a second header", "Remove the line")
+    if header.duration_s and event.t > header.duration_s:
+        raise line_error(
+            number, f"t is after the end at {header.duration_s} s", "Correct t"
+        )
+    for name, known in references(event, names):
+        if name not in known:
+            expected = ", ".join(sorted(known)[:5]) or "none"
+            raise line_error(
+                number,
+                f"{name!r} is not declared in the header",
+                f"Use a declared name such as: {expected}",
+            )
+
+
+def references(event, names):
+    """Yield pairs of a name that ``event`` refers to and the names allowed."""
+    if isinstance(event, Arrival):
+        yield event.entry, names.entry_hosts
+        yield event.service, names.services
+    elif isinstance(event, Fault):
+        yield event.target, names.targets(event.kind)
+    elif isinstance(event, Drain):
+        yield event.host, names.hosts
+        if event.target is not None:
+            yield event.target, names.pools
+    elif isinstance(event, DemandSample):
+        yield event.pool, names.pools
+
+
+def join_completions(events):
+    """
+    Return ``events`` without completions, their run times put into the arrivals.
+
+    An arrival without a completion keeps its own ``run_s``.
+    """
+    run_times = {e.request_id: e.run_s for e in events if isinstance(e, Completion)}
+    if not run_times:
+        return events
+    joined = [event for event in events if not isinstance(event, Completion)]
+    for event in joined:
+        if isinstance(event, Arrival) and event.request_id in run_times:
+            event.run_s = run_times[event.request_id]
+    return joined
+
+
+def write_trace(path, header, events):
+    """
+    Write a trace, sorted by time; the same events give the same bytes.
+
+    Raise TraceError for an unknown file ending.
+    """
+    with open_trace(path, "wb") as file:
+        file.write(encode_event(header))
+        for event in sorted(events, key=lambda event: event.t):
+            file.write(encode_event(event))
+
+
+class TraceRecorder:
+    """
+    Records the events of a running process to a file of bounded size.
+
+    The recorder is safe to use from several threads and never raises into the
+    code that calls :meth:`record`: past ``max_bytes`` (counted before
+    compression) or after a failed write it drops events and counts them. It
+    takes no bodies. Request ids and idempotency keys are chosen by callers and
+    may be secrets, so they are replaced by a digest with a random salt that is
+    never stored; repeats of one key stay recognisable within the file.
+
+    Example::
+
+        recorder = TraceRecorder("entry-1.jsonl.gz", max_bytes=16_777_216)
+        recorder.start(header)
+        recorder.record(arrival)
+        recorder.close()
+    """
+
+    def __init__(self, path, max_bytes, clock=None):
+        self._path = path
+        self._max_bytes = max_bytes
+        self._clock = clock or Clock()
+        self._salt = secrets.token_bytes(16)
+        self._lock = threading.Lock()
+        self._file = None
+        self._started = 0.0
+        self._bytes = 0
+        self._dropped = 0
+
+    @property
+    def dropped(self):
+        """The number of events that were not recorded."""
+        return self._dropped
+
+    def start(self, header):
+        """Open the file and write ``header``; raise TraceError if that fails."""
+        line = encode_event(replace(header, duration_s=0.0))
+        try:
+            with self._lock:
+                self._file = open_trace(self._path, "wb")
+                self._started = self._clock.monotonic()
+                self._file.write(line)
+                self._bytes = len(line)
+        except OSError as error:
+            raise TraceError(
+                f"Trace file {self._path} cannot be written ({error.strerror}); "
+                "correct trace_file in the settings or leave it empty."
+            ) from None
+
+    def record(self, event):
+        """
+        Write an event; its ``t`` is replaced by the time since :meth:`start`.
+
+        Replacing ``t`` under the lock keeps the file in order of time when
+        several threads record.
+        """
+        event = self._without_secrets(event)
+        with self._lock:
+            if self._file is None:
+                self._dropped += 1
+                return
+            event.t = round(self._clock.monotonic() - self._started, 6)
+            line = encode_event(event)
+            if len(line) > MAX_EVENT_BYTES:
+                self._dropped += 1
+            elif self._bytes + len(line) > self._max_bytes:
+                self._stop("size_limit")
+            else:
+                self._write(line)
+
+    def close(self):
+        """Close the file; later events are dropped. May be called twice."""
+        with self._lock:
+            self._close_file()
+
+    def _write(self, line):
+        try:
+            self._file.write(line)
+            self._bytes += len(line)
+        except OSError as error:
+            self._stop(f"write_failed: {error.strerror}")
+
+    def _stop(self, reason):
+        self._dropped += 1
+        self._close_file()
+        log.warning(
+            "trace_recording_stopped", file=self._path, reason=reason, bytes=self._bytes
+        )
+
+    def _close_file(self):
+        file, self._file = self._file, None
+        if file is not None:
+            try:
+                file.close()
+            except OSError as error:
+                log.warning("trace_close_failed", file=self._path, error=error.strerror)
+
+    def _without_secrets(self, event):
+        changes = {}
+        if isinstance(event, Arrival | Completion):
+            changes["request_id"] = self._pseudonym(event.request_id)
+        if isinstance(event, Arrival):
+            if event.key is not None:
+                changes["key"] = self._pseudonym(event.key)
+            for name in ("service", "organisation", "kind"):
+                changes[name] = getattr(event, name)[:MAX_NAME]
+        return replace(event, **changes)
+
+    def _pseudonym(self, text):
+        digest = hashlib.blake2b(
+            text.encode("utf-8", "replace"), key=self._salt, digest_size=8
+        )
+        return digest.hexdigest()
