Replay traces through the request and planning drivers

Cause: the drivers report totals, but outcomes need the events in order. A wait ends at the first run, not at a send that an endpoint refuses as busy, because FIFO otherwise shows no wait at all.

--- a/magnoliapier/generator.py
+++ b/magnoliapier/generator.py
@@ -68,6 +68,9 @@
 STRAGGLER_SHARE = 0.01
 STRAGGLER_FACTOR = 20.0
 DECLARED_SIGMA = math.log(3)
+DAY_S = 86_400.0
+# The driver ticks once a minute; a month of 30 days takes over 8 s per policy.
+MONTH_DAYS = 10
 # The pools' places in the racks of one data centre: no pool twice in a rack.
 RACK_PLAN = ((0, 1, 2, 5), (0, 3, 4, 5), (1, 2, 3, 4))
 
@@ -397,17 +400,17 @@
 
 @scenarios.register("third-failing")
 def third_failing(name, seed):
-    """A third of the workers (13 of 40) fail everything they start for 30 s."""
-    header = build_header(CONSORTIUM, name, third_failing.__doc__, 50.0, seed)
+    """A third of the workers (13 of 40) fail everything they start for 25 s."""
+    header = build_header(CONSORTIUM, name, third_failing.__doc__, 40.0, seed)
     maker = ArrivalMaker(CONSORTIUM, header, seed)
     for service in CONSORTIUM.services:
-        maker.demand(service, 0, 50, MONTH_END_SLOTS / 2)
+        maker.demand(service, 0, 40, MONTH_END_SLOTS / 2)
     failing = [
         host
         for pool, count in zip(CONSORTIUM.services, (3, 3, 3, 2, 2), strict=True)
         for host in hosts_of(header, pool)[:count]
     ]
-    faults = [Fault(10.0, "endpoint_failing", 30.0, host) for host in failing]
+    faults = [Fault(10.0, "endpoint_failing", 25.0, host) for host in failing]
     outcomes = request_outcomes(
         {"check": "retry_amplification", "max_ratio": 1.2},
         {"check": "ejected_share", "max_share": 1 / 3},
@@ -609,34 +612,36 @@
     header = build_header(CONSORTIUM, name, data_centre_cut.__doc__, 1800.0, seed)
     events = constant_demand(header, CONSORTIUM.services, 1.0)
     events.append(Fault(300.0, "data_centre_cut", 600.0, "dc-2"))
+    # The spare hosts of dc-2 are drained at 360 and 400 s, during the cut.
     spare = hosts_of(header, "spare")
     events += [
         Drain(280.0 + 40 * number, host, "desk-c") for number, host in enumerate(spare)
     ]
-    outcomes = fleet_outcomes({"check": "graceful_stops"})
+    outcomes = fleet_outcomes({"check": "budgets", "max_missed": 0})
     return Scenario(header, events, outcomes)
 
 
 @scenarios.register("month")
 def month(name, seed):
-    """A month of 30 days in hours, with ten times the load on the last day."""
-    duration_s = 30 * 86_400.0
-    header = build_header(FROKOSTKASSA, name, month.__doc__, duration_s, seed)
+    """A month of ten days in hours, with ten times the load on the last day."""
+    header = build_header(FROKOSTKASSA, name, month.__doc__, MONTH_DAYS * DAY_S, seed)
+    manifest = header.manifest
+    manifest["calendar"]["month-end"].update(start_day=MONTH_DAYS, end_day=MONTH_DAYS)
+    for pool in FROKOSTKASSA.services:
+        # A normal day needs a fifth of a host. With two hosts as the least, not
+        # even an offline plan could keep the buffer that the target allows.
+        manifest["pools"][pool]["min_hosts"] = 1
     draw = random.Random(f"{name}/{seed}")
     events = []
-    for hour in range(30 * 24):
+    for hour in range(MONTH_DAYS * 24):
         day, hour_of_day = divmod(hour, 24)
         busy = 1.5 if 6 <= hour_of_day < 18 else 0.5
-        slots = (MONTH_END_SLOTS if day == 29 else NORMAL_SLOTS) * busy
+        slots = (MONTH_END_SLOTS if day == MONTH_DAYS - 1 else NORMAL_SLOTS) * busy
         for pool in FROKOSTKASSA.services:
             mean = slots / SLOTS * draw.uniform(0.9, 1.1)
+            burst = mean * (BURST_FACTOR - 1)
             events.append(
-                DemandSample(
-                    hour * 3600.0,
-                    pool,
-                    round(mean, 3),
-                    round(mean * (BURST_FACTOR - 1), 3),
-                )
+                DemandSample(hour * 3600.0, pool, round(mean, 3), round(burst, 3))
             )
     outcomes = fleet_outcomes(
         {"check": "budgets", "max_missed": 0},
--- /dev/null
+++ b/magnoliapier/observed_replay.py
@@ -0,0 +1,313 @@
+"""
+Observations of the request and fleet drivers, for the checks of outcomes.
+
+The classes extend the drivers at the points where something truly happens (a send
+leaves, an endpoint runs a request, a log entry is applied) and change no decision.
+"""
+
+from magnoliapier.fleet_replay import MINUTE_S, FleetReplay
+from magnoliapier.fleet_state import HostState
+from magnoliapier.outcomes import Observation, ReplayReport
+from magnoliapier.planner_tables import hosts_required
+from magnoliapier.request_replay import RequestReplay
+from magnoliapier.traces import Fault
+
+CANCELLED = "cancelled"
+# Ends that give the caller an endpoint's answer; the others are refusals.
+ANSWERED = frozenset({"ok", "repeat"})
+
+
+class ObservedRequestReplay(RequestReplay):
+    """The request driver with a list of :class:`Observation`."""
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.observations = []
+        self._ejected = {}
+
+    def observe(self, kind, **fields):
+        """Note that something happens now."""
+        self.observations.append(Observation(self.now, kind, fields))
+
+    def _arrive(self, arrival):
+        self.observe(
+            "arrival",
+            request_id=arrival.request_id,
+            entry=arrival.entry,
+            organisation=arrival.organisation,
+            service=arrival.service,
+            work_class=arrival.work_class,
+            idempotent=arrival.idempotent,
+            key=arrival.key,
+            run_s=arrival.run_s,
+            deadline_s=arrival.deadline_s,
+        )
+        super()._arrive(arrival)
+
+    def _cancel(self, request_id):
+        if self._records[request_id].ended is None:
+            self.observe("cancel", request_id=request_id)
+        super()._cancel(request_id)
+
+    def _end(self, request_id, end, run_state):
+        first = self._records[request_id].ended is None
+        super()._end(request_id, end, run_state)
+        if not first:
+            return
+        refused = end not in ANSWERED and end != CANCELLED
+        self.observe(
+            "answer",
+            request_id=request_id,
+            outcome="ok" if end in ANSWERED else "refused" if refused else end,
+            reason=end if refused else None,
+            run_state=run_state.value,
+        )
+
+    def _send(self, entry, dispatch):
+        self.observe(
+            "send",
+            request_id=dispatch.request.request_id,
+            entry=entry.name,
+            host=dispatch.endpoint.host,
+            pool=self._pools[dispatch.endpoint.host],
+        )
+        super()._send(entry, dispatch)
+
+    def _run(self, send, request):
+        record = self._records[request.request_id]
+        runs, now = record.runs, self.now
+        busy = send.endpoint.running(now)
+        super()._run(send, request)
+        if record.runs == runs:
+            return
+        until = now
+        if send.endpoint.running(now) > busy:
+            slow = self.fault_values("endpoint_slow", send.endpoint)
+            until += request.payload.run_s + sum(slow)
+        self.observe(
+            "run",
+            request_id=request.request_id,
+            host=send.endpoint.host,
+            pool=self._pools[send.endpoint.host],
+            until=until,
+        )
+
+    def _tick(self, entry, incarnation):
+        super()._tick(entry, incarnation)
+        self._observe_ejections(entry)
+
+    def _observe_ejections(self, entry):
+        endpoints = getattr(entry.decisions, "endpoint_entries", None)
+        if endpoints is None:
+            return
+        counts = {}
+        for endpoint in endpoints():
+            ejected, total = counts.get(endpoint.service, (0, 0))
+            counts[endpoint.service] = (ejected + endpoint.ejected, total + 1)
+        for service, (ejected, total) in counts.items():
+            if ejected != self._ejected.get((entry.name, service), 0):
+                self._ejected[(entry.name, service)] = ejected
+                self.observe(
+                    "eject",
+                    entry=entry.name,
+                    service=service,
+                    ejected=ejected,
+                    endpoints=total,
+                )
+
+    def _drain(self, drain):
+        self.observe("leaving", host=drain.host, source="drain")
+        super()._drain(drain)
+
+    def _return_host(self, drain):
+        self.observe("back", host=drain.host)
+        super()._return_host(drain)
+
+
+def observe_requests(header, events, factory, seed):
+    """Replay a request trace and return a :class:`ReplayReport`."""
+    replay = ObservedRequestReplay(header, events, WatchedFactory(factory), seed)
+    report = replay.run()
+    figures = {
+        "requests": len(report.records),
+        "double_runs": report.double_runs,
+        "false_not_run": report.false_not_run,
+        "late_sends": len(report.late_sends),
+    }
+    return ReplayReport(header.name, replay.observations, figures)
+
+
+class WatchedFactory:
+    """Builds decisions whose endpoint entries stay readable from outside."""
+
+    def __init__(self, factory):
+        self._factory = factory
+
+    def __call__(self, clock, random, name, data_centre):
+        """Return the decisions of one entry host."""
+        return WatchedDecisions(self._factory(clock, random, name, data_centre))
+
+
+class WatchedDecisions:
+    """Passes all calls on and remembers the endpoints of the last set_fleet."""
+
+    def __init__(self, decisions):
+        self._decisions = decisions
+        self._endpoints = {}
+
+    def __getattr__(self, name):
+        return getattr(self._decisions, name)
+
+    def set_fleet(self, manifest, endpoints):
+        """Remember the entries; one that is known already is kept by decisions."""
+        known = self._endpoints
+        self._endpoints = {e.name: known.get(e.name, e) for e in endpoints}
+        return self._decisions.set_fleet(manifest, endpoints)
+
+    def endpoint_entries(self):
+        """Return the EndpointEntry objects that the decisions update."""
+        return list(self._endpoints.values())
+
+
+class ObservedFleetReplay(FleetReplay):
+    """The fleet driver with a list of :class:`Observation`."""
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.observations = []
+
+    def observe(self, kind, **fields):
+        """Note that something happens now."""
+        self.observations.append(Observation(self.clock.time(), kind, fields))
+
+    def _append(self, kind, body, author="operator", epoch=None):
+        now = self.clock.time()
+        host = body.get("host")
+        before = self.state.assignments.get(host)
+        in_flight = self._busy_until(host) > now
+        known = set(self.state.assignments)
+        super()._append(kind, body, author, epoch)
+        if kind == "manifest_commit":
+            for name in sorted(set(self.state.assignments) - known):
+                self._observe_assignment(name)
+        if before is None:
+            return
+        if kind == "host_drain":
+            self.observe(
+                "run",
+                request_id=f"drain/{host}",
+                host=host,
+                pool=before.pool,
+                until=self._busy_until(host),
+            )
+        if kind == "host_maintenance":
+            self.observe("stop", host=host, in_flight=int(in_flight))
+        after = self.state.assignments[host]
+        if after.pool != before.pool and author == "planner":
+            self.observe("move", host=host, source=before.pool, target=after.pool)
+        self._observe_assignment(host)
+
+    def _observe_assignment(self, host):
+        assignment = self.state.assignments[host]
+        self.observe(
+            "assign",
+            host=host,
+            pool=assignment.pool,
+            state=assignment.state.value,
+            epoch=assignment.epoch,
+            view="log",
+        )
+
+    def _busy_until(self, host):
+        """
+        Return when the last request to a draining host ends.
+
+        Entry hosts of a data centre that is cut off do not learn of the drain and
+        go on sending until the end of the cut.
+        """
+        busy = self._busy.get(host, 0.0)
+        declared = self.state.manifest and self.state.manifest.hosts.get(host)
+        if not declared or not self.cut_centres[declared.data_centre]:
+            return busy
+        assignment = self.state.assignments[host]
+        if assignment.state is not HostState.ASSIGNED and busy <= self.clock.time():
+            return busy
+        return max(busy, self._cut_end(declared.data_centre))
+
+    def _cut_end(self, data_centre):
+        now = self.clock.time()
+        return max(
+            (
+                event.t + event.duration_s
+                for event in self.events
+                if isinstance(event, Fault)
+                and event.kind == "data_centre_cut"
+                and event.target == data_centre
+                and event.t <= now
+            ),
+            default=0.0,
+        )
+
+    def _measure(self, now):
+        known = set(self._missed)
+        series = len(self.report.series)
+        super()._measure(now)
+        for sample in self.report.series[series:]:
+            self.observe(
+                "budget",
+                service=sample.pool,
+                serving=sample.serving,
+                required=sample.required,
+                held=sample.held,
+                demand=sample.demand,
+            )
+        for minute, pool in sorted(self._missed - known):
+            if minute == int(now // MINUTE_S):
+                self._observe_miss(pool, now)
+
+    def _observe_miss(self, pool, now):
+        serving = sum(
+            assignment.takes_work and self.platform.hosts.is_up(name)
+            for name, assignment in self.state.assignments.items()
+            if assignment.pool == pool
+        )
+        demand = self.demand.level(pool, now)
+        required = hosts_required(self.state.manifest, pool, demand)
+        self.observe("budget", service=pool, serving=serving, required=required)
+
+    def _record_wave(self, now, body):
+        super()._record_wave(now, body)
+        wave = body["wave"]
+        if wave is None:
+            return
+        manifest = self.state.manifest
+        declared = manifest.maintenance.get(body["name"])
+        pools = declared.pools if declared else ()
+        # Hosts change pools during a wave, so the total is taken from the manifest.
+        total = sum(host.pool in pools for host in manifest.hosts.values())
+        self.observe(
+            "wave",
+            name=body["name"],
+            done=len(wave.get("done", ())),
+            failed=len(wave.get("failed", ())),
+            total=total,
+            state=wave.get("state", "running"),
+            reason=wave.get("reason", ""),
+        )
+
+
+def observe_fleet(header, events, policy, seed):
+    """Replay a fleet trace and return a :class:`ReplayReport`."""
+    replay = ObservedFleetReplay(header, list(events), policy, seed)
+    report = replay.run()
+    for start in report.first_starts(urgent=True):
+        fields = {"job": start.job, "wait_s": start.wait_s}
+        replay.observations.append(Observation(start.t_start, "urgent", fields))
+    figures = {
+        "buffer_host_hours": report.buffer_host_hours,
+        "moves": report.moves,
+        "budget_misses": report.budget_misses,
+        "double_runs": report.double_runs,
+        "rejected_entries": report.rejected_entries,
+    }
+    return ReplayReport(header.name, replay.observations, figures)
--- a/magnoliapier/outcomes.py
+++ b/magnoliapier/outcomes.py
@@ -383,10 +383,14 @@
     }
 
 
-def first_sends(report, requests):
-    """Return a dict from request id to (index, wait in seconds) of its first send."""
+def first_runs(report, requests):
+    """
+    Return a dict from request id to (index, wait in seconds) of its first run.
+
+    A send that an endpoint refuses as busy does not end the wait.
+    """
     waits = {}
-    for index, seen in report.of("send"):
+    for index, seen in report.of("run"):
         request_id = seen["request_id"]
         if request_id in requests and request_id not in waits:
             waits[request_id] = (index, seen.t - requests[request_id].t)
@@ -395,9 +399,9 @@
 
 def wait_violation(report, requests, percent, max_s, who=""):
     """Return a violation if the waits of ``requests`` exceed ``max_s``."""
-    waits = first_sends(report, requests)
+    waits = first_runs(report, requests)
     if not waits:
-        return nothing(f"send of a matching request {who}".rstrip())
+        return nothing(f"run of a matching request {who}".rstrip())
     measured = nearest_rank([wait for _, wait in waits.values()], percent)
     if measured <= max_s + EPSILON:
         return None
@@ -416,7 +420,7 @@
     service: str = "",
     each_organisation: bool = False,
 ):
-    """Check a percentile of the wait from arrival to first send, in seconds."""
+    """Check a percentile of the wait from arrival to first run, in seconds."""
     requests = matching_requests(report, work_class, organisation, service)
     if not each_organisation:
         return wait_violation(report, requests, percentile, max_s)
@@ -438,9 +442,9 @@
 ):
     """Check a percentile of the waits against the same under another policy."""
     other = report.baseline(policy)
-    waits = first_sends(other, matching_requests(other, work_class))
+    waits = first_runs(other, matching_requests(other, work_class))
     if not waits:
-        return nothing(f"send of a matching request under {policy}")
+        return nothing(f"run of a matching request under {policy}")
     reference = percentile_of_waits(waits, percentile)
     limit = max(max_ratio * reference, WAIT_FLOOR_S)
     requests = matching_requests(report, work_class)
@@ -452,7 +456,7 @@
 
 
 def percentile_of_waits(waits, percent):
-    """Return a percentile of the waits that :func:`first_sends` returns."""
+    """Return a percentile of the waits that :func:`first_runs` returns."""
     return nearest_rank([wait for _, wait in waits.values()], percent)
 
 
--- /dev/null
+++ b/magnoliapier/replay.py
@@ -0,0 +1,238 @@
+"""
+Replay of recorded traces against their outcomes: ``magnoliapier-replay``.
+
+``magnoliapier-replay TRACE --outcomes FILE`` runs one trace through the drivers
+that the outcome file names and checks the outcomes; ``--compare POLICY`` also
+runs it under a baseline and prints the figures of both. ``--all FOLDER`` replays
+every trace of a folder and ends with a line ``N passed, N failed``.
+
+Exit codes are those of :mod:`magnoliapier.exceptions`: 0 if all checks pass, 8 for
+an invalid file, 9 if a check fails.
+"""
+
+import argparse
+import sys
+import time
+from collections import defaultdict
+from pathlib import Path
+
+from magnoliapier import outcomes as outcome_language
+from magnoliapier.exceptions import (
+    MagnoliapierError,
+    OutcomeFailedError,
+    TraceError,
+)
+from magnoliapier.fleet_policies import policies as fleet_policies
+from magnoliapier.logs import configure_logs
+from magnoliapier.observed_replay import observe_fleet, observe_requests
+from magnoliapier.outcomes import (
+    ReplayReport,
+    dump_json,
+    nearest_rank,
+    read_outcomes,
+    results_to_values,
+    run_checks,
+)
+from magnoliapier.registry import Registry
+from magnoliapier.request_policies import policies as request_policies
+from magnoliapier.traces import read_trace
+
+drivers = Registry("replay driver")
+
+REQUEST_POLICY = "dispatcher"
+FLEET_POLICY = "planner"
+SUFFIXES = (".jsonl.gz", ".jsonl")
+
+
+@drivers.register("requests")
+def run_requests(trace, policy, seed):
+    """Run the request decisions; ``policy`` is a request policy or None."""
+    factory = request_policies.get(policy or REQUEST_POLICY)
+    return observe_requests(trace.header, trace.events, factory, seed)
+
+
+@drivers.register("fleet")
+def run_fleet(trace, policy, seed):
+    """Run the planner; ``policy`` is a fleet policy or None."""
+    policy = policy or FLEET_POLICY
+    fleet_policies.get(policy)
+    return observe_fleet(trace.header, trace.events, policy, seed)
+
+
+def replay_trace(trace, driver_names, seed=None, policy=None):
+    """
+    Return the :class:`ReplayReport` of a trace under one policy.
+
+    ``policy`` None means the decisions in service; ``seed`` None the header's.
+    """
+    seed = trace.header.seed if seed is None else seed
+    reports = [drivers.get(name)(trace, policy, seed) for name in driver_names]
+    if len(reports) == 1:
+        return reports[0]
+    merged = ReplayReport(
+        trace.header.name, [seen for report in reports for seen in report.observations]
+    )
+    for report in reports:
+        merged.figures.update(report.figures)
+    return merged
+
+
+def replay_with_baselines(trace, outcomes, seed=None, compare=()):
+    """Return a report with the baselines that the checks and ``compare`` name."""
+    report = replay_trace(trace, outcomes.drivers, seed)
+    for policy in sorted({*outcomes.policies, *compare}):
+        report.baselines[policy] = replay_trace(trace, outcomes.drivers, seed, policy)
+    return report
+
+
+def summarise(report):
+    """Return figures of a report by name, for printing and comparing."""
+    waits = defaultdict(list)
+    for work_class in ("short", "long"):
+        requests = outcome_language.matching_requests(report, work_class)
+        runs = outcome_language.first_runs(report, requests)
+        waits[work_class] = [wait for _, wait in runs.values()]
+    figures = {
+        f"{work_class}_wait_p{percent}_s": round(nearest_rank(values, percent), 4)
+        for work_class, values in waits.items()
+        if values
+        for percent in (50, 99)
+    }
+    answers = [seen for _, seen in report.of("answer")]
+    if answers:
+        figures["answers"] = len(answers)
+        figures["refusals"] = sum(seen["outcome"] == "refused" for seen in answers)
+    for name, value in report.figures.items():
+        figures[name] = round(value, 4)
+    return figures
+
+
+def replay_file(path, outcomes_path, seed=None, compare=()):
+    """Replay one trace file; return (report, check results)."""
+    outcomes = read_outcomes(outcomes_path)
+    trace = read_trace(path)
+    report = replay_with_baselines(trace, outcomes, seed, compare)
+    return report, run_checks(report, outcomes)
+
+
+def find_traces(folder):
+    """Return (trace, outcome file) pairs of a folder, sorted by name."""
+    folder = Path(folder)
+    if not folder.is_dir():
+        raise TraceError(f"{folder} is not a folder; name one that holds traces.")
+    pairs = []
+    for path in sorted(folder.iterdir()):
+        for suffix in SUFFIXES:
+            if path.name.endswith(suffix):
+                name = path.name.removesuffix(suffix)
+                pairs.append((path, folder / f"{name}.outcomes.json"))
+                break
+    if not pairs:
+        raise TraceError(f"{folder} holds no traces; generate or record some.")
+    return pairs
+
+
+def replay_folder(folder, seed=None, output=sys.stdout):
+    """
+    Replay every trace of a folder and return the names of those that fail.
+
+    A trace that cannot be read or replayed fails too, and the others still run.
+    """
+    pairs = find_traces(folder)
+    failed = []
+    for path, outcomes_path in pairs:
+        started = time.perf_counter()
+        try:
+            _, results = replay_file(path, outcomes_path, seed)
+            broken = [result for result in results if not result.passed]
+            detail = f"{len(results) - len(broken)} of {len(results)} checks"
+        except MagnoliapierError as error:
+            broken, detail = [f"FAIL {error}"], "not replayed"
+        seconds = time.perf_counter() - started
+        word = "FAIL" if broken else "pass"
+        print(f"{word} {path.name}: {detail}, {seconds:.1f} s", file=output)
+        for result in broken:
+            print(f"  {result}", file=output)
+        if broken:
+            failed.append(path.name)
+    print(f"{len(pairs) - len(failed)} passed, {len(failed)} failed", file=output)
+    return failed
+
+
+def build_parser():
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(prog="magnoliapier-replay", description=__doc__)
+    parser.add_argument("trace", nargs="?", type=Path, metavar="TRACE")
+    parser.add_argument("--outcomes", type=Path, metavar="FILE")
+    parser.add_argument("--all", type=Path, metavar="FOLDER")
+    parser.add_argument("--compare", action="append", default=[], metavar="POLICY")
+    parser.add_argument("--report", type=Path, metavar="FILE.json")
+    parser.add_argument("--plot", type=Path, metavar="FILE.svg|png")
+    parser.add_argument("--seed", type=int, help="instead of the seed of the trace")
+    return parser
+
+
+def run(options):
+    """Carry out the command line; raise OutcomeFailedError if a check fails."""
+    if options.all is not None:
+        failed = replay_folder(options.all, options.seed)
+        if failed:
+            raise OutcomeFailedError(
+                f"{', '.join(failed)} failed; replay one by itself for its events."
+            )
+        return
+    if options.trace is None or options.outcomes is None:
+        raise TraceError("Give a trace and --outcomes FILE, or --all FOLDER.")
+    report, results = replay_file(
+        options.trace, options.outcomes, options.seed, options.compare
+    )
+    print_results(report, results)
+    if options.report:
+        dump_json(options.report, report_to_values(report, results))
+    if options.plot:
+        from magnoliapier.plots import plot_report
+
+        plot_report(report, options.plot)
+    broken = sum(not result.passed for result in results)
+    if broken:
+        raise OutcomeFailedError(
+            f"{broken} of {len(results)} checks failed; the first events are above."
+        )
+
+
+def print_results(report, results):
+    """Print the checks, and the figures of all policies side by side."""
+    for result in results:
+        print(result)
+    for policy, other in [("in service", report), *sorted(report.baselines.items())]:
+        shown = " ".join(f"{k}={v}" for k, v in summarise(other).items())
+        print(f"{policy}: {shown}")
+
+
+def report_to_values(report, results):
+    """Return a report as plain JSON: checks and figures of each policy."""
+    return {
+        "trace": report.name,
+        "passed": all(result.passed for result in results),
+        "checks": results_to_values(results),
+        "figures": summarise(report),
+        "baselines": {
+            policy: summarise(other) for policy, other in report.baselines.items()
+        },
+    }
+
+
+def main(arguments=None):
+    """Run the program and return its exit code."""
+    options = build_parser().parse_args(arguments)
+    try:
+        with configure_logs("ERROR").applicationbound():
+            run(options)
+    except MagnoliapierError as error:
+        print(error, file=sys.stderr)
+        return error.exit_code
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
