Count refused requests as waiting and lengthen the bursts

Cause: bursts of 4 s of work that runs 4 s never filled the slots, and FIFO showed short waits because it refuses what it cannot run. Change: bursts last 8 s and long work 2 s; a request that never runs counts with its deadline as its wait; the progress of a maintenance sums up its pools' waves.

--- a/magnoliapier/generator.py
+++ b/magnoliapier/generator.py
@@ -21,12 +21,13 @@
   Between bursts a queue demands a twentieth, 0.8 slots. Five services that burst
   in turn give 5 / 5 + 4 / 5 / 20 = 1.04 times the mean, so the ratios agree.
 - Month-end has ten times the load of any other day: ``NORMAL_SLOTS`` is 1.6.
-- Bursts last "some seconds"; ``BURST_S`` is 4.
+- Bursts last "some seconds"; ``BURST_S`` is 8, four times the run time of long
+  work, because a shorter burst ends before its work fills the slots.
 - The one-way delays of 1 ms belong to the network, which replay leaves out.
 
 Run times are not on the page. Short work takes 0.1 s (the manifest's default
-expectation); long work takes 4 s rather than the expected 60 s, so that a trace
-of a minute holds several turns of the queues. One request in a hundred is a
+expectation); long work takes 2 s rather than the expected 60 s, so that a trace
+of a minute holds a turn of all queues. One request in a hundred is a
 straggler of 20 times its run time. Declared run times are off by a factor of
 3 to either side (one standard deviation of a lognormal).
 """
@@ -60,9 +61,9 @@
 NORMAL_SLOTS = MONTH_END_SLOTS / 10
 BURST_FACTOR = 5.0
 QUIET_FACTOR = 1 / 20
-BURST_S = 4.0
+BURST_S = 8.0
 SHORT_RUN_S = 0.1
-LONG_RUN_S = 4.0
+LONG_RUN_S = 2.0
 SHORT_DEADLINE_S = 5.0
 LONG_DEADLINE_S = 120.0
 STRAGGLER_SHARE = 0.01
--- a/magnoliapier/observed_replay.py
+++ b/magnoliapier/observed_replay.py
@@ -175,6 +175,7 @@
     def __init__(self, *arguments):
         super().__init__(*arguments)
         self.observations = []
+        self._waves = {}
 
     def observe(self, kind, **fields):
         """Note that something happens now."""
@@ -280,15 +281,19 @@
         wave = body["wave"]
         if wave is None:
             return
+        # The planner keeps one wave for each pool: <maintenance>/<pool>.
+        name, _, pool = body["name"].partition("/")
+        self._waves[name, pool] = len(wave.get("done", ()))
         manifest = self.state.manifest
-        declared = manifest.maintenance.get(body["name"])
+        declared = manifest.maintenance.get(name)
         pools = declared.pools if declared else ()
         # Hosts change pools during a wave, so the total is taken from the manifest.
         total = sum(host.pool in pools for host in manifest.hosts.values())
         self.observe(
             "wave",
-            name=body["name"],
-            done=len(wave.get("done", ())),
+            name=name,
+            pool=pool,
+            done=sum(n for (owner, _), n in self._waves.items() if owner == name),
             failed=len(wave.get("failed", ())),
             total=total,
             state=wave.get("state", "running"),
--- a/magnoliapier/outcomes.py
+++ b/magnoliapier/outcomes.py
@@ -385,15 +385,26 @@
 
 def first_runs(report, requests):
     """
-    Return a dict from request id to (index, wait in seconds) of its first run.
+    Return a dict from request id to (index, wait in seconds) until its first run.
 
-    A send that an endpoint refuses as busy does not end the wait.
+    A send that an endpoint refuses as busy does not end the wait. A request that
+    never runs counts as waiting for its whole deadline from its refusal on;
+    otherwise a policy would shorten its waits by refusing. Cancelled requests that
+    never ran are left out.
     """
     waits = {}
     for index, seen in report.of("run"):
         request_id = seen["request_id"]
         if request_id in requests and request_id not in waits:
             waits[request_id] = (index, seen.t - requests[request_id].t)
+    for index, seen in report.of("answer"):
+        request_id = seen["request_id"]
+        if (
+            seen["outcome"] == "refused"
+            and request_id in requests
+            and request_id not in waits
+        ):
+            waits[request_id] = (index, requests[request_id]["deadline_s"])
     return waits
 
 
