--- a/magnoliapier/replay.py
+++ b/magnoliapier/replay.py
@@ -11,6 +11,8 @@
 """
 
 import argparse
+import contextlib
+import signal
 import sys
 import time
 from collections import defaultdict
@@ -43,6 +45,9 @@
 REQUEST_POLICY = "dispatcher"
 FLEET_POLICY = "planner"
 SUFFIXES = (".jsonl.gz", ".jsonl")
+# A trace takes about 5 s under one policy; decisions that never return would
+# otherwise keep the traces after it from being replayed.
+TIME_LIMIT_S = 60.0
 
 
 @drivers.register("requests")
@@ -141,25 +146,47 @@
     return pairs
 
 
-def replay_folder(folder, seed=None, output=sys.stdout):
+@contextlib.contextmanager
+def time_limit(seconds):
+    """Raise TraceError in the main thread after ``seconds`` of real time."""
+
+    def expire(signum, frame):
+        place = f"{frame.f_code.co_filename.rpartition('/')[2]}:{frame.f_lineno}"
+        raise TraceError(
+            f"The replay did not end within {seconds:g} s and was in {place}; "
+            "correct the decisions there or make the trace shorter."
+        )
+
+    previous = signal.signal(signal.SIGALRM, expire)
+    signal.setitimer(signal.ITIMER_REAL, seconds)
+    try:
+        yield
+    finally:
+        signal.setitimer(signal.ITIMER_REAL, 0)
+        signal.signal(signal.SIGALRM, previous)
+
+
+def replay_folder(folder, seed=None, output=None, limit_s=TIME_LIMIT_S):
     """
     Replay every trace of a folder and return the names of those that fail.
 
     A trace that cannot be read or replayed fails too, and the others still run.
     """
     pairs = find_traces(folder)
+    output = output or sys.stdout
     failed = []
     for path, outcomes_path in pairs:
         started = time.perf_counter()
         try:
-            _, results = replay_file(path, outcomes_path, seed)
+            with time_limit(limit_s):
+                _, results = replay_file(path, outcomes_path, seed)
             broken = [result for result in results if not result.passed]
             detail = f"{len(results) - len(broken)} of {len(results)} checks"
         except MagnoliapierError as error:
             broken, detail = [f"FAIL {error}"], "not replayed"
         seconds = time.perf_counter() - started
         word = "FAIL" if broken else "pass"
-        print(f"{word} {path.name}: {detail}, {seconds:.1f} s", file=output)
+        print(f"{word} {path.name}: {detail}, {seconds:.1f} s", file=output, flush=True)
         for result in broken:
             print(f"  {result}", file=output)
         if broken:
--- a/magnoliapier/traces.py
+++ b/magnoliapier/traces.py
@@ -72,6 +72,7 @@
     "entry_paused",
     "entry_restart",
     "planner_paused",
+    "reports_lost",
 ]
 
 
@@ -149,8 +150,8 @@
 
     Kinds and targets: endpoint_failing, endpoint_down, endpoint_silent,
     endpoint_slow (host name), store_down, store_slow, store_lost_answers,
-    data_centre_cut (data centre), rack_lost (rack), entry_paused, entry_restart
-    (entry host), planner_paused. ``value`` is a share or a delay where the kind
+    data_centre_cut (data centre), rack_lost (rack), entry_paused, entry_restart,
+    reports_lost (entry host), planner_paused. ``value`` is a share or a delay where the kind
     needs one.
     """
 
@@ -386,7 +387,7 @@
         """Return the names that a fault of this kind may have as its target."""
         if fault_kind.startswith("endpoint_"):
             return self.hosts
-        if fault_kind.startswith("entry_"):
+        if fault_kind.startswith("entry_") or fault_kind == "reports_lost":
             return self.entry_hosts
         if fault_kind == "rack_lost":
             return self.racks
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -48,7 +48,7 @@
         events = [
             sample_arrival(idempotent=False, key="k", cancel_s=0.5, declared_s=2.0),
             Drain(2.0, "wire-0", "spare", 3.0),
-            Fault(3.0, "rack_lost", 4.0, "rack-0-0", 0.5),
+            Fault(3.0, "rack_lost", 4.0, "rack-1-0-0", 0.5),
         ]
         for name in ("a.jsonl", "a.jsonl.gz"):
             path = self.folder / name
