--- a/magnoliapier/dispatcher.py
+++ b/magnoliapier/dispatcher.py
@@ -1,6 +1,7 @@
 """The request decisions of one entry host, as one object without threads or I/O."""
 
 from collections import OrderedDict
+from dataclasses import replace
 
 from magnoliapier.admission import check_arrival, choose_victim, is_hopeless, refuse
 from magnoliapier.ejection import FAILURE_WEIGHTS, Ejections, KindFailures
@@ -15,7 +16,7 @@
 )
 from magnoliapier.routing import EndpointPool
 from magnoliapier.scheduling import ServiceQueue
-from magnoliapier.slots import SlotShares
+from magnoliapier.slots import STALE_S, SlotShares
 
 # A sign that a host is leaving counts this long even if the fleet state does not
 # confirm it; the design allows the state to lag by seconds.
@@ -51,7 +52,8 @@
         for endpoint in endpoints:
             entry = self.pool.endpoints.get(endpoint.name)
             if entry is None:
-                entry = endpoint
+                # A copy, since the caller's entry tells what the fleet state says.
+                entry = replace(endpoint, share=0, in_flight=0, ejected=False)
             else:
                 entry.address = endpoint.address
                 entry.slots = endpoint.slots
@@ -367,7 +369,7 @@
                 decisions.append(self._refuse(request, reason))
             service.wake(now)
             service.queue.update_reserve(now)
-            if self._peers_at is not None and now > self._peers_at:
+            if self._peers_at is not None and now - self._peers_at > STALE_S:
                 service.update_shares(now - self._peers_at)
             decisions.extend(self._start(service, now))
         return decisions
--- a/magnoliapier/entry.py
+++ b/magnoliapier/entry.py
@@ -21,14 +21,18 @@
 from magnoliapier.memory_budget import MemoryBudget
 from magnoliapier.messages import Demand, EntryReport
 from magnoliapier.metrics import Metrics
+from magnoliapier.ownership import DROP_GRANTS_GAP_S, STALE_GAP_S
 from magnoliapier.platform_http import connect_platform
-from magnoliapier.request_path import MAX_TICK_GAP_S, RequestPath
+from magnoliapier.request_path import RequestPath
 from magnoliapier.settings import load_settings
 
 log = get_logger(__name__)
 
 TICK_S = 0.1
 DRAIN_POLL_S = 0.05
+# Answers that the store does not take by then stay unrecorded, and repeats of their
+# keys are refused with outcome_unknown.
+CLAIMS_WAIT_S = 5.0
 METRICS_THREADS = 2
 
 
@@ -125,6 +129,7 @@
                 log.warning("drain_cut", open_requests=self.path.open_requests)
                 return False
             self._clock.sleep(DRAIN_POLL_S)
+        self._write_claims()
         return True
 
     def close(self):
@@ -159,17 +164,26 @@
             draining=self._draining,
         )
 
+    def _write_claims(self):
+        """Let first answers reach the table, for repeats at other entry hosts."""
+        until = self._clock.monotonic() + CLAIMS_WAIT_S
+        while not self._claims.idle and self._clock.monotonic() < until:
+            self._clock.sleep(DRAIN_POLL_S)
+
     def _tick(self):
         last = self._clock.monotonic()
         report_at = last
         while not self._stopped.wait(TICK_S):
             now = self._clock.monotonic()
-            paused = now - last > MAX_TICK_GAP_S
+            gap = now - last
             last = now
-            if paused:
+            if gap > DROP_GRANTS_GAP_S:
                 self._metrics.count("tick_gaps_total")
-                log.warning("process_paused")
-            self.view.refresh(drop_grants=paused)
+                log.warning("process_paused", gap_s=gap)
+            if gap > STALE_GAP_S:
+                # The sender has to be registered anew (rule R5).
+                self._incarnation = new_incarnation()
+            self.view.refresh(gap)
             self.path.tick()
             self._claims.tick()
             if now >= report_at:
