--- a/magnoliapier/traces.py
+++ b/magnoliapier/traces.py
@@ -151,8 +151,8 @@
     Kinds and targets: endpoint_failing, endpoint_down, endpoint_silent,
     endpoint_slow (host name), store_down, store_slow, store_lost_answers,
     data_centre_cut (data centre), rack_lost (rack), entry_paused, entry_restart,
-    reports_lost (entry host), planner_paused. ``value`` is a share or a delay where the kind
-    needs one.
+    reports_lost (entry host), planner_paused. ``value`` is a share or a delay
+    where the kind needs one.
     """
 
     __pydantic_config__ = STRICT
