--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 demo: $(VENV)/.installed
 	$(RUN) -m magnoliapier.commands demo
 
-test: lint unit
+test: lint unit model
 
 $(VENV)/.installed: requirements.txt
 	test -x $(VENV)/bin/python || $(PYTHON) -m venv $(VENV)
