--- a/magnoliapier/admission.py
+++ b/magnoliapier/admission.py
@@ -13,10 +13,12 @@
 
 # Waits are planned to use at most this share of the time to the deadline. Run
 # times are estimates, and a request that ends too late wastes its slot.
-WAIT_SHARE = 0.7
+WAIT_SHARE = 0.4
 # A queued request is given up at its start if less than this share of its mean
 # run time is left; run times below the mean are common.
 START_SHARE = 0.5
+# Fewer runs than prove a class, since each hopeless start wastes a slot for long.
+HOPELESS_RUNS = 3
 MAX_RETRY_AFTER_S = 60
 
 
@@ -52,13 +54,18 @@
     return refuse(request, RefusalReason.DEADLINE_UNREACHABLE, retry_after)
 
 
-def is_hopeless(queue, request, now):
-    """Return whether a request that waited has too little time left to run."""
-    if now <= request.arrived:
+def is_hopeless(queue, request, busy, now):
+    """
+    Return whether a request has too little time left to run.
+
+    An entry host that is not ``busy`` lets it try, so that an estimate that is too
+    long can be corrected.
+    """
+    if not busy:
         return False
     estimate = queue.estimates.find(request)
     left = request.deadline - now
-    return estimate.is_proven and left < START_SHARE * estimate.mean_s
+    return estimate.runs >= HOPELESS_RUNS and left < START_SHARE * estimate.mean_s
 
 
 def choose_victim(queues, request):
--- a/magnoliapier/dispatcher.py
+++ b/magnoliapier/dispatcher.py
@@ -211,7 +211,7 @@
         def allows(request):
             return (
                 service.pool.allows(endpoint, request)
-                and self._late_reason(service.queue, request, now) is None
+                and self._late_reason(service, request, now) is None
             )
 
         request = service.queue.next_priority(allows)
@@ -300,7 +300,7 @@
                 request = self._next_borrower(service)
             if request is None:
                 break
-            reason = self._late_reason(queue, request, now)
+            reason = self._late_reason(service, request, now)
             if reason is not None:
                 self._unqueue(request)
                 decisions.append(self._refuse(request, reason))
@@ -330,10 +330,10 @@
             MAX_BORROWED, known // 2
         ) and self._budget.allows_borrowing(request.service, request.organisation)
 
-    def _late_reason(self, queue, request, now):
+    def _late_reason(self, service, request, now):
         if request.deadline <= now:
             return RefusalReason.DEADLINE_PASSED
-        if is_hopeless(queue, request, now):
+        if is_hopeless(service.queue, request, service.pool.is_busy, now):
             return RefusalReason.DEADLINE_UNREACHABLE
         return None
 
--- a/magnoliapier/routing.py
+++ b/magnoliapier/routing.py
@@ -81,6 +81,11 @@
         """Whether some endpoint can take a request now."""
         return len(self._near) > 0 or len(self._far) > 0
 
+    @property
+    def is_busy(self):
+        """Whether more than half of the slots that may be used are in use."""
+        return 2 * self.in_flight > self.usable
+
     @property
     def has_staying(self):
         """Whether some endpoint is not leaving."""
--- a/magnoliapier/scheduling.py
+++ b/magnoliapier/scheduling.py
@@ -24,7 +24,7 @@
 # this share of the time, so that it is kept through the pauses between bursts.
 RESERVE_SHARE = 0.95
 RESERVE_LEARNING_S = 4.0
-RESERVE_DEVIATIONS = 0.5
+RESERVE_DEVIATIONS = 1.5
 # Of a sum of Poisson arrivals with decaying weights, at RESERVE_SHARE; the root of
 # a half is 0.7 and the quantile 1.64, and run times vary.
 NOISE_DEVIATIONS = 1.4
@@ -44,7 +44,9 @@
 BURST_S = 3.0
 # Requests that may not borrow slots must not keep those behind them from it.
 LOOK_AHEAD = 8
-GIVEN_UP_FACTOR = 2.0
+# What a request that was given up is taken to need in all, in parts of its time so
+# far. It ends at an unknown time, on an endpoint that does not notice.
+GIVEN_UP_FACTOR = 3.0
 
 
 @dataclass(eq=False, slots=True)
@@ -142,6 +144,7 @@
         self._short = []
         self._long = []
         self._checks = []
+        self._given_up = []
         self._deadlines = []
         self._numbers = itertools.count()
         self._last_short = -math.inf
@@ -435,6 +438,9 @@
 
     def check_overdue(self, now):
         """Reclassify and charge the requests that outlived their class."""
+        while self._given_up and self._given_up[0] <= now:
+            heapq.heappop(self._given_up)
+            self.long_in_flight -= 1
         while self._checks and self._checks[0][0] <= now:
             _, _, flight = heapq.heappop(self._checks)
             if flight.check_at == math.inf:
@@ -460,7 +466,7 @@
         Count the end of a request in flight.
 
         ``ran`` says that it ran to its end. One that was ``given_up`` still runs on
-        its endpoint; it is taken to need as long again.
+        its endpoint and counts as long work for some more time.
         """
         organisation, estimate = flight.organisation, flight.estimate
         flight.check_at = math.inf
@@ -473,6 +479,10 @@
         setattr(organisation, counted, getattr(organisation, counted) - 1)
         if counted != "short_in_flight":
             self.long_in_flight -= 1
+        if given_up:
+            self.long_in_flight += 1
+            rest = elapsed * (1 - 1 / GIVEN_UP_FACTOR)
+            heapq.heappush(self._given_up, now + rest)
         organisation.trials.discard(flight.request.request_id)
         if ran or given_up:
             known_short = estimate.is_proven and estimate.work_class is SHORT
