Learn the reserve within the first second

Cause: the new comparison test found short work waiting 1.9 s (p95) on a dispatcher that had just started: the reserve took half a minute to learn while long work filled all slots. Change: the windows of the demand grow from the start and after idle times; tests of admission and of the policies.

--- a/magnoliapier/scheduling.py
+++ b/magnoliapier/scheduling.py
@@ -30,6 +30,7 @@
 NOISE_DEVIATIONS = 1.4
 DEMAND_WINDOW_S = 3.0
 MEAN_WINDOW_S = 30.0
+SHORTEST_WINDOW_S = 0.2
 # Short work seen within this time keeps this many slots of the service in reserve.
 RESERVE_MEMORY_S = 30.0
 MIN_RESERVE = 2.0
@@ -148,7 +149,8 @@
         self._deadlines = []
         self._numbers = itertools.count()
         self._last_short = -math.inf
-        self._updated = 0.0
+        self._updated = None
+        self._age = 0.0
         self._mean_demand = 0.0
         self._high_demand = 0.0
         self._short_s = 0.0
@@ -519,19 +521,22 @@
 
     def update_reserve(self, now):
         """Adapt the slots reserved for short work to the recent demand for it."""
-        elapsed = now - self._updated
+        elapsed = 0.0 if self._updated is None else now - self._updated
         self._updated = now
         decay = math.exp(-elapsed / DEMAND_WINDOW_S)
+        # The windows fill from the start, and again after a time without short work.
+        idle = now - self._last_short > RESERVE_MEMORY_S
+        self._age = 0.0 if idle else self._age + elapsed
+        window = DEMAND_WINDOW_S * (1 - math.exp(-self._age / DEMAND_WINDOW_S))
         demand = 0.0
         for organisation in self.organisations.values():
             recent = organisation.short_demand
             if recent > 0.0:
-                slots = recent / DEMAND_WINDOW_S
+                slots = recent / max(window, SHORTEST_WINDOW_S)
                 demand += min(slots, self.fair_slots(organisation))
                 organisation.short_demand = recent * decay if slots > 0.001 else 0.0
-        self._mean_demand += (demand - self._mean_demand) * min(
-            elapsed / MEAN_WINDOW_S, 1.0
-        )
+        weight = elapsed / max(min(MEAN_WINDOW_S, self._age), SHORTEST_WINDOW_S)
+        self._mean_demand += (demand - self._mean_demand) * min(weight, 1.0)
         step = max(self._mean_demand, 0.1) * elapsed / RESERVE_LEARNING_S
         above = demand > self._high_demand
         self._high_demand += step * (RESERVE_SHARE if above else RESERVE_SHARE - 1)
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,74 @@
+import random
+import unittest
+
+from magnoliapier.admission import check_arrival, choose_victim, is_hopeless
+from magnoliapier.estimates import PROVEN_RUNS, RunTimeEstimates
+from magnoliapier.manifest import Service
+from magnoliapier.reasons import RefusalReason
+from magnoliapier.request_tables import RequestEntry, WorkClass
+from magnoliapier.scheduling import ServiceQueue
+
+
+class AdmissionTest(unittest.TestCase):
+    """Guards goodput under overload, and who pays for it."""
+
+    def setUp(self):
+        self.queue = ServiceQueue(RunTimeEstimates(Service(pool="wire")))
+        self.queue.set_organisations({"a": 1.0, "b": 1.0})
+        self.queue.slots = 4
+        self.number = 0
+        for organisation in "ab":
+            estimate = self.queue.estimates.find(self.request(organisation))
+            for _ in range(PROVEN_RUNS):
+                estimate.add_class_sign(False)
+                estimate.add_run(1.0)
+
+    def request(self, organisation, deadline=10.0):
+        self.number += 1
+        return RequestEntry(
+            f"r{self.number}",
+            "wire",
+            organisation,
+            "short/x",
+            WorkClass.SHORT,
+            True,
+            0.0,
+            deadline,
+        )
+
+    def check(self, request):
+        return check_arrival(self.queue, request, False, 0.0, random.Random(1))
+
+    def test_wait_is_measured_by_the_own_backlog_and_share(self):
+        """Fails if one organisation's backlog brings refusals to another."""
+        admitted = 0
+        while (refusal := self.check(self.request("a"))) is None:
+            self.queue.add(self.request("a"), 0.0)
+            admitted += 1
+        # Four slots, and at most 10 s of them may be used up by waiting.
+        self.assertLess(admitted, 40)
+        self.assertEqual(refusal.reason, RefusalReason.DEADLINE_UNREACHABLE)
+        self.assertGreaterEqual(refusal.retry_after_s, 1)
+        self.assertIsNone(self.check(self.request("b")))
+        self.assertIsNone(self.check(self.request("a", deadline=200.0)))
+
+    def test_hopeless_requests_start_only_when_slots_are_idle(self):
+        """Fails if slots go to requests that cannot end in time, or never learn."""
+        request = self.request("a", deadline=0.4)
+        self.assertTrue(is_hopeless(self.queue, request, True, 0.0))
+        self.assertFalse(is_hopeless(self.queue, request, False, 0.0))
+        self.assertFalse(is_hopeless(self.queue, self.request("a"), True, 0.0))
+
+    def test_victim_is_the_newest_of_the_largest(self):
+        """Fails if a full queue drops the request that has waited longest."""
+        queues = {"wire": self.queue}
+        for _ in range(5):
+            self.queue.add(self.request("a"), 0.0)
+        small = self.request("b")
+        self.assertEqual(choose_victim(queues, small).request_id, f"r{self.number - 1}")
+        large = self.request("a")
+        self.assertIs(choose_victim(queues, large), large)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_request_policies.py
@@ -0,0 +1,72 @@
+import random
+import unittest
+
+from magnoliapier.request_policies import policies
+from magnoliapier.request_replay import percentile, replay_requests
+from magnoliapier.traces import Arrival, Fault, Header
+from tests.samples import sample_manifest
+
+
+def make_trace():
+    """Return a header and events: long work fills the slots, short work comes in."""
+    manifest = sample_manifest(services=("wire",), hosts=4, data_centres=2)
+    entries = {"entry-1": "dc-1", "entry-2": "dc-2"}
+    source = random.Random(5)
+    events = [Fault(4.0, "endpoint_failing", 4.0, "wire-0")]
+    for number in range(600):
+        t = number / 50
+        long = number % 10 == 0
+        events.append(
+            Arrival(
+                t,
+                source.choice(list(entries)),
+                f"r{number}",
+                "wire",
+                source.choice(("desk-a", "desk-b")),
+                "long/archive" if long else "short/filing",
+                "long" if long else "short",
+                10.0 if long else 0.1,
+                60.0,
+                idempotent=number % 3 > 0,
+                cancel_s=0.5 if number % 50 == 7 else None,
+            )
+        )
+    events.sort(key=lambda event: event.t)
+    return Header("policies", "", 12.0, entries, manifest), events
+
+
+class PoliciesTest(unittest.TestCase):
+    """Guards the comparison: a baseline that breaks rules compares with nothing."""
+
+    def test_every_policy_ends_every_request_within_the_rules(self):
+        """Fails if a policy loses requests, runs payments twice or lies about runs."""
+        header, events = make_trace()
+        for name in policies.names():
+            with self.subTest(policy=name):
+                report = replay_requests(header, events, policies.get(name), 1)
+                self.assertEqual(len(report.records), 600)
+                self.assertTrue(all(record.end for record in report.records))
+                self.assertEqual((report.double_runs, report.false_not_run), (0, 0))
+                self.assertEqual(report.repeated_endpoints, 0)
+
+    def test_equal_seeds_give_equal_reports(self):
+        """Fails if a replay depends on anything but its arguments."""
+        header, events = make_trace()
+        one, two = (
+            replay_requests(header, events, policies.get("dispatcher"), 1).records
+            for _ in range(2)
+        )
+        self.assertEqual(one, two)
+
+    def test_short_work_does_not_wait_behind_long_work(self):
+        """Fails if the dispatcher makes short work wait as a FIFO queue does."""
+        header, events = make_trace()
+        waits = {}
+        for name in ("fifo", "dispatcher"):
+            report = replay_requests(header, events, policies.get(name), 1)
+            waits[name] = percentile(report.waits("short"), 95)
+        self.assertLess(waits["dispatcher"], 0.05 * waits["fifo"])
+
+
+if __name__ == "__main__":
+    unittest.main()
