Split the learning of the reserve into steps

Cause: update_reserve had grown long. Change: measuring and learning the demand are functions of their own.

--- a/magnoliapier/scheduling.py
+++ b/magnoliapier/scheduling.py
@@ -523,10 +523,27 @@
         """Adapt the slots reserved for short work to the recent demand for it."""
         elapsed = 0.0 if self._updated is None else now - self._updated
         self._updated = now
-        decay = math.exp(-elapsed / DEMAND_WINDOW_S)
+        recently = now - self._last_short < RESERVE_MEMORY_S
         # The windows fill from the start, and again after a time without short work.
-        idle = now - self._last_short > RESERVE_MEMORY_S
-        self._age = 0.0 if idle else self._age + elapsed
+        self._age = self._age + elapsed if recently else 0.0
+        self._learn_demand(self._measure_demand(elapsed), elapsed)
+        mean = self._mean_demand
+        parts = max(self.all_slots / self.slots, 1.0) if self.slots else 1.0
+        # The noise of one entry host's arrivals averages out over all of them, so
+        # only what the high demand exceeds it by counts as bursts.
+        noise = NOISE_DEVIATIONS * math.sqrt(mean * self._short_s / DEMAND_WINDOW_S)
+        reserve = max(self._high_demand - noise, mean)
+        # Entry hosts share the reserve, since short work may borrow slots of others.
+        reserve += RESERVE_DEVIATIONS * math.sqrt(reserve / parts)
+        if recently:
+            reserve = max(reserve, MIN_RESERVE / parts)
+        # Rounded so that the reserves of consecutive ranks add up.
+        whole = math.floor((self.rank + 1) * reserve) - math.floor(self.rank * reserve)
+        self.reserve = min(whole, max(self.slots - 1, 0))
+
+    def _measure_demand(self, elapsed):
+        """Return the recent short work in slots, of each at most its fair share."""
+        decay = math.exp(-elapsed / DEMAND_WINDOW_S)
         window = DEMAND_WINDOW_S * (1 - math.exp(-self._age / DEMAND_WINDOW_S))
         demand = 0.0
         for organisation in self.organisations.values():
@@ -535,22 +552,13 @@
                 slots = recent / max(window, SHORTEST_WINDOW_S)
                 demand += min(slots, self.fair_slots(organisation))
                 organisation.short_demand = recent * decay if slots > 0.001 else 0.0
+        return demand
+
+    def _learn_demand(self, demand, elapsed):
+        """Follow the mean and a high quantile of the demand."""
         weight = elapsed / max(min(MEAN_WINDOW_S, self._age), SHORTEST_WINDOW_S)
         self._mean_demand += (demand - self._mean_demand) * min(weight, 1.0)
         step = max(self._mean_demand, 0.1) * elapsed / RESERVE_LEARNING_S
         above = demand > self._high_demand
         self._high_demand += step * (RESERVE_SHARE if above else RESERVE_SHARE - 1)
         self._high_demand = max(self._high_demand, self._mean_demand)
-        parts = max(self.all_slots / self.slots, 1.0) if self.slots else 1.0
-        mean = self._mean_demand
-        # The noise of one entry host's arrivals averages out over all of them, so
-        # only what the high demand exceeds it by counts as bursts.
-        noise = NOISE_DEVIATIONS * math.sqrt(mean * self._short_s / DEMAND_WINDOW_S)
-        reserve = max(self._high_demand - noise, mean)
-        reserve += RESERVE_DEVIATIONS * math.sqrt(reserve / parts)
-        # Entry hosts share the reserve, since short work may borrow slots of others.
-        if now - self._last_short < RESERVE_MEMORY_S:
-            reserve = max(reserve, MIN_RESERVE / parts)
-        # Rounded so that the reserves of consecutive ranks add up.
-        whole = math.floor((self.rank + 1) * reserve) - math.floor(self.rank * reserve)
-        self.reserve = min(whole, max(self.slots - 1, 0))
