--- a/magnoliapier/admission.py
+++ b/magnoliapier/admission.py
@@ -12,8 +12,10 @@
 from magnoliapier.request_tables import Refusal, WorkClass
 
 # Waits are planned to use at most this share of the time to the deadline. Run
-# times are estimates, and a request that ends too late wastes its slot.
-WAIT_SHARE = 0.4
+# times are estimates, and a request that ends too late wastes its slot. Short work
+# has less time to make up for an error.
+WAIT_SHARE_SHORT = 0.4
+WAIT_SHARE_LONG = 0.7
 # A queued request is given up at its start if less than this share of its mean
 # run time is left; run times below the mean are common.
 START_SHARE = 0.5
@@ -45,7 +47,9 @@
     if wait <= 0.0:
         return None
     run = estimate.mean_s if estimate.is_proven else 0.0
-    excess = wait - max(WAIT_SHARE * left - run, 0.0)
+    long = estimate.work_class is WorkClass.LONG
+    share = WAIT_SHARE_LONG if long else WAIT_SHARE_SHORT
+    excess = wait - max(share * left - run, 0.0)
     if excess <= 0.0:
         return None
     # The random part spreads the callers who come back.
