Test the entry process with the real control process

Cause: both were tested against stand-ins of each other. Change: one test commits a manifest through the operators' interface, serves, closes the control process and restarts it without a store. Conclusion: it passes; the restarted control process takes the state from the entry process.

--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -11,13 +11,18 @@
 import urllib.request
 
 from magnoliapier.clock import Clock
+from magnoliapier.control import Control
+from magnoliapier.entry import EntryProcess, build_decisions
 from magnoliapier.manifest import canonical_json
 from magnoliapier.memory_platform import MemoryPlatform
 from magnoliapier.messages import StateUpdate
+from magnoliapier.metrics import Metrics
+from magnoliapier.settings import build_settings
 from magnoliapier.standin import StandinServer
 from magnoliapier.standin_endpoint import StandinEndpoint
 from tests.entry_harness import Caller, EntryTestCase, head, wait_until
 from tests.samples import commit_entry, sample_manifest, sample_state
+from tests.test_control import ANY, KEYS, call
 from tests.test_control_link import KEY, ControlStandin
 
 SECRET = "not-to-be-shown"
@@ -58,6 +63,53 @@
         self.assertEqual((status, headers["X-Refusal-Reason"]), (503, "no_manifest"))
 
 
+class ControlledTests(unittest.TestCase):
+    """Guards against an entry and a control process that misunderstand each other."""
+
+    def setUp(self):
+        self.platform = MemoryPlatform(Clock())
+        self.endpoint = StandinEndpoint().start()
+        self.addCleanup(self.endpoint.close)
+        self.settings = {
+            "auth": KEYS,
+            "entry": {"address": ANY, "metrics_address": ANY, "threads": 8},
+            "control": {
+                "address": ANY,
+                "operator_address": ANY,
+                "metrics_address": ANY,
+            },
+        }
+        self.control = Control(build_settings(self.settings), self.platform).start()
+        self.settings["control"]["address"] = self.control.address
+        settings, metrics = build_settings(self.settings), Metrics()
+        decisions = build_decisions(settings, Clock(), metrics)
+        self.entry = EntryProcess(
+            settings, decisions, self.platform.table, Clock(), metrics
+        ).start()
+        self.addCleanup(self.entry.close)
+
+    def ask(self):
+        caller = Caller(self.entry.address)
+        self.addCleanup(caller.close)
+        return caller.send(head()).answer()[0]
+
+    def test_commit_serve_and_restart_of_the_control_process(self):
+        self.assertEqual(self.ask(), 503)
+        manifest = sample_manifest(("wire",), 1)
+        manifest["hosts"]["wire-0"]["address"] = self.endpoint.address
+        body = {"manifest": manifest, "base_version": 0}
+        address = self.control.operator_address
+        self.assertEqual(call(address, "POST", "/manifest/commit", body)[0], 200)
+        wait_until(lambda: self.ask() == 200)
+        self.control.close()
+        self.assertEqual(self.ask(), 200)
+        # A control process without store and peers gets the state from here.
+        self.platform.faults.down = True
+        control = Control(build_settings(self.settings), self.platform).start()
+        self.addCleanup(control.close)
+        wait_until(lambda: control.node.ask(lambda node: node.state.seq) == 1)
+
+
 class ProgramTests(unittest.TestCase):
     """Runs the real program."""
 
