Choose the next team by a heap and judge each job shape once

Cause: two thirds of a tick at 1,000 workers went to comparing the teams for each job and to checking each job's shape.

--- a/magnoliapier/jobs.py
+++ b/magnoliapier/jobs.py
@@ -7,6 +7,7 @@
 else.
 """
 
+import heapq
 import math
 from collections import defaultdict
 from dataclasses import dataclass, field
@@ -162,6 +163,7 @@
         self._leaving = set()
         self._build_workers()
         self._largest = {}
+        self._refusals = {}
         self._misfits = defaultdict(list)
         self._starts = 0
 
@@ -211,18 +213,20 @@
 
     def _place_by_share(self, waiting):
         """Start one job at a time of the team that uses the least of its quota."""
-        while waiting and self._starts < MAX_STARTS:
-            team = min(
-                waiting,
-                key=lambda key: (self._quotas.dominant_share(waiting[key][0][1]), key),
-            )
-            jobs = waiting[team]
-            while jobs:
-                name, job = jobs.pop(0)
+        # A start changes the share of its own team only, so a heap stays in order.
+        heap = [
+            (self._quotas.dominant_share(jobs[0][1]), team)
+            for team, jobs in waiting.items()
+        ]
+        heapq.heapify(heap)
+        queues = {team: iter(jobs) for team, jobs in waiting.items()}
+        while heap and self._starts < MAX_STARTS:
+            _, team = heapq.heappop(heap)
+            for name, job in queues[team]:
                 if self._start_somewhere(name, job):
+                    share = self._quotas.dominant_share(job)
+                    heapq.heappush(heap, (share, team))
                     break
-            if not jobs:
-                del waiting[team]
 
     def _build_workers(self):
         tables = self._tables
@@ -262,7 +266,11 @@
         runs = self._runs.get(name, ())
         if any(run.task.status is TaskStatus.SUCCEEDED for run in runs):
             return False
-        refusal = self._refusal(job)
+        size = (job.organisation, job.team, job.pool)
+        size += (job.cores, job.memory_gb, job.accelerators)
+        if size not in self._refusals:
+            self._refusals[size] = self._refusal(job)
+        refusal = self._refusals[size]
         if refusal is not None:
             self._tables.note(f"job/{name}", f"Refused: {refusal}")
             return False
