Keep the learned demand over a store outage at a takeover

Cause: a planner that took over while the object store was down started with an empty profile and wrote it over the learned one an hour later. Change: the load is repeated until the store answers, and nothing is stored before it. Conclusion: a test with an outage of an hour keeps the profile.

--- a/magnoliapier/forecast.py
+++ b/magnoliapier/forecast.py
@@ -67,8 +67,7 @@
     def observe(self, tables):
         """Learn from the demand of this tick."""
         now = tables.now
-        if self._stored_at is None:
-            self._load(tables)
+        if self._stored_at is None and self._load(tables):
             self._stored_at = now
         bucket = bucket_key(now)
         for pool in tables.managed_pools():
@@ -77,7 +76,8 @@
                 history.first_seen = now
             history.add(now, tables.demand_of(pool))
             self._learn(tables, pool, history, bucket)
-        if now - self._stored_at >= STORE_PERIOD_S:
+        # Nothing is stored before the load, which would lose what was learned.
+        if self._stored_at is not None and now - self._stored_at >= STORE_PERIOD_S:
             self._stored_at = now
             self._store(tables)
 
@@ -192,20 +192,21 @@
             tables.note("forecast", f"The learned demand is not stored: {error}")
 
     def _load(self, tables):
+        """Read what was learned; return whether the object store answered."""
         try:
             data = self._platform.objects.get(OBJECT_NAME)
-            values = json.loads(data) if data else {}
-            self._pools = {
-                pool: PoolHistory(
-                    profile=dict(row["profile"]),
-                    corrections=dict(row["corrections"]),
-                    first_seen=row["first_seen"],
-                )
-                for pool, row in values.items()
-            }
-        except (PlatformError, ValueError, KeyError, TypeError) as error:
-            self._pools = {}
-            tables.note("forecast", f"The learned demand cannot be read: {error}")
+        except PlatformError as error:
+            tables.note("forecast", f"The learned demand cannot be read yet: {error}")
+            return False
+        try:
+            for pool, row in (json.loads(data) if data else {}).items():
+                history = self._pools.setdefault(pool, PoolHistory())
+                history.profile = dict(row["profile"])
+                history.corrections = dict(row["corrections"])
+                history.first_seen = row["first_seen"]
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            tables.note("forecast", f"The learned demand is unusable: {error!r}")
+        return True
 
 
 def bucket_key(instant):
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -51,6 +51,16 @@
             forecast.observe(tables)
             self.assertAlmostEqual(forecast.predict(tables, "wire", 900.0), 5.0)
 
+    def test_store_outage_at_a_takeover_loses_nothing(self):
+        """Guards against an empty profile that replaces the learned one."""
+        self.feed(0, DAY_S + 3600, lambda now: 3.0)
+        fresh = Forecast(self.platform, margin=0.0)
+        for minute in range(90):
+            self.platform.faults.down = minute < 60
+            fresh.observe(self.tables(DAY_S + 3600.0 + 60 * minute, 1.0))
+        tables = self.tables(DAY_S + 9000.0, 1.0)
+        self.assertAlmostEqual(fresh.predict(tables, "wire", 3600.0), 3.0)
+
     def test_seconds_of_burst_are_averaged(self):
         """Guards against moves for a burst that the queue absorbs."""
         for now in range(600):
