Bound the restarts after lapsed leases

Cause: a job that takes each of its workers down was started again without end, since a lapsed lease uses no attempt. Change: after ten lapses for each attempt the job waits for an operator, with the reason.

--- a/magnoliapier/jobs.py
+++ b/magnoliapier/jobs.py
@@ -21,6 +21,9 @@
 BAD_WORKER_JOBS = 3
 THROTTLE_SHARE = 0.25
 MAX_STARTS = 200  # platform calls in a tick; urgent jobs come first and are not counted
+# A lapsed lease is rarely the job's fault, but a job that takes each of its workers
+# down must end too.
+LAPSES_PER_ATTEMPT = 10
 REASON_RETRIES = "It failed {count} times of {limit}; correct it and rename it."
 
 
@@ -283,6 +286,11 @@
             reason = REASON_RETRIES.format(count=failed, limit=job.max_attempts)
             self._tables.note(f"job/{name}", reason)
             return False
+        lapsed = sum(run.task.status is TaskStatus.STOPPED for run in runs)
+        if lapsed >= job.max_attempts * LAPSES_PER_ATTEMPT:
+            reason = f"Its lease lapsed {lapsed} times; correct it and rename it."
+            self._tables.note(f"job/{name}", reason)
+            return False
         # A later run starts only after the earlier ones were found to have ended.
         last = max(runs, key=lambda run: run.number, default=None)
         return last is None or self._has_ended(name, job, last)
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -144,6 +144,15 @@
         self.assertEqual(len(self.tasks.tasks()), 2)
         self.assertIn("2 times", self.tick()["job/a"])
 
+    def test_lapses_are_bounded_but_use_no_attempt(self):
+        """Guards against a job that takes down one worker after the other."""
+        self.prepare({"a": job(max_attempts=1)})
+        for _ in range(15):
+            self.tick()
+            self.clock.advance(500.0)
+        self.assertEqual(len(self.tasks.tasks()), 10)
+        self.assertIn("lapsed 10 times", self.tick()["job/a"])
+
     def test_lapsed_non_idempotent_job_waits_for_a_confirmed_stop(self):
         """Guards against two runs while the first worker is only paused."""
         self.prepare({"a": job(idempotent=False)})
