Round the window of a warning to minutes

Cause: the control process writes each changed note to the table, and the seconds left changed on every tick. Change: whole minutes. Conclusion: one write a minute for each wave that cannot finish.

--- a/magnoliapier/maintenance.py
+++ b/magnoliapier/maintenance.py
@@ -351,7 +351,8 @@
         if tables.spare_hosts():
             budget = max(budget, 1)
         width = max(0, min(limit, budget))
-        left_s = settings.end - max(tables.now, settings.start)
+        # In whole minutes, because each change of a note is a write of the table.
+        left_s = (settings.end - max(tables.now, settings.start)) // 60 * 60
         if width == 0:
             if limit == 0 or left_s < count * settings.work_s:
                 tables.note(
