Drive the ownership tables of three entry hosts through faults

Change: a rule-based test of Node, Registrar and FleetView with cuts, delayed heartbeats, lost answers, pauses, restarts and removed senders.

--- /dev/null
+++ b/tests/test_stateful_ownership.py
@@ -0,0 +1,282 @@
+import random
+from types import SimpleNamespace
+
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from magnoliapier.clock import VirtualClock
+from magnoliapier.control_link import FleetView
+from magnoliapier.control_node import Node
+from magnoliapier.control_store import LogReader, Registrar, StoreHealth
+from magnoliapier.fleet_log import FleetLog
+from magnoliapier.fleet_state import FleetState, HostState
+from magnoliapier.memory_platform import MemoryPlatform
+from magnoliapier.messages import EntryReport, PullRequest
+from magnoliapier.metrics import Metrics
+from magnoliapier.ownership import (
+    SENDER_PREFIX,
+    SenderRecord,
+    SenderTable,
+    missing_consents,
+)
+from magnoliapier.platform_api import Platform, Write
+from tests.hostile_table import ANSWER_LOST, STATEFUL_SETTINGS, WRITE_LOST, HostileTable
+from tests.samples import sample_manifest
+
+HOST = "wire-0"
+CENTRES = {"a1": "dc-1", "a2": "dc-1", "b1": "dc-2"}
+NAMES = st.sampled_from(sorted(CENTRES))
+STEP_S = 0.5
+UP, CUT, SLOW = "up", "cut", "slow"
+
+
+class Direct:
+    """Stands for the actor that owns a node; calls run at once."""
+
+    def __init__(self, node):
+        self._node = node
+
+    def ask(self, call):
+        return call(self._node)
+
+    tell = ask
+
+
+class EntryHost:
+    """The control process and the entry process of one host, without sockets."""
+
+    def __init__(self, world, name):
+        self.world = world
+        self.name = name
+        self.incarnation = 0
+        self.requests = []
+        self.paused = False
+        self.table = HostileTable(world.platform.table)
+        self.platform = Platform(
+            self.table,
+            world.platform.objects,
+            world.platform.hosts,
+            world.platform.tasks,
+        )
+        self.start_entry()
+        self.start_control()
+
+    def start_entry(self):
+        self.incarnation += 1
+        self.requests = []
+        self.view = FleetView(CENTRES[self.name], self.world.clock, Metrics())
+        ignore = lambda *values: None  # noqa: E731
+        self.view.attach(
+            SimpleNamespace(set_fleet=ignore, set_peers=ignore, mark_leaving=ignore)
+        )
+
+    def start_control(self):
+        self.world.control_starts += 1
+        seeds = [
+            SimpleNamespace(name=name, data_centre=centre, address=name)
+            for name, centre in CENTRES.items()
+        ]
+        self.node = Node(
+            self.world.clock,
+            self.name,
+            CENTRES[self.name],
+            seeds,
+            random.Random(self.world.control_starts),
+            incarnation=self.world.control_starts * 1000,
+        )
+        log = FleetLog(self.platform, self.world.clock, self.name)
+        owner, health = Direct(self.node), StoreHealth()
+        self.reader = LogReader(log, owner, health)
+        self.registrar = Registrar(self.table, log, owner, health)
+
+    def sync(self):
+        """Exchange a report, an update and a view, as the link does."""
+        self.node.on_report(
+            EntryReport(
+                name=self.name,
+                incarnation=self.incarnation,
+                applied_seq=self.view.seq,
+                busy_hosts=[HOST] if self.requests else [],
+            )
+        )
+        update = self.node.state_update(self.name, self.view.seq)
+        if update:
+            self.view.apply_update(update)
+        self.view.apply_view(
+            self.node.peer_view(self.name), self.world.clock.monotonic()
+        )
+
+
+class OwnershipMachine(RuleBasedStateMachine):
+    """
+    Three entry hosts in two data centres, and one host that is moved.
+
+    Guards against a request sent for a pool that the host does not belong to, and
+    against a move that interrupts a request (rules R1 to R5 of spec_ownership).
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.clock = VirtualClock(1000.0)
+        self.platform = MemoryPlatform(self.clock)
+        self.control_starts = 0
+        self.log = FleetLog(self.platform, self.clock, "planner")
+        values = sample_manifest(hosts=1)
+        self.state, _ = self.log.commit_manifest(FleetState(), values, 0)
+        self.links, self.late, self.removed = {}, [], set()
+        self.senders = SenderTable(self.clock)
+        self.entries = {name: EntryHost(self, name) for name in CENTRES}
+        self.run_for(8)
+
+    def head(self):
+        self.state = self.log.catch_up(self.state)
+        return self.state
+
+    def run_for(self, seconds):
+        for _ in range(int(seconds / STEP_S)):
+            self.clock.advance(STEP_S)
+            for entry in self.entries.values():
+                if not entry.paused:
+                    self.step(entry)
+            live = [name for name, entry in self.entries.items() if not entry.paused]
+            self.senders.update(self.records())
+            self.senders.observe_list(live)
+            self.remove_senders()
+            self.assign()
+            self.sends_are_for_the_owner()
+
+    def step(self, entry):
+        actions = entry.node.tick()
+        for address, heartbeat in actions.heartbeats:
+            self.carry(entry.name, address, heartbeat)
+        entry.sync()
+        entry.reader.poll()
+        entry.registrar.poll()
+        if actions.pull:
+            self.pull(entry, *actions.pull)
+        entry.sync()
+
+    def carry(self, source, target, heartbeat):
+        link = self.links.get(frozenset((source, target)), UP)
+        if link == SLOW:
+            self.late.append((target, heartbeat, source))
+        elif link == UP and not self.entries[target].paused:
+            self.entries[target].node.on_heartbeat(heartbeat, source)
+
+    def pull(self, entry, address, seq):
+        link = self.links.get(frozenset((entry.name, address)), UP)
+        if link == CUT or self.entries[address].paused:
+            entry.node.on_pull_failed()
+        else:
+            reply = self.entries[address].node.on_pull(PullRequest(entry.name, seq))
+            entry.node.on_pull_reply(reply)
+
+    def records(self):
+        rows = self.platform.table.scan(SENDER_PREFIX)
+        return [SenderRecord.from_row(row.value) for row in rows]
+
+    @rule(seconds=st.sampled_from([0.5, 1, 2, 4]))
+    def run(self, seconds):
+        self.run_for(seconds)
+
+    @rule(one=NAMES, other=NAMES, link=st.sampled_from([UP, CUT, SLOW]))
+    def change_link(self, one, other, link):
+        self.links[frozenset((one, other))] = link
+
+    @precondition(lambda self: self.late)
+    @rule(index=st.integers(0, 20))
+    def deliver_late(self, index):
+        target, heartbeat, source = self.late.pop(index % len(self.late))
+        if not self.entries[target].paused:
+            self.entries[target].node.on_heartbeat(heartbeat, source)
+
+    @rule(name=NAMES, away=st.booleans())
+    def change_store(self, name, away):
+        self.entries[name].table.away = away
+
+    @rule(name=NAMES, script=st.sampled_from([[ANSWER_LOST], [WRITE_LOST]]))
+    def lose_answer(self, name, script):
+        self.entries[name].table.script.extend(script)
+
+    @rule(name=NAMES, seconds=st.sampled_from([2, 15, 40]))
+    def pause(self, name, seconds):
+        entry = self.entries[name]
+        entry.paused = True
+        self.run_for(seconds)
+        entry.paused = False
+
+    @rule(name=NAMES)
+    def restart_control(self, name):
+        self.entries[name].start_control()
+
+    @rule(name=NAMES)
+    def restart_entry(self, name):
+        self.entries[name].start_entry()
+
+    @invariant()
+    def sends_are_for_the_owner(self):
+        owner = self.head().assignments[HOST].pool
+        for name, entry in self.entries.items():
+            if not entry.paused and entry.view.allows(HOST):
+                pool = entry.view.state.assignments[HOST].pool
+                assert pool == owner, f"{name} would send for {pool}, not {owner}"
+
+    @rule(name=NAMES)
+    def send(self, name):
+        entry = self.entries[name]
+        if entry.view.allows(HOST):
+            entry.requests.append(entry.view.state.assignments[HOST].pool)
+            self.removed.discard(name)
+
+    @rule(name=NAMES)
+    def finish(self, name):
+        if self.entries[name].requests:
+            self.entries[name].requests.pop()
+
+    @rule()
+    def drain(self):
+        state = self.head()
+        current = state.assignments[HOST]
+        if current.takes_work:
+            body = {"host": HOST, "epoch": current.epoch + 1, "target": "archive"}
+            self.log.append(state, [("host_drain", body)])
+
+    def assign(self):
+        """Advance a drain as the planner does."""
+        state = self.head()
+        current = state.assignments[HOST]
+        if current.state is not HostState.DRAINING:
+            return
+        if missing_consents(state, HOST, self.records()):
+            return
+        for name, entry in self.entries.items():
+            interrupted = current.pool in entry.requests and name not in self.removed
+            assert not interrupted, f"the move interrupts a request of {name}"
+        pool = "archive" if current.pool == "wire" else "wire"
+        body = {"host": HOST, "epoch": current.epoch + 1, "pool": pool}
+        self.log.append(state, [("host_assign", body)])
+
+    @rule()
+    def cancel(self):
+        state = self.head()
+        current = state.assignments[HOST]
+        if current.state is HostState.DRAINING:
+            body = {"host": HOST, "epoch": current.epoch + 1, "pool": current.pool}
+            self.log.append(state, [("host_assign", body)])
+
+    def remove_senders(self):
+        for name in self.senders.removable():
+            record = self.senders.records[name]
+            body = {"name": name, "incarnation": record.incarnation}
+            delete = Write(record.key, None)
+            self.log.append(self.head(), [("sender_removed", body)], writes=[delete])
+            self.removed.add(name)
+
+
+class OwnershipStatefulTests(OwnershipMachine.TestCase):
+    settings = settings(STATEFUL_SETTINGS, max_examples=40, stateful_step_count=30)
