Keep a holder's grant in account until the holder reports

Cause: two faults in GivenGrants, found by driving the tables. A report of a later incarnation ended an expired grant, although a process that was stale takes a new incarnation while its requests go on; the host was then moved under the request (b1 sends; b1 pauses 25 s while the host is drained; b1 wakes; 6 s pass). And the removal of a sender's record dropped its grants at once, although a live removed sender may send under one until it expires.

Change: a grant ends only by a report of its incarnation or a later one with seq >= s and without the host (rule R3b of spec_ownership). After a removal it blocks until it has expired and a check under it is void (R2b). A later incarnation's grant at no higher seq replaces the earlier one, so restarts do not fill the table.

--- a/magnoliapier/ownership.py
+++ b/magnoliapier/ownership.py
@@ -11,13 +11,15 @@
 """
 
 import enum
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from magnoliapier.messages import Grant
 
 GRANT_S = 3.0
 TICK_S = 0.1
 DROP_GRANTS_GAP_S = 1.0
+# A send follows its check by less than the gap after which the check is repeated.
+SEND_MARGIN_S = DROP_GRANTS_GAP_S
 # Shorter than LIST_LAG_S, so that a paused sender is stale before its record may go.
 STALE_GAP_S = 20.0
 LIST_LAG_S = 30.0
@@ -193,6 +195,7 @@
     incarnation: int
     seq: int
     expires: float
+    forgotten: bool = False
 
 
 class GivenGrants:
@@ -202,10 +205,11 @@
     A holder that was granted something before a drain blocks the drain until its
     report shows that it has applied the drain and has no request in flight to the
     host. An expired grant of a silent holder blocks on, because a request sent under
-    it may still run. ``forget`` ends this for a holder whose record was removed; a
-    newer incarnation of the holder ends it once the grant has expired, because the
-    requests of the earlier process ended with that process. Reports need to name
-    only those busy hosts that do not take work in the holder's state.
+    it may still run. A report of a later incarnation counts as well, but not the
+    change of incarnation itself: a process that was stale changes it while its
+    requests go on. After ``forget``, for a holder whose record was removed, a grant
+    blocks until no send under it can happen. Reports need to name only those busy
+    hosts that do not take work in the holder's state.
     """
 
     def __init__(self, clock, data_centre):
@@ -248,9 +252,14 @@
         self._prune(holder)
 
     def forget(self, holder):
-        """Drop what was granted to a sender whose record was removed."""
-        self._grants.pop(holder, None)
+        """Wait only for the expiry of grants to a sender whose record was removed."""
         self._reports.pop(holder, None)
+        now = self._clock.monotonic()
+        self._grants[holder] = {
+            key: replace(grant, forgotten=True)
+            for key, grant in self._grants.get(holder, {}).items()
+            if now < grant.expires + SEND_MARGIN_S
+        }
 
     def blocked_hosts(self, state):
         """Return the hosts being drained that a holder may still use (R3)."""
@@ -275,20 +284,25 @@
 
     def _add(self, grant):
         grants = self._grants.setdefault(grant.holder, {})
+        for key, earlier in list(grants.items()):
+            # A grant of a later incarnation at no higher seq blocks all the same.
+            replaced = earlier.incarnation < grant.incarnation
+            if replaced and earlier.seq >= grant.seq and not earlier.forgotten:
+                del grants[key]
         grants[(grant.incarnation, grant.seq)] = grant
 
     def _blocks(self, grant, host, seq):
         if grant.seq >= seq:
             return False
+        if grant.forgotten:
+            return self._clock.monotonic() < grant.expires + SEND_MARGIN_S
         report = self._reports.get(grant.holder)
         if report is None or report.incarnation < grant.incarnation:
             return True
-        if report.incarnation > grant.incarnation != ANY_INCARNATION:
-            return self._clock.monotonic() < grant.expires
         return report.seq < seq or host in report.busy
 
     def _prune(self, holder):
-        # Two grants of one incarnation block the same drains after the later one.
+        # Two grants to one holder block the same drains after the later one.
         # Drains between them are settled by a report that has applied the later
         # grant's seq and is busy with no host that leaves its pool.
         report = self._reports[holder]
@@ -301,16 +315,9 @@
             ),
             default=0,
         )
-        now = self._clock.monotonic()
         for (incarnation, seq), grant in list(grants.items()):
-            settled = (
-                incarnation == report.incarnation and seq < covered and not report.busy
-            )
-            replaced = (
-                ANY_INCARNATION != incarnation < report.incarnation
-                and now >= grant.expires
-            )
-            if settled or replaced:
+            settled = incarnation <= report.incarnation and seq < covered
+            if settled and not report.busy and not grant.forgotten:
                 del grants[(incarnation, seq)]
 
 
