Refuse operators' tokens with other than ASCII characters

Cause: fuzzing check_token found a TypeError for a tag such as "\x80", because hmac.compare_digest takes only ASCII text; a lone surrogate raised UnicodeEncodeError. Either would reach the caller as an untyped error. Change: the bytes are compared.

--- a/magnoliapier/auth.py
+++ b/magnoliapier/auth.py
@@ -33,7 +33,12 @@
 def make_token(key, name, now):
     """Return an operator's bearer token for ``name``, valid for a minute."""
     text = f"{name}:{int(now)}"
-    return f"{text}:{compute_tag(key, text.encode()).hex()}"
+    return f"{text}:{compute_tag(key, encode_text(text)).hex()}"
+
+
+def encode_text(text):
+    """Return ``text`` as UTF-8; lone surrogates are kept instead of refused."""
+    return text.encode("utf-8", "surrogatepass")
 
 
 def check_token(key, token, now):
@@ -47,7 +52,9 @@
     name, _, made = text.rpartition(":")
     if not key or not name or not made.isdecimal():
         raise AuthenticationError("Send a token made with auth.operator_key.")
-    if not hmac.compare_digest(tag, compute_tag(key, text.encode()).hex()):
+    expected = compute_tag(key, encode_text(text)).hex()
+    # Text with other than ASCII characters cannot be compared, only its bytes.
+    if not hmac.compare_digest(encode_text(tag), expected.encode()):
         raise AuthenticationError("The token does not match auth.operator_key.")
     if abs(now - int(made)) > MAX_CLOCK_SKEW_S:
         raise AuthenticationError("The token is too old; check the clocks.")
