Read ejections from the endpoints that a dispatch shows

Cause: the dispatcher now copies endpoint entries, so no ejection was observed and ejected_share failed with nothing to check, although 130 ejections happened. Change: the observer keeps the entries of Dispatch, which are the decisions' own. Conclusion: the observer relies on the public interface of the decisions only.

--- a/magnoliapier/observed_replay.py
+++ b/magnoliapier/observed_replay.py
@@ -24,6 +24,8 @@
         super().__init__(*arguments)
         self.observations = []
         self._ejected = {}
+        # The decisions keep their own copies of the endpoints, which a Dispatch shows.
+        self._views = {}
 
     def observe(self, kind, **fields):
         """Note that something happens now."""
@@ -64,6 +66,7 @@
         )
 
     def _send(self, entry, dispatch):
+        self._views[entry.name, dispatch.endpoint.name] = dispatch.endpoint
         self.observe(
             "send",
             request_id=dispatch.request.request_id,
@@ -97,13 +100,11 @@
         self._observe_ejections(entry)
 
     def _observe_ejections(self, entry):
-        endpoints = getattr(entry.decisions, "endpoint_entries", None)
-        if endpoints is None:
-            return
         counts = {}
-        for endpoint in endpoints():
-            ejected, total = counts.get(endpoint.service, (0, 0))
-            counts[endpoint.service] = (ejected + endpoint.ejected, total + 1)
+        for service, name in self._endpoints:
+            ejected, total = counts.get(service, (0, 0))
+            view = self._views.get((entry.name, f"{name}/{service}"))
+            counts[service] = (ejected + bool(view and view.ejected), total + 1)
         for service, (ejected, total) in counts.items():
             if ejected != self._ejected.get((entry.name, service), 0):
                 self._ejected[(entry.name, service)] = ejected
@@ -126,7 +127,7 @@
 
 def observe_requests(header, events, factory, seed):
     """Replay a request trace and return a :class:`ReplayReport`."""
-    replay = ObservedRequestReplay(header, events, WatchedFactory(factory), seed)
+    replay = ObservedRequestReplay(header, events, factory, seed)
     report = replay.run()
     figures = {
         "requests": len(report.records),
@@ -137,38 +138,6 @@
     return ReplayReport(header.name, replay.observations, figures)
 
 
-class WatchedFactory:
-    """Builds decisions whose endpoint entries stay readable from outside."""
-
-    def __init__(self, factory):
-        self._factory = factory
-
-    def __call__(self, clock, random, name, data_centre):
-        """Return the decisions of one entry host."""
-        return WatchedDecisions(self._factory(clock, random, name, data_centre))
-
-
-class WatchedDecisions:
-    """Passes all calls on and remembers the endpoints of the last set_fleet."""
-
-    def __init__(self, decisions):
-        self._decisions = decisions
-        self._endpoints = {}
-
-    def __getattr__(self, name):
-        return getattr(self._decisions, name)
-
-    def set_fleet(self, manifest, endpoints):
-        """Remember the entries; one that is known already is kept by decisions."""
-        known = self._endpoints
-        self._endpoints = {e.name: known.get(e.name, e) for e in endpoints}
-        return self._decisions.set_fleet(manifest, endpoints)
-
-    def endpoint_entries(self):
-        """Return the EndpointEntry objects that the decisions update."""
-        return list(self._endpoints.values())
-
-
 class ObservedFleetReplay(FleetReplay):
     """The fleet driver with a list of :class:`Observation`."""
 
