Add a trace of urgent jobs and checks of jobs and deduplicating services

Cause: no trace covered urgent work, workers that fail their jobs, or a service that deduplicates while the store is down. Change: the trace urgent-jobs with the checks jobs_succeed and figure; store-down has a deduplicating service and must serve it and all idempotent requests.

--- a/magnoliapier/generator.py
+++ b/magnoliapier/generator.py
@@ -507,21 +507,24 @@
 
 @scenarios.register("store-down")
 def store_down(name, seed):
-    """The store is down for an hour."""
-    faults = [Fault(1800.0, "store_down", 3600.0)]
-    return store_scenario(
+    """The store is down for an hour; the registers deduplicate by themselves."""
+    scenario = store_scenario(
         name,
         seed,
         store_down.__doc__,
         7200.0,
-        faults,
+        [Fault(1800.0, "store_down", 3600.0)],
         {
             "check": "refused_while",
             "reason": "claims_unavailable",
             "start_s": 1800.0,
             "end_s": 5400.0,
         },
+        {"check": "deadlines", "min_share": 1.0, "idempotent_only": True},
+        {"check": "deadlines", "min_share": 1.0, "service": "registers"},
     )
+    scenario.header.manifest["services"]["registers"]["deduplicates"] = True
+    return scenario
 
 
 @scenarios.register("store-slow")
@@ -633,6 +636,44 @@
     return Scenario(header, events, outcomes)
 
 
+@scenarios.register("urgent-jobs")
+def urgent_jobs(name, seed):
+    """Urgent jobs arrive at a pool full of long ones, a part of which then fails."""
+    jobs = {f"archive-{number}": build_job(7200.0) for number in range(ENDPOINTS)}
+    header = build_header(CONSORTIUM, name, urgent_jobs.__doc__, 900.0, seed, jobs=jobs)
+    # The team may use the whole pool: 8 workers of 32 cores and 128 GB.
+    team = {"cores": 256, "memory_gb": 1024, "accelerators": 0}
+    header.manifest["organisations"]["desk-a"]["teams"] = {"archive": team}
+    events = constant_demand(header, CONSORTIUM.services, 0.2)
+    for number in range(12):
+        urgent = build_job(20.0, urgent=True, cores=CORES // 4)
+        patch = {"jobs": {f"deadline-{number}": urgent}}
+        events.append(Commit(60.0 + 60 * number, "op-1", number + 1, patch))
+    failing = hosts_of(header, "desk-a")[: ENDPOINTS // 3]
+    events += [Fault(400.0, "endpoint_failing", 200.0, host) for host in failing]
+    outcomes = fleet_outcomes(
+        {"check": "urgent_start", "percentile": 99.0, "max_s": 4.7},
+        {"check": "figure", "name": "double_runs", "max_value": 0},
+        {"check": "jobs_succeed", "prefix": "deadline-"},
+        {"check": "budgets", "max_missed": 0},
+    )
+    return Scenario(header, events, outcomes)
+
+
+def build_job(expected_s, urgent=False, cores=CORES):
+    """Return a job of the first desk that must not run twice at once."""
+    return {
+        "organisation": "desk-a",
+        "team": "archive",
+        "pool": "desk-a",
+        "cores": cores,
+        "memory_gb": 16,
+        "urgent": urgent,
+        "idempotent": False,
+        "expected_s": expected_s,
+    }
+
+
 @scenarios.register("month")
 def month(name, seed):
     """A month of ten days in hours, with ten times the load on the last day."""
--- a/magnoliapier/observed_replay.py
+++ b/magnoliapier/observed_replay.py
@@ -277,6 +277,12 @@
     for start in report.first_starts(urgent=True):
         fields = {"job": start.job, "wait_s": start.wait_s}
         replay.observations.append(Observation(start.t_start, "urgent", fields))
+    for start in report.job_starts:
+        fields = {"job": start.job, "host": start.host, "run": start.run}
+        replay.observations.append(Observation(start.t_start, "job_start", fields))
+    for end in report.job_ends:
+        fields = {"job": end.job, "host": end.host, "outcome": end.outcome}
+        replay.observations.append(Observation(end.t, "job_end", fields))
     figures = {
         "buffer_host_hours": report.buffer_host_hours,
         "moves": report.moves,
--- a/magnoliapier/outcomes.py
+++ b/magnoliapier/outcomes.py
@@ -505,9 +505,21 @@
 
 
 @checks.register("deadlines")
-def deadlines(report, min_share: float, work_class: str = ""):
+def deadlines(
+    report,
+    min_share: float,
+    work_class: str = "",
+    service: str = "",
+    idempotent_only: bool = False,
+):
     """Check the share of requests that are answered by an endpoint in time."""
-    requests = matching_requests(report, work_class)
+    requests = {
+        request_id: seen
+        for request_id, seen in matching_requests(
+            report, work_class, service=service
+        ).items()
+        if seen["idempotent"] or not idempotent_only
+    }
     if not requests:
         return nothing("matching request")
     late = []
@@ -836,6 +848,36 @@
     return Violation(message, index, "job")
 
 
+@checks.register("jobs_succeed")
+def jobs_succeed(report, prefix: str = ""):
+    """Check that each job that started, of those with a name prefix, succeeds."""
+    started = [
+        (index, seen)
+        for index, seen in report.of("job_start")
+        if seen["job"].startswith(prefix)
+    ]
+    if not started:
+        return nothing("start of a matching job")
+    succeeded = {
+        seen["job"] for _, seen in report.of("job_end") if seen["outcome"] == "succeeded"
+    }
+    for index, seen in started:
+        if seen["job"] not in succeeded:
+            message = f"job {seen['job']} started and did not succeed"
+            return Violation(message, index, "job")
+    return None
+
+
+@checks.register("figure")
+def figure(report, name: str, max_value: float):
+    """Check a total that the driver counts, such as ``double_runs`` of jobs."""
+    if name not in report.figures:
+        return nothing(f"figure {name}")
+    if report.figures[name] <= max_value:
+        return None
+    return Violation(f"{name} is {report.figures[name]}, allowed {max_value}")
+
+
 @checks.register("commits_kept")
 def commits_kept(report):
     """Check that accepted versions only grow and none is lost or reverted."""
--- a/magnoliapier/store_replay.py
+++ b/magnoliapier/store_replay.py
@@ -97,6 +97,7 @@
         self.contenders = []
         self._followers = []
         self._claims = {}
+        self._seen_keys = set()
 
     def run(self):
         """Replay the trace and return the observations."""
@@ -391,6 +392,9 @@
 
     def _run_request(self, arrival, claim):
         now = self.clock.monotonic()
+        if self._is_discarded(arrival):
+            self.schedule(now, self._finish, arrival, claim)
+            return
         self.observe(
             "run",
             request_id=arrival.request_id,
@@ -401,6 +405,16 @@
         )
         self.schedule(now + arrival.run_s, self._finish, arrival, claim)
 
+    def _is_discarded(self, arrival):
+        """Return whether a service that deduplicates has seen the key before."""
+        service = self.header.manifest["services"][arrival.service]
+        if arrival.key is None or not service.get("deduplicates"):
+            return False
+        identity = (arrival.service, arrival.organisation, arrival.key)
+        seen = identity in self._seen_keys
+        self._seen_keys.add(identity)
+        return seen
+
     def _finish(self, arrival, claim):
         if claim is not None:
             claims = self._claims[arrival.entry]
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -216,6 +216,14 @@
         [see(0, "urgent", job="j", wait_s=4.7), see(1, "urgent", job="k", wait_s=5)],
         1,
     ),
+    "jobs_succeed": (
+        {"prefix": "deadline"},
+        [see(0, "job_start", job="archive-1"), see(0, "job_start", job="deadline-1")]
+        + [see(5, "job_end", job="deadline-1", outcome="succeeded")],
+        [see(0, "job_start", job="archive-1"), see(0, "job_start", job="deadline-1")]
+        + [see(5, "job_end", job="deadline-1", outcome="failed")],
+        1,
+    ),
     "commits_kept": (
         {},
         [commit(0, 1, 2), manifest(1, "entry-1", 2)],
@@ -265,7 +273,7 @@
     """Guards against checks that cannot fail, and so prove nothing."""
 
     def test_every_check_has_a_case(self):
-        self.assertEqual({*CASES, "buffer_versus"}, set(checks.names()))
+        self.assertEqual({*CASES, "buffer_versus", "figure"}, set(checks.names()))
 
     def test_empty_report_fails(self):
         """Guards against a check that passes because nothing was replayed."""
@@ -280,6 +288,24 @@
             result = run_one("buffer_versus", parameters, report)
             self.assertEqual(result.passed, passed)
 
+    def test_figure(self):
+        parameters = {"name": "double_runs", "max_value": 0}
+        for figures, passed in (
+            ({"double_runs": 0}, True),
+            ({"double_runs": 1}, False),
+            ({}, False),
+        ):
+            result = run_one("figure", parameters, make_report([], **figures))
+            self.assertEqual(result.passed, passed)
+
+    def test_deadlines_of_idempotent_requests(self):
+        """Guards against a filter that leaves out what it should check."""
+        for idempotent, passed in ((False, True), (True, False)):
+            late = [arrival(2, "b", idempotent=idempotent), answer(9, "b")]
+            parameters = {"min_share": 1.0, "idempotent_only": True}
+            result = run_one("deadlines", parameters, make_report([*GOOD, *late]))
+            self.assertEqual(result.passed, passed)
+
     def test_unanswered_request(self):
         result = run_one("answered_once", {}, make_report([*GOOD, arrival(2, "b")]))
         self.assertIn("no answer", result.violation.message)
