End the admission of trials when requests were queued as long

In the driver of request replays a drain was only a sign, which expires after 10 s, while the fleet view of a real entry host confirms it. Ruled out: growth with the queue (a profile showed one call that never returned). Change: the request gets the class and estimate of its kind before it is queued again; the driver sends the fleet view with the sign; a test that did not end before.

--- a/magnoliapier/request_replay.py
+++ b/magnoliapier/request_replay.py
@@ -739,6 +739,9 @@
             return
         entry.known_leaving.add(host)
         self._carry_out(entry, entry.decisions.mark_leaving(host))
+        # The fleet view of a real entry host confirms the sign at once; a sign alone
+        # expires after some seconds.
+        self.send_fleet(entry)
 
     def _check_drained(self, drain):
         busy = any(
--- a/magnoliapier/scheduling.py
+++ b/magnoliapier/scheduling.py
@@ -515,6 +515,10 @@
         while len(organisation.trials) < TRIALS and organisation.kinds.get(kind):
             waiting = next(iter(organisation.kinds[kind].values()))
             self._take(organisation, waiting)
+            # It may have been queued as long before its kind had any sign; left as
+            # it is, it would return to the queue that it was taken from.
+            waiting.work_class = SHORT
+            waiting.estimate_s = estimate.mean_s
             self._insert(organisation, waiting, estimate)
 
     # The reserve.
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -117,6 +117,17 @@
         estimate = self.queue.estimates.find(self.request("a", "quick", "long"))
         self.assertEqual(estimate.work_class, WorkClass.SHORT)
 
+    def test_kind_queued_as_long_before_its_first_sign_gets_trials(self):
+        """Fails if requests queued as long return to that queue without an end."""
+        self.add(1, "a", "new", declared="short")
+        flight = self.start()
+        estimate = self.queue.estimates.find(flight.request)
+        estimate.work_class = WorkClass.LONG
+        self.add(5, "a", "new", declared="short")
+        estimate.work_class = WorkClass.SHORT
+        self.queue.end(flight, 0.1, ran=True)
+        self.assertEqual(len(self.queue.organisations["a"].short), TRIALS)
+
     def test_returning_organisation_saves_up_no_claim(self):
         """Fails if an idle time gives an organisation all slots on its return."""
         self.add(400, "a", "long")
