Write requests and read answers without urllib3's wrappers

Change: requests go out header by header, and answers are read by http.client's response, both on urllib3's connection. Lengths of answers are checked strictly.

--- a/magnoliapier/callers.py
+++ b/magnoliapier/callers.py
@@ -27,7 +27,6 @@
     HOP_BY_HOP,
     OutgoingRequest,
     connection_options,
-    without_user_agent,
 )
 from magnoliapier.http_server import HttpServer
 from magnoliapier.logs import get_logger
@@ -172,7 +171,7 @@
         return OutgoingRequest(
             self.method,
             self.target,
-            without_user_agent(headers),
+            headers,
             self.body,
             self.request_id,
         )
--- a/magnoliapier/connections.py
+++ b/magnoliapier/connections.py
@@ -10,6 +10,7 @@
 import collections
 import http.client
 import math
+import re
 import socket
 import threading
 import time
@@ -17,7 +18,6 @@
 
 import urllib3
 from urllib3.connection import HTTPConnection
-from urllib3.util import SKIP_HEADER
 from urllib3.util.connection import is_connection_dropped
 
 from magnoliapier.reasons import RunState
@@ -55,6 +55,8 @@
 INTERNAL_HEADERS = frozenset(
     ("content-length", "x-run-state", "x-refusal-reason", "x-draining")
 )
+LENGTH = re.compile(r"[0-9]{1,15}\Z")
+METHODS_WITH_BODY = frozenset(("POST", "PUT", "PATCH"))
 NO_BODY_STATUSES = frozenset((204, 304))
 
 
@@ -157,6 +159,24 @@
         self.bytes_sent = 0
         self._collected = []
 
+    def getresponse(self):
+        """
+        Return http.client's response instead of urllib3's wrapper around it.
+
+        Its unlimited read checks the length as well, and the wrapper costs 50 us.
+        """
+        return http.client.HTTPConnection.getresponse(self)
+
+    def collect(self, request):
+        """Collect a request's head and body, adding only Host and the length."""
+        self.putrequest(request.method, request.target, skip_accept_encoding=True)
+        for name, value in request.headers.items():
+            self.putheader(name, value)
+        body = request.body
+        if body or request.method in METHODS_WITH_BODY:
+            self.putheader("Content-Length", str(len(body)))
+        self.endheaders(body or None)
+
     def send(self, data):
         """Collect a part of the request."""
         self._collected.append(data)
@@ -360,22 +380,14 @@
         send.attach(connected)
         try:
             connected.settimeout(self._settings.progress_timeout_s)
-            connection.request(
-                request.method,
-                request.target,
-                body=request.body or None,
-                headers=request.headers,
-                preload_content=False,
-                decode_content=False,
-                enforce_content_length=True,
-            )
+            connection.collect(request)
             connection.flush()
         except (OSError, ValueError, http.client.HTTPException):
             ran = RunState.UNKNOWN if connection.bytes_sent else RunState.NOT_RUN
             return failed(SendOutcome.RESET, ran, fresh)
         remaining = max(send.deadline - time.monotonic(), MIN_WAIT_S)
         patience = self._patience_s(entry, fresh)
-        connection.timeout = min(patience, remaining)
+        connected.settimeout(min(patience, remaining))
         try:
             response = connection.getresponse()
         except TimeoutError:
@@ -384,8 +396,6 @@
             return failed(outcome, RunState.UNKNOWN, fresh)
         except (OSError, http.client.HTTPException):
             return failed(SendOutcome.RESET, RunState.UNKNOWN, fresh)
-        except urllib3.exceptions.HTTPError:
-            return failed(SendOutcome.INCOMPLETE, RunState.UNKNOWN, fresh)
         connected.settimeout(self._settings.progress_timeout_s)
         return self._read(response, request, fresh)
 
@@ -407,9 +417,9 @@
         held = []
         try:
             body = self._read_body(response, held, report)
-        except urllib3.exceptions.ReadTimeoutError:
+        except TimeoutError:
             outcome = SendOutcome.TIMEOUT
-        except (OSError, http.client.HTTPException, urllib3.exceptions.HTTPError):
+        except (OSError, ValueError, http.client.HTTPException):
             outcome = SendOutcome.INCOMPLETE
         else:
             if body is None:
@@ -427,14 +437,14 @@
 
     def _read_body(self, response, held, report):
         """Return the body, or None if it is too large; ``held`` gets its sizes."""
-        length = response.length_remaining
+        length = response.length
         limit = self._settings.max_answer_bytes
         if length is not None:
             if not self._hold(length, limit, held, report):
                 return None
-            return response.read(decode_content=False) if length else b""
+            return response.read()
         parts = []
-        for part in response.stream(READ_BYTES, decode_content=False):
+        while part := response.read(READ_BYTES):
             if not self._hold(len(part), limit, held, report):
                 return None
             parts.append(part)
@@ -472,10 +482,11 @@
         return False
     if request.method == "HEAD" or response.status in NO_BODY_STATUSES:
         return True
-    encoding = headers.get("Transfer-Encoding")
-    if encoding is not None:
-        return encoding.lower() == "chunked" and "Content-Length" not in headers
-    return response.length_remaining is not None
+    lengths = headers.get_all("Content-Length", ())
+    encodings = headers.get_all("Transfer-Encoding")
+    if encodings is not None:
+        return not lengths and [text.lower() for text in encodings] == ["chunked"]
+    return len(lengths) == 1 and LENGTH.match(lengths[0]) is not None
 
 
 def judge(status, headers):
@@ -496,7 +507,7 @@
     dropped = HOP_BY_HOP | INTERNAL_HEADERS | connection_options(headers)
     kept = [
         (name, value.replace("\r", " ").replace("\n", " "))
-        for name, value in headers.iteritems()
+        for name, value in headers.items()
         if name.lower() not in dropped
     ]
     length = headers.get("Content-Length")
@@ -511,10 +522,3 @@
     if listed is None:
         return frozenset()
     return frozenset(name.strip().lower() for name in listed.split(","))
-
-
-def without_user_agent(headers):
-    """Keep urllib3 from adding its own User-Agent."""
-    headers.setdefault("User-Agent", SKIP_HEADER)
-    headers.setdefault("Accept-Encoding", SKIP_HEADER)
-    return headers
