Close silent connections and report a table that is behind

Cause: a silent TCP connection kept one of 128 places for ever; a table that lost its data went unnoticed; a control process on all interfaces announced 0.0.0.0. Change: an idle limit of 10 s, one log line, and no announced address then; explain finds the planner's own notes.

--- a/magnoliapier/control.py
+++ b/magnoliapier/control.py
@@ -7,6 +7,7 @@
 """
 
 import contextlib
+import ipaddress
 import random
 import signal
 import threading
@@ -41,6 +42,7 @@
 from magnoliapier.ownership import TICK_S
 from magnoliapier.platform_http import connect_platform
 from magnoliapier.settings import load_settings
+from magnoliapier.transport import parse_address
 
 LOG_POLL_S = 0.5
 REGISTER_POLL_S = 0.25
@@ -182,7 +184,7 @@
                 settings.control.peers,
                 rng,
                 incarnation,
-                self._address,
+                announced_address(self._address),
             )
         )
         self._links = DatagramLink(self._datagrams, self._key, self._on_datagram)
@@ -335,6 +337,12 @@
             self.metrics.gauge(name, value)
 
 
+def announced_address(address):
+    """Return the address that peers may use, empty for one of all interfaces."""
+    host, _ = parse_address(address)
+    return "" if ipaddress.ip_address(host).is_unspecified else address
+
+
 def main():
     """Run the program ``magnoliapier-control``."""
     typer.run(run_control)
--- a/magnoliapier/control_links.py
+++ b/magnoliapier/control_links.py
@@ -35,6 +35,9 @@
 CONNECT_TIMEOUT_S = 1.0
 STREAM_TIMEOUT_S = 5.0
 MAX_CONNECTIONS = 128
+# Entry processes report every 0.25 s and pulls ask at once; a connection that stays
+# silent must not keep its place from others.
+IDLE_LIMIT_S = 10.0
 # An entry process gets a new state at most this long after it is in force here.
 PUSH_INTERVAL_S = 0.1
 # Views carry the demand of all peers, which changes twice a second at most. The
@@ -204,11 +207,13 @@
         try:
             connection.settimeout(STREAM_TIMEOUT_S)
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            while not self._closed:
+            heard_at = time.monotonic()
+            while not self._closed and time.monotonic() - heard_at < IDLE_LIMIT_S:
                 if not select.select([connection], [], [], PUSH_INTERVAL_S)[0]:
                     session.push(self._seq)
                     continue
                 message = receive_message(connection, self._key)
+                heard_at = time.monotonic()
                 if message is None:
                     break
                 self._dispatch(connection, message, session)
--- a/magnoliapier/control_store.py
+++ b/magnoliapier/control_store.py
@@ -47,6 +47,7 @@
         self._node = node
         self._health = health
         self._turn = 0
+        self._behind = False
 
     def poll(self):
         """
@@ -67,6 +68,9 @@
             self._health.record(error)
             return
         self._health.record()
+        if read.head_seq < seq and not self._behind:
+            log.error("table_behind", head_seq=read.head_seq, seq=seq)
+        self._behind = read.head_seq < seq
         self._node.tell(lambda node: node.on_log_read(read))
 
 
--- a/magnoliapier/membership.py
+++ b/magnoliapier/membership.py
@@ -224,7 +224,7 @@
 
     def _take(self, member, heartbeat, source):
         member.data_centre = heartbeat.data_centre
-        member.address = heartbeat.address or source
+        member.address = heartbeat.address or source or member.address
         member.status = MemberStatus.ALIVE
         member.incarnation = heartbeat.incarnation
         member.sent_at_ms = heartbeat.sent_at_ms
--- a/magnoliapier/operators.py
+++ b/magnoliapier/operators.py
@@ -472,7 +472,7 @@
     subject = request.query.get("subject", [""])[0]
     kind, _, name = subject.partition("/")
     answer = explanations.get(kind)(application, name)
-    notes, source = read_notes(application, subject)
+    notes, source = read_notes(application, subject.rstrip("/"))
     return {"subject": subject, **answer, "notes": notes, "notes_source": source}
 
 
