--- a/magnoliapier/scheduling.py
+++ b/magnoliapier/scheduling.py
@@ -39,10 +39,6 @@
 # An organisation that returns keeps a claim to at most these seconds of its fair
 # share, from when others had more.
 CREDIT_S = 10.0
-# Short work keeps its priority up to this many times the fair share of slots, as
-# long as its recent use exceeds the fair share by no more than these seconds' worth.
-BURST_FACTOR = 5.0
-BURST_S = 3.0
 # Requests that may not borrow slots must not keep those behind them from it.
 LOOK_AHEAD = 8
 # What a request that was given up is taken to need in all, in parts of its time so
@@ -57,8 +53,7 @@
 
     ``use_tag`` is its use of the service in slot-seconds over its weight so far,
     ``pending_tag`` what its requests in flight are expected to use yet, and
-    ``short_tag`` its use by short work alone. ``burst_tag`` is the fair use that its
-    recent short work amounts to. ``overdue`` counts requests in flight
+    ``short_tag`` its use by short work alone. ``overdue`` counts requests in flight
     that started as short work and outlived it.
     """
 
@@ -70,7 +65,6 @@
     use_tag: float = 0.0
     pending_tag: float = 0.0
     short_tag: float = 0.0
-    burst_tag: float = 0.0
     short_in_flight: int = 0
     long_in_flight: int = 0
     overdue: int = 0
@@ -216,11 +210,7 @@
 
     def _has_priority(self, organisation):
         used = organisation.short_in_flight + organisation.overdue
-        fair = self.fair_slots(organisation)
-        if used < max(fair, 1.0):
-            return True
-        ahead = (organisation.burst_tag - self._mean_use) * organisation.weight
-        return used < BURST_FACTOR * fair and ahead < BURST_S * fair
+        return used < max(self.fair_slots(organisation), 1.0)
 
     def _top(self, heap):
         while heap and heap[0][2] != heap[0][3].version:
@@ -423,7 +413,6 @@
         part = (seconds - flight.short_charged_s) / organisation.weight
         flight.short_charged_s = seconds
         organisation.short_tag += part
-        organisation.burst_tag = part + max(organisation.burst_tag, self._mean_use)
 
     def _charge(self, flight, seconds):
         """Charge an organisation for the slot-seconds used up to now."""
