--- a/magnoliapier/maintenance.py
+++ b/magnoliapier/maintenance.py
@@ -84,6 +84,8 @@
         if self._serial and any(held_out(tables, p) for p in tables.manifest.pools):
             return 0, "another host is in maintenance"
         by_limit = settings.max_unavailable - held_out(tables, pool)
+        if self._serial:
+            by_limit = min(by_limit, 1)
         floor = serving_floor(tables, pool)
         by_budget = tables.serving[pool] - floor
         if by_budget < by_limit:
@@ -349,7 +351,8 @@
         if tables.spare_hosts():
             budget = max(budget, 1)
         width = max(0, min(limit, budget))
-        left_s = settings.end - max(tables.now, settings.start)
+        # In whole minutes, because each change of a note is a write of the table.
+        left_s = (settings.end - max(tables.now, settings.start)) // 60 * 60
         if width == 0:
             if limit == 0 or left_s < count * settings.work_s:
                 tables.note(
--- a/magnoliapier/scheduling.py
+++ b/magnoliapier/scheduling.py
@@ -24,12 +24,13 @@
 # this share of the time, so that it is kept through the pauses between bursts.
 RESERVE_SHARE = 0.95
 RESERVE_LEARNING_S = 4.0
-RESERVE_DEVIATIONS = 0.5
+RESERVE_DEVIATIONS = 1.5
 # Of a sum of Poisson arrivals with decaying weights, at RESERVE_SHARE; the root of
 # a half is 0.7 and the quantile 1.64, and run times vary.
 NOISE_DEVIATIONS = 1.4
 DEMAND_WINDOW_S = 3.0
 MEAN_WINDOW_S = 30.0
+SHORTEST_WINDOW_S = 0.2
 # Short work seen within this time keeps this many slots of the service in reserve.
 RESERVE_MEMORY_S = 30.0
 MIN_RESERVE = 2.0
@@ -44,7 +45,9 @@
 BURST_S = 3.0
 # Requests that may not borrow slots must not keep those behind them from it.
 LOOK_AHEAD = 8
-GIVEN_UP_FACTOR = 2.0
+# What a request that was given up is taken to need in all, in parts of its time so
+# far. It ends at an unknown time, on an endpoint that does not notice.
+GIVEN_UP_FACTOR = 3.0
 
 
 @dataclass(eq=False, slots=True)
@@ -142,10 +145,12 @@
         self._short = []
         self._long = []
         self._checks = []
+        self._given_up = []
         self._deadlines = []
         self._numbers = itertools.count()
         self._last_short = -math.inf
-        self._updated = 0.0
+        self._updated = None
+        self._age = 0.0
         self._mean_demand = 0.0
         self._high_demand = 0.0
         self._short_s = 0.0
@@ -435,6 +440,9 @@
 
     def check_overdue(self, now):
         """Reclassify and charge the requests that outlived their class."""
+        while self._given_up and self._given_up[0] <= now:
+            heapq.heappop(self._given_up)
+            self.long_in_flight -= 1
         while self._checks and self._checks[0][0] <= now:
             _, _, flight = heapq.heappop(self._checks)
             if flight.check_at == math.inf:
@@ -460,7 +468,7 @@
         Count the end of a request in flight.
 
         ``ran`` says that it ran to its end. One that was ``given_up`` still runs on
-        its endpoint; it is taken to need as long again.
+        its endpoint and counts as long work for some more time.
         """
         organisation, estimate = flight.organisation, flight.estimate
         flight.check_at = math.inf
@@ -473,6 +481,10 @@
         setattr(organisation, counted, getattr(organisation, counted) - 1)
         if counted != "short_in_flight":
             self.long_in_flight -= 1
+        if given_up:
+            self.long_in_flight += 1
+            rest = elapsed * (1 - 1 / GIVEN_UP_FACTOR)
+            heapq.heappush(self._given_up, now + rest)
         organisation.trials.discard(flight.request.request_id)
         if ran or given_up:
             known_short = estimate.is_proven and estimate.work_class is SHORT
@@ -503,39 +515,54 @@
         while len(organisation.trials) < TRIALS and organisation.kinds.get(kind):
             waiting = next(iter(organisation.kinds[kind].values()))
             self._take(organisation, waiting)
+            # It may have been queued as long before its kind had any sign; left as
+            # it is, it would return to the queue that it was taken from.
+            waiting.work_class = SHORT
+            waiting.estimate_s = estimate.mean_s
             self._insert(organisation, waiting, estimate)
 
     # The reserve.
 
     def update_reserve(self, now):
         """Adapt the slots reserved for short work to the recent demand for it."""
-        elapsed = now - self._updated
+        elapsed = 0.0 if self._updated is None else now - self._updated
         self._updated = now
+        recently = now - self._last_short < RESERVE_MEMORY_S
+        # The windows fill from the start, and again after a time without short work.
+        self._age = self._age + elapsed if recently else 0.0
+        self._learn_demand(self._measure_demand(elapsed), elapsed)
+        mean = self._mean_demand
+        parts = max(self.all_slots / self.slots, 1.0) if self.slots else 1.0
+        # The noise of one entry host's arrivals averages out over all of them, so
+        # only what the high demand exceeds it by counts as bursts.
+        noise = NOISE_DEVIATIONS * math.sqrt(mean * self._short_s / DEMAND_WINDOW_S)
+        reserve = max(self._high_demand - noise, mean)
+        # Entry hosts share the reserve, since short work may borrow slots of others.
+        reserve += RESERVE_DEVIATIONS * math.sqrt(reserve / parts)
+        if recently:
+            reserve = max(reserve, MIN_RESERVE / parts)
+        # Rounded so that the reserves of consecutive ranks add up.
+        whole = math.floor((self.rank + 1) * reserve) - math.floor(self.rank * reserve)
+        self.reserve = min(whole, max(self.slots - 1, 0))
+
+    def _measure_demand(self, elapsed):
+        """Return the recent short work in slots, of each at most its fair share."""
         decay = math.exp(-elapsed / DEMAND_WINDOW_S)
+        window = DEMAND_WINDOW_S * (1 - math.exp(-self._age / DEMAND_WINDOW_S))
         demand = 0.0
         for organisation in self.organisations.values():
             recent = organisation.short_demand
             if recent > 0.0:
-                slots = recent / DEMAND_WINDOW_S
+                slots = recent / max(window, SHORTEST_WINDOW_S)
                 demand += min(slots, self.fair_slots(organisation))
                 organisation.short_demand = recent * decay if slots > 0.001 else 0.0
-        self._mean_demand += (demand - self._mean_demand) * min(
-            elapsed / MEAN_WINDOW_S, 1.0
-        )
+        return demand
+
+    def _learn_demand(self, demand, elapsed):
+        """Follow the mean and a high quantile of the demand."""
+        weight = elapsed / max(min(MEAN_WINDOW_S, self._age), SHORTEST_WINDOW_S)
+        self._mean_demand += (demand - self._mean_demand) * min(weight, 1.0)
         step = max(self._mean_demand, 0.1) * elapsed / RESERVE_LEARNING_S
         above = demand > self._high_demand
         self._high_demand += step * (RESERVE_SHARE if above else RESERVE_SHARE - 1)
         self._high_demand = max(self._high_demand, self._mean_demand)
-        parts = max(self.all_slots / self.slots, 1.0) if self.slots else 1.0
-        mean = self._mean_demand
-        # The noise of one entry host's arrivals averages out over all of them, so
-        # only what the high demand exceeds it by counts as bursts.
-        noise = NOISE_DEVIATIONS * math.sqrt(mean * self._short_s / DEMAND_WINDOW_S)
-        reserve = max(self._high_demand - noise, mean)
-        reserve += RESERVE_DEVIATIONS * math.sqrt(reserve / parts)
-        # Entry hosts share the reserve, since short work may borrow slots of others.
-        if now - self._last_short < RESERVE_MEMORY_S:
-            reserve = max(reserve, MIN_RESERVE / parts)
-        # Rounded so that the reserves of consecutive ranks add up.
-        whole = math.floor((self.rank + 1) * reserve) - math.floor(self.rank * reserve)
-        self.reserve = min(whole, max(self.slots - 1, 0))
