Let an adopting control process collect consent for two entry processes

Cause: a control process that adopted another host's entry process assumed that its own sender might hold grants of it, and never heard that sender's report, so hosts of the data centre could not move until the other control process returned. Change: attached senders' reports reach each other's grant tables; demand is chosen in one pass over the services without sorting them. Before: the new test ends with consent missing. After: consent is complete 2 s after the last request ends.

--- a/magnoliapier/control_node.py
+++ b/magnoliapier/control_node.py
@@ -66,6 +66,7 @@
     registration: Registration
     given: GivenGrants
     report: object = None
+    demand: dict = field(default_factory=dict)
     reported_at: float = 0.0
     attached: bool = False
     consent_from: float | None = None
@@ -210,7 +211,7 @@
             sender_seq=min(report.applied_seq, state.seq) if report else 0,
             eligible=self.is_eligible(self._name),
             sent_at_ms=self._held.ask(),
-            demand=differences.select(report.demand if report else []),
+            demand=differences.select(session.demand if session else {}),
             busy_hosts=leaving_busy_hosts(state, report) if report else [],
             leaving_hosts=self._leaving.to_send(),
             suspected=[member.name] if self._members.doubts(member) else [],
@@ -288,8 +289,10 @@
         if report.name == self._name:
             self._held.incarnation = report.incarnation
         session.report = report
+        session.demand = {item.service: item for item in report.demand}
         session.reported_at = self._clock.monotonic()
         session.attached = True
+        self._observe_attached(report)
         self.sign_leaving(report.leaving_hosts)
 
     def on_detach(self, name):
@@ -422,6 +425,19 @@
                 total[item.service] = total.get(item.service, 0) + slots
         return total
 
+    def _observe_attached(self, report):
+        # Entry processes attached here hold grants of each other's senders, and no
+        # heartbeat tells this process about them.
+        for session in self._sessions.values():
+            if session.name != report.name:
+                session.given.observe(
+                    report.name,
+                    report.incarnation,
+                    min(report.applied_seq, self.state.seq),
+                    leaving_busy_hosts(self.state, report),
+                    self._held.ask(),
+                )
+
     def _activate(self):
         waited = self._clock.monotonic() - self._started_at >= STARTUP_WAIT_S
         if not (self._settled or waited):
--- a/magnoliapier/membership.py
+++ b/magnoliapier/membership.py
@@ -14,6 +14,7 @@
 """
 
 import enum
+import heapq
 from dataclasses import dataclass, field
 
 from magnoliapier.messages import Demand
@@ -38,6 +39,7 @@
 LOCAL_DEMAND_SENT = 8
 REMOTE_DEMAND_SENT = 3
 DEMAND_REFRESH = 1
+NO_DEMAND = Demand()
 
 
 class MemberStatus(enum.StrEnum):
@@ -324,27 +326,32 @@
         self._turn = 0
 
     def select(self, demand):
-        """Return the :class:`Demand` items to send of the present demand."""
-        present = {item.service: item for item in demand}
-        for service in self._sent:
-            present.setdefault(service, Demand(service))
-        changed = sorted(
-            (s for s in present if present[s] != self._sent.get(s)),
-            key=lambda s: (-self._distance(present[s]), s),
-        )[: self._limit]
-        chosen = changed + self._refresh([s for s in present if s not in changed])
-        for service in chosen:
-            self._sent[service] = present[service]
-        return [present[service] for service in chosen]
+        """
+        Return the :class:`Demand` items to send.
 
-    def _distance(self, item):
-        sent = self._sent.get(item.service, Demand())
-        return abs(item.queued - sent.queued) + abs(item.in_flight - sent.in_flight)
+        ``demand`` maps each service to its present item. The loop is written out
+        because it runs for each service in each heartbeat.
+        """
+        sent = self._sent
+        gone = {service: Demand(service) for service in sent.keys() - demand.keys()}
+        changed = []
+        for items in (demand, gone):
+            for service, item in items.items():
+                known = sent.get(service, NO_DEMAND)
+                distance = abs(item.queued - known.queued) + abs(
+                    item.in_flight - known.in_flight
+                )
+                if distance:
+                    changed.append((distance, service))
+        chosen = {service for _, service in heapq.nlargest(self._limit, changed)}
+        chosen.update(self._refresh([*demand, *gone]))
+        for service in chosen:
+            sent[service] = demand.get(service) or gone[service]
+        return [sent[service] for service in sorted(chosen)]
 
-    def _refresh(self, others):
-        if not others:
+    def _refresh(self, services):
+        if not services:
             return []
-        self._turn += 1
-        others.sort()
-        start = self._turn * DEMAND_REFRESH
-        return [others[(start + n) % len(others)] for n in range(DEMAND_REFRESH)]
+        first = self._turn % len(services)
+        self._turn += DEMAND_REFRESH
+        return services[first : first + DEMAND_REFRESH]
--- a/tests/test_control_node.py
+++ b/tests/test_control_node.py
@@ -2,6 +2,7 @@
 import unittest
 
 from magnoliapier.fleet_state import FleetState
+from magnoliapier.messages import EntryReport
 from magnoliapier.ownership import SENDER_PREFIX, SenderRecord, missing_consents
 from magnoliapier.platform_api import Write
 from tests.control_harness import Fleet
@@ -112,6 +113,25 @@
         self.fleet.run(2)
         self.assertTrue(host.eligible)
 
+    def test_adopted_entry_process_stays_eligible_and_consents(self):
+        """Guards against hosts that cannot move while one control process is down."""
+        lost, adopter = self.fleet.hosts["a"], self.fleet.hosts["b"].node
+        lost.paused = True
+        busy = ["wire-0"]
+
+        def report():
+            seq = adopter.state.seq
+            adopter.on_report(EntryReport("a", lost.incarnation, seq, busy_hosts=busy))
+
+        self.fleet.run(2, report)
+        self.assertTrue(adopter.is_eligible("a"))
+        self.drain()
+        self.fleet.run(8, report)
+        self.assertIn("a", self.missing())
+        busy.clear()
+        self.fleet.run(2, report)
+        self.assertEqual(self.missing(), [])
+
     def test_removed_sender_no_longer_counts(self):
         """Guards against a dead entry host that keeps every host in its pool."""
         self.fleet.hosts["b"].paused = True
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -145,7 +145,8 @@
         differences, received = DemandDifferences(), {}
         demand = [Demand(f"s-{n:02}", n, 1) for n in range(20)]
         for turn in range(30):
-            items = differences.select(demand if turn < 25 else [])
+            present = demand if turn < 25 else []
+            items = differences.select({item.service: item for item in present})
             self.assertLessEqual(len(items), 9)
             if turn != 1:
                 received.update({item.service: item for item in items})
