Add lost control processes to the random fault sequences

Cause: adoption of entry processes was not part of the seeded sequences. Change: an entry process turns to the other control process of its data centre while its own one is down; ten sequences in place of six.

--- a/tests/control_harness.py
+++ b/tests/control_harness.py
@@ -36,7 +36,8 @@
         self.incarnation = 0
         self.busy = set()
         self.leaving = []
-        self.paused = self.store_cut = False
+        self.paused = self.store_cut = self.control_down = False
+        self.keeper = self
         self.start_control()
         self.start_entry()
 
@@ -66,8 +67,27 @@
         self.busy = set()
         self.view = None
 
+    def find_keeper(self):
+        """Return the host whose control process serves this entry process."""
+        if not self.control_down:
+            return self
+        for host in self.fleet.hosts.values():
+            if host.data_centre == self.data_centre and not host.is_silent:
+                return host
+        return None
+
+    @property
+    def is_silent(self):
+        return self.paused or self.control_down
+
     def report(self):
-        node = self.node
+        keeper = self.find_keeper()
+        if keeper is None:
+            return
+        if keeper is not self.keeper and not self.keeper.is_silent:
+            self.keeper.node.on_detach(self.name)
+        self.keeper = keeper
+        node = keeper.node
         if self.state.seq > node.state.seq:
             snapshot = canonical_json(self.state.to_values())
             node.on_snapshot_offer(SnapshotOffer(snapshot=snapshot))
@@ -146,7 +166,7 @@
     def heal(self):
         self.cuts = set()
         for host in self.hosts.values():
-            host.store_cut = False
+            host.store_cut = host.paused = host.control_down = False
 
     def run(self, seconds, check=lambda: None):
         for _ in range(round(seconds / STEP_S)):
@@ -158,22 +178,27 @@
             check()
 
     def step(self, host):
+        if not host.control_down:
+            self.step_control(host)
+        if self.steps % 3 == 0:
+            host.report()
+
+    def step_control(self, host):
         if self.steps % 5 == 0 and not host.store_cut:
             host.reader.poll()
             host.registrar.poll()
         actions = host.node.tick()
         for address, heartbeat in actions.heartbeats:
             target = self.by_address[address]
-            if (host.name, target.name) not in self.cuts and not target.paused:
+            if (host.name, target.name) not in self.cuts and not target.is_silent:
                 target.node.on_heartbeat(heartbeat, self.address_of(host))
         if actions.pull:
             self.pull(host, *actions.pull)
-        if self.steps % 3 == 0:
-            host.report()
 
     def pull(self, host, address, seq):
         source = self.by_address[address]
-        if {(host.name, source.name), (source.name, host.name)} & self.cuts:
+        cut = {(host.name, source.name), (source.name, host.name)} & self.cuts
+        if cut or source.is_silent:
             host.node.on_pull_failed()
         else:
             reply = source.node.on_pull(PullRequest(host.name, seq))
--- a/tests/test_control_node.py
+++ b/tests/test_control_node.py
@@ -216,7 +216,7 @@
 
     def disturb(self):
         host = self.rng.choice(list(self.fleet.hosts.values()))
-        action = self.rng.randrange(8)
+        action = self.rng.randrange(10)
         if action == 0:
             self.fleet.isolate(self.rng.choice(["dc-1", "dc-2"]))
         elif action == 1:
@@ -229,10 +229,10 @@
             host.start_entry()
         elif action == 5:
             self.fleet.platform.faults.lose_answers = 1
+        elif action == 6:
+            host.control_down = True
         else:
             self.fleet.heal()
-            for other in self.fleet.hosts.values():
-                other.paused = False
 
     def work(self):
         for host in self.fleet.hosts.values():
@@ -245,7 +245,7 @@
 
     def test_host_belongs_to_one_pool(self):
         moves = 0
-        for self.seed in range(6):
+        for self.seed in range(10):
             self.rng = random.Random(self.seed)
             self.moves = 0
             self.fleet = Fleet(CENTRES)
