--- a/tests/test_control_node.py
+++ b/tests/test_control_node.py
@@ -2,6 +2,7 @@
 import unittest
 
 from magnoliapier.fleet_state import FleetState
+from magnoliapier.messages import EntryReport
 from magnoliapier.ownership import SENDER_PREFIX, SenderRecord, missing_consents
 from magnoliapier.platform_api import Write
 from tests.control_harness import Fleet
@@ -112,6 +113,25 @@
         self.fleet.run(2)
         self.assertTrue(host.eligible)
 
+    def test_adopted_entry_process_stays_eligible_and_consents(self):
+        """Guards against hosts that cannot move while one control process is down."""
+        lost, adopter = self.fleet.hosts["a"], self.fleet.hosts["b"].node
+        lost.paused = True
+        busy = ["wire-0"]
+
+        def report():
+            seq = adopter.state.seq
+            adopter.on_report(EntryReport("a", lost.incarnation, seq, busy_hosts=busy))
+
+        self.fleet.run(2, report)
+        self.assertTrue(adopter.is_eligible("a"))
+        self.drain()
+        self.fleet.run(8, report)
+        self.assertIn("a", self.missing())
+        busy.clear()
+        self.fleet.run(2, report)
+        self.assertEqual(self.missing(), [])
+
     def test_removed_sender_no_longer_counts(self):
         """Guards against a dead entry host that keeps every host in its pool."""
         self.fleet.hosts["b"].paused = True
@@ -196,7 +216,7 @@
 
     def disturb(self):
         host = self.rng.choice(list(self.fleet.hosts.values()))
-        action = self.rng.randrange(8)
+        action = self.rng.randrange(10)
         if action == 0:
             self.fleet.isolate(self.rng.choice(["dc-1", "dc-2"]))
         elif action == 1:
@@ -209,10 +229,10 @@
             host.start_entry()
         elif action == 5:
             self.fleet.platform.faults.lose_answers = 1
+        elif action == 6:
+            host.control_down = True
         else:
             self.fleet.heal()
-            for other in self.fleet.hosts.values():
-                other.paused = False
 
     def work(self):
         for host in self.fleet.hosts.values():
@@ -225,7 +245,7 @@
 
     def test_host_belongs_to_one_pool(self):
         moves = 0
-        for self.seed in range(6):
+        for self.seed in range(10):
             self.rng = random.Random(self.seed)
             self.moves = 0
             self.fleet = Fleet(CENTRES)
