Take no registered sender for no consent

Cause: once every sender of a data centre was removed, missing_consents and the planner found nobody who withheld consent, and the host was moved under a request that a remote sender ran under their grants. Shortest example: b1 sends; a1 cannot reach the table and pauses 40 s; a2 pauses 40 s while the host is drained; the move interrupts b1. It is the mistake assigns_without_consent of spec_ownership.

Change: a host whose data centre has no registered sender is not moved (R4a); the reason is shown to operators.

Conclusion: hosts of a data centre without entry hosts stay until one registers.

--- a/magnoliapier/ownership.py
+++ b/magnoliapier/ownership.py
@@ -30,6 +30,7 @@
 MAX_REPORT_AGE_S = 1.0
 SENDER_PREFIX = "sender/"
 ANY_INCARNATION = 0
+NO_SENDER = "(no registered sender)"
 
 
 @dataclass(frozen=True)
@@ -112,16 +113,18 @@
     """
     Return the names of the senders that still keep ``host`` in its pool (R4).
 
+    Without a registered sender of the host's data centre the result is NO_SENDER.
+
     ``records`` are all :class:`SenderRecord` of the table, read after the drain was
     appended. An empty result permits ``host_assign`` or ``host_maintenance``.
     """
     data_centre = state.manifest.hosts[host].data_centre
     seq = state.assignments[host].seq
-    return sorted(
-        record.name
-        for record in records
-        if record.data_centre == data_centre and not consents(record, host, seq)
-    )
+    local = [record for record in records if record.data_centre == data_centre]
+    if not local:
+        # Nobody accounts for the grants that the removed senders gave.
+        return [NO_SENDER]
+    return sorted(record.name for record in local if not consents(record, host, seq))
 
 
 def consent_record(name, data_centre, report, state, given):
--- a/magnoliapier/planner_tables.py
+++ b/magnoliapier/planner_tables.py
@@ -190,7 +190,11 @@
         if self.inputs.senders is None:
             return "the sender records cannot be read"
         host = self.manifest.hosts.get(name)
-        for row in self._senders.get(host.data_centre, ()):
+        senders = self._senders.get(host.data_centre, ())
+        if not senders:
+            # Nobody accounts for the grants that removed senders gave.
+            return f"no sender of {host.data_centre} is registered"
+        for row in senders:
             if row.applied_seq < assignment.seq:
                 return f"sender {row.name} has not applied entry {assignment.seq}"
             if name in row.busy_hosts:
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -50,6 +50,7 @@
             [("e1", "dc-1", seq - 1, frozenset())],
             [("e1", "dc-1", seq, frozenset({"spare-0"}))],
             [("e1", "dc-1", seq, frozenset()), ("e2", "dc-1", 0, frozenset())],
+            [("e9", "dc-2", seq, frozenset())],
         )
         for senders in waiting:
             output = self.planner.tick(make_inputs(self.state, senders))
--- a/tests/test_stateful_ownership.py
+++ b/tests/test_stateful_ownership.py
@@ -295,7 +295,7 @@
 
 
 class OwnershipStatefulTests(OwnershipMachine.TestCase):
-    settings = settings(STATEFUL_SETTINGS, max_examples=40, stateful_step_count=30)
+    settings = settings(STATEFUL_SETTINGS, max_examples=100, stateful_step_count=30)
 
 
 class StalePauseTests(unittest.TestCase):
@@ -309,3 +309,15 @@
         machine.finish("b1")
         machine.run_for(6)
         self.assertEqual(machine.head().assignments[HOST].pool, "archive")
+
+
+class NoSenderTests(unittest.TestCase):
+    def test_no_registered_sender_is_no_consent(self):
+        """Guards against a move under a request that no sender accounts for."""
+        machine = OwnershipMachine()
+        machine.send("b1")
+        machine.change_store("a1", True)
+        machine.pause("a1", 40, False)
+        machine.pause("a2", 40, True)
+        self.assertEqual(machine.records()[0].name, "b1")
+        self.assertEqual(machine.head().assignments[HOST].pool, "wire")
