--- a/magnoliapier/scheduling.py
+++ b/magnoliapier/scheduling.py
@@ -30,6 +30,7 @@
 NOISE_DEVIATIONS = 1.4
 DEMAND_WINDOW_S = 3.0
 MEAN_WINDOW_S = 30.0
+SHORTEST_WINDOW_S = 0.2
 # Short work seen within this time keeps this many slots of the service in reserve.
 RESERVE_MEMORY_S = 30.0
 MIN_RESERVE = 2.0
@@ -38,10 +39,6 @@
 # An organisation that returns keeps a claim to at most these seconds of its fair
 # share, from when others had more.
 CREDIT_S = 10.0
-# Short work keeps its priority up to this many times the fair share of slots, as
-# long as its recent use exceeds the fair share by no more than these seconds' worth.
-BURST_FACTOR = 5.0
-BURST_S = 3.0
 # Requests that may not borrow slots must not keep those behind them from it.
 LOOK_AHEAD = 8
 # What a request that was given up is taken to need in all, in parts of its time so
@@ -56,8 +53,7 @@
 
     ``use_tag`` is its use of the service in slot-seconds over its weight so far,
     ``pending_tag`` what its requests in flight are expected to use yet, and
-    ``short_tag`` its use by short work alone. ``burst_tag`` is the fair use that its
-    recent short work amounts to. ``overdue`` counts requests in flight
+    ``short_tag`` its use by short work alone. ``overdue`` counts requests in flight
     that started as short work and outlived it.
     """
 
@@ -69,7 +65,6 @@
     use_tag: float = 0.0
     pending_tag: float = 0.0
     short_tag: float = 0.0
-    burst_tag: float = 0.0
     short_in_flight: int = 0
     long_in_flight: int = 0
     overdue: int = 0
@@ -148,7 +143,8 @@
         self._deadlines = []
         self._numbers = itertools.count()
         self._last_short = -math.inf
-        self._updated = 0.0
+        self._updated = None
+        self._age = 0.0
         self._mean_demand = 0.0
         self._high_demand = 0.0
         self._short_s = 0.0
@@ -214,11 +210,7 @@
 
     def _has_priority(self, organisation):
         used = organisation.short_in_flight + organisation.overdue
-        fair = self.fair_slots(organisation)
-        if used < max(fair, 1.0):
-            return True
-        ahead = (organisation.burst_tag - self._mean_use) * organisation.weight
-        return used < BURST_FACTOR * fair and ahead < BURST_S * fair
+        return used < max(self.fair_slots(organisation), 1.0)
 
     def _top(self, heap):
         while heap and heap[0][2] != heap[0][3].version:
@@ -421,7 +413,6 @@
         part = (seconds - flight.short_charged_s) / organisation.weight
         flight.short_charged_s = seconds
         organisation.short_tag += part
-        organisation.burst_tag = part + max(organisation.burst_tag, self._mean_use)
 
     def _charge(self, flight, seconds):
         """Charge an organisation for the slot-seconds used up to now."""
@@ -519,33 +510,44 @@
 
     def update_reserve(self, now):
         """Adapt the slots reserved for short work to the recent demand for it."""
-        elapsed = now - self._updated
+        elapsed = 0.0 if self._updated is None else now - self._updated
         self._updated = now
+        recently = now - self._last_short < RESERVE_MEMORY_S
+        # The windows fill from the start, and again after a time without short work.
+        self._age = self._age + elapsed if recently else 0.0
+        self._learn_demand(self._measure_demand(elapsed), elapsed)
+        mean = self._mean_demand
+        parts = max(self.all_slots / self.slots, 1.0) if self.slots else 1.0
+        # The noise of one entry host's arrivals averages out over all of them, so
+        # only what the high demand exceeds it by counts as bursts.
+        noise = NOISE_DEVIATIONS * math.sqrt(mean * self._short_s / DEMAND_WINDOW_S)
+        reserve = max(self._high_demand - noise, mean)
+        # Entry hosts share the reserve, since short work may borrow slots of others.
+        reserve += RESERVE_DEVIATIONS * math.sqrt(reserve / parts)
+        if recently:
+            reserve = max(reserve, MIN_RESERVE / parts)
+        # Rounded so that the reserves of consecutive ranks add up.
+        whole = math.floor((self.rank + 1) * reserve) - math.floor(self.rank * reserve)
+        self.reserve = min(whole, max(self.slots - 1, 0))
+
+    def _measure_demand(self, elapsed):
+        """Return the recent short work in slots, of each at most its fair share."""
         decay = math.exp(-elapsed / DEMAND_WINDOW_S)
+        window = DEMAND_WINDOW_S * (1 - math.exp(-self._age / DEMAND_WINDOW_S))
         demand = 0.0
         for organisation in self.organisations.values():
             recent = organisation.short_demand
             if recent > 0.0:
-                slots = recent / DEMAND_WINDOW_S
+                slots = recent / max(window, SHORTEST_WINDOW_S)
                 demand += min(slots, self.fair_slots(organisation))
                 organisation.short_demand = recent * decay if slots > 0.001 else 0.0
-        self._mean_demand += (demand - self._mean_demand) * min(
-            elapsed / MEAN_WINDOW_S, 1.0
-        )
+        return demand
+
+    def _learn_demand(self, demand, elapsed):
+        """Follow the mean and a high quantile of the demand."""
+        weight = elapsed / max(min(MEAN_WINDOW_S, self._age), SHORTEST_WINDOW_S)
+        self._mean_demand += (demand - self._mean_demand) * min(weight, 1.0)
         step = max(self._mean_demand, 0.1) * elapsed / RESERVE_LEARNING_S
         above = demand > self._high_demand
         self._high_demand += step * (RESERVE_SHARE if above else RESERVE_SHARE - 1)
         self._high_demand = max(self._high_demand, self._mean_demand)
-        parts = max(self.all_slots / self.slots, 1.0) if self.slots else 1.0
-        mean = self._mean_demand
-        # The noise of one entry host's arrivals averages out over all of them, so
-        # only what the high demand exceeds it by counts as bursts.
-        noise = NOISE_DEVIATIONS * math.sqrt(mean * self._short_s / DEMAND_WINDOW_S)
-        reserve = max(self._high_demand - noise, mean)
-        reserve += RESERVE_DEVIATIONS * math.sqrt(reserve / parts)
-        # Entry hosts share the reserve, since short work may borrow slots of others.
-        if now - self._last_short < RESERVE_MEMORY_S:
-            reserve = max(reserve, MIN_RESERVE / parts)
-        # Rounded so that the reserves of consecutive ranks add up.
-        whole = math.floor((self.rank + 1) * reserve) - math.floor(self.rank * reserve)
-        self.reserve = min(whole, max(self.slots - 1, 0))
