Record the requests of an entry process as a trace

Cause: traces could be generated but not recorded from a running system; the setting trace_file had no effect. Change: RequestTrace writes arrivals, run times, commits and drains through TraceRecorder, without bodies or the text of keys.

--- a/magnoliapier/entry.py
+++ b/magnoliapier/entry.py
@@ -25,6 +25,7 @@
 from magnoliapier.ownership import DROP_GRANTS_GAP_S, STALE_GAP_S
 from magnoliapier.platform_http import connect_platform
 from magnoliapier.request_path import RequestPath
+from magnoliapier.request_trace import RequestTrace
 from magnoliapier.settings import load_settings
 
 log = get_logger(__name__)
@@ -73,6 +74,7 @@
         self._metrics_server = HttpServer(
             self._show_metrics, options.metrics_address, threads=METRICS_THREADS
         )
+        self._trace = RequestTrace(settings, clock)
         self._claims = Claims(table, clock, metrics, settings.name, self._incarnation)
         self.path = RequestPath(
             decisions,
@@ -82,6 +84,7 @@
             self.budget,
             clock,
             metrics,
+            self._trace,
         )
         try:
             self.callers = CallerServer(
@@ -154,6 +157,7 @@
         if self._link is not None:
             self._link.stop()
         self._connections.close()
+        self._trace.close()
         self._metrics_server.close()
         log.info("entry_stopped", name=self._settings.name)
 
--- a/magnoliapier/request_path.py
+++ b/magnoliapier/request_path.py
@@ -44,7 +44,9 @@
     which hosts may be sent to and takes signs that a host leaves.
     """
 
-    def __init__(self, decisions, fleet, connections, claims, budget, clock, metrics):
+    def __init__(
+        self, decisions, fleet, connections, claims, budget, clock, metrics, trace
+    ):
         self._decisions = decisions
         self._fleet = fleet
         self._connections = connections
@@ -52,6 +54,7 @@
         self._budget = budget
         self._clock = clock
         self._metrics = metrics
+        self._trace = trace
         self._lock = threading.Lock()
         self._busy = collections.Counter()
         self._sends = set()
@@ -113,6 +116,7 @@
     def run(self, dispatch):
         """Send a dispatched request; runs in a worker thread."""
         exchange = dispatch.request.payload
+        started = self._clock.monotonic()
         try:
             report = self._attempt(exchange, dispatch)
         except Exception as error:
@@ -120,6 +124,9 @@
             log.error("send_failed", error=repr(error))
             self._metrics.count("worker_errors_total")
             report = failed(SendOutcome.RESET, RunState.UNKNOWN, True)
+        if report.result.run_state is RunState.RAN:
+            elapsed = self._clock.monotonic() - started
+            self._trace.completed(dispatch.request, elapsed)
         if report.draining or report.refused:
             self._fleet.sign_leaving(dispatch.endpoint.host, report.draining)
         self._finish(exchange, dispatch, report)
@@ -138,6 +145,7 @@
 
     def set_fleet(self, manifest, endpoints):
         """Put a new list of endpoints in force."""
+        self._trace.fleet_changed(manifest, endpoints)
         self._connections.retain({endpoint.address for endpoint in endpoints})
         self._decide(lambda: self._decisions.set_fleet(manifest, endpoints))
 
@@ -178,6 +186,7 @@
         if exchange.gone:
             return [gone_refusal(exchange)]
         exchange.queued = True
+        self._trace.arrived(exchange.entry)
         return self._decisions.arrive(exchange.entry)
 
     def _cancel(self, exchange):
--- /dev/null
+++ b/magnoliapier/request_trace.py
@@ -0,0 +1,111 @@
+"""Records the requests of an entry process as a trace for replay."""
+
+import threading
+
+from magnoliapier.manifest import make_patch
+from magnoliapier.traces import (
+    Arrival,
+    Commit,
+    Completion,
+    Drain,
+    Header,
+    TraceRecorder,
+)
+
+DESCRIPTION = "Recorded by magnoliapier-entry."
+
+
+class RequestTrace:
+    """
+    Turns what an entry process sees into the events of a trace.
+
+    Recording begins with the first manifest in force, which goes into the header.
+    Without a file name nothing is recorded and every call returns at once.
+
+    Example::
+
+        trace = RequestTrace(settings, clock)
+        trace.fleet_changed(manifest, endpoints)
+        trace.arrived(request)
+        trace.completed(request, 0.25)
+        trace.close()
+    """
+
+    def __init__(self, settings, clock):
+        self._settings = settings
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._recorder = None
+        if settings.trace_file:
+            self._recorder = TraceRecorder(
+                settings.trace_file, settings.trace_max_bytes, clock
+            )
+        self._values = None
+        self._version = 0
+        self._leaving = set()
+
+    def fleet_changed(self, manifest, endpoints):
+        """Record a new manifest as a commit and newly leaving hosts as drains."""
+        if self._recorder is None or manifest is None:
+            return
+        with self._lock:
+            self._record_manifest(manifest.model_dump(mode="json"))
+            leaving = {endpoint.host for endpoint in endpoints if endpoint.leaving}
+            for host in sorted(leaving - self._leaving):
+                self._recorder.record(Drain(0.0, host))
+            self._leaving = leaving
+
+    def arrived(self, request):
+        """Record an admitted request; its run time follows when it is known."""
+        if self._recorder is None:
+            return
+        self._recorder.record(
+            Arrival(
+                t=0.0,
+                entry=self._settings.name,
+                request_id=request.request_id,
+                service=request.service,
+                organisation=request.organisation,
+                kind=request.kind,
+                work_class=request.declared_class.value,
+                run_s=0.0,
+                deadline_s=max(request.deadline - request.arrived, 0.001),
+                idempotent=request.idempotent,
+                declared_s=request.declared_s,
+                key=request.key,
+                body_bytes=request.body_bytes,
+            )
+        )
+
+    def completed(self, request, run_s):
+        """Record how long an endpoint took for a request."""
+        if self._recorder is not None:
+            self._recorder.record(Completion(0.0, request.request_id, run_s))
+
+    def close(self):
+        """Close the file."""
+        if self._recorder is not None:
+            self._recorder.close()
+
+    def _record_manifest(self, values):
+        if self._values is None:
+            entry_hosts = {self._settings.name: self._settings.data_centre}
+            self._recorder.start(
+                Header(
+                    self._settings.name,
+                    DESCRIPTION,
+                    0.0,
+                    entry_hosts,
+                    values,
+                    self._settings.seed,
+                )
+            )
+        elif values != self._values:
+            patch = make_patch(self._values, values)
+            self._recorder.record(
+                Commit(0.0, self._settings.name, self._version, patch)
+            )
+        else:
+            return
+        self._values = values
+        self._version += 1
