Do not hold endpoints after requests that hit their deadline

Change: only busy answers hold an endpoint; a busy entry host starts a request only if its whole mean run time is left; a test of three timeouts in a row.

--- a/magnoliapier/admission.py
+++ b/magnoliapier/admission.py
@@ -16,9 +16,9 @@
 # has less time to make up for an error.
 WAIT_SHARE_SHORT = 0.4
 WAIT_SHARE_LONG = 0.7
-# A queued request is given up at its start if less than this share of its mean
-# run time is left; run times below the mean are common.
-START_SHARE = 0.5
+# On a busy entry host a queued request is given up at its start if less than this
+# share of its mean run time is left.
+START_SHARE = 1.0
 # Fewer runs than prove a class, since each hopeless start wastes a slot for long.
 HOPELESS_RUNS = 3
 MAX_RETRY_AFTER_S = 60
--- a/magnoliapier/dispatcher.py
+++ b/magnoliapier/dispatcher.py
@@ -232,8 +232,6 @@
             if service.ejections.observe(endpoint.name, result, 0.0, now):
                 service.pool.refresh(endpoint)
         elif outcome in FAILURE_WEIGHTS:
-            if outcome is SendOutcome.TIMEOUT:
-                service.pool.hold(endpoint, now)
             blame = self._failures.add(request, True)
             if service.ejections.observe(endpoint.name, result, blame, now):
                 service.pool.refresh(endpoint)
--- a/magnoliapier/routing.py
+++ b/magnoliapier/routing.py
@@ -152,11 +152,12 @@
 
     def hold(self, endpoint, now):
         """
-        Send an endpoint no more than it runs for us now, then one more at a time.
+        Send a busy endpoint no more than it runs for us now, then one more at a time.
 
-        It was busy, or it still runs a request that was given up. Each busy answer
-        in a row doubles the time to the next attempt, since it costs a request the
-        use of the endpoint.
+        Each busy answer in a row doubles the time to the next attempt, since it costs
+        a request the use of the endpoint. Requests that ran into their deadline hold
+        nothing: under overload they would stop an entry host altogether, as its next
+        requests are the ones closest to their deadlines.
         """
         previous = self._holds.get(endpoint.name)
         seconds = HOLD_S if previous is None else min(2 * previous[2], MAX_HOLD_S)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -197,6 +197,16 @@
             self.pass_time(0.01)
         self.assertLess(failures, 20)
 
+    def test_timeouts_do_not_stop_an_entry_host(self):
+        """Fails if requests that hit their deadline keep the next ones from starting."""
+        self.start(hosts=1)
+        timeout = SendResult(SendOutcome.TIMEOUT, RunState.UNKNOWN)
+        for _ in range(3):
+            self.arrive(left=0.2)
+            self.clock.advance(0.2)
+            self.dispatcher.complete(self.request, timeout)
+        self.assertTrue(self.dispatcher._services["wire"].pool.has_room)
+
     def test_lost_peer_reports_reduce_the_share(self):
         """Fails if an entry host that hears nothing uses the slots of others."""
         peers = [PeerDemand("entry-2", "dc-1", 0, 0, 0.1)]
