--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -198,7 +198,7 @@
         self.assertLess(failures, 20)
 
     def test_timeouts_do_not_stop_an_entry_host(self):
-        """Fails if requests that hit their deadline keep the next ones from starting."""
+        """Fails if requests that hit their deadline keep the next from starting."""
         self.start(hosts=1)
         timeout = SendResult(SendOutcome.TIMEOUT, RunState.UNKNOWN)
         for _ in range(3):
