--- a/magnoliapier/request_trace.py
+++ b/magnoliapier/request_trace.py
@@ -13,6 +13,8 @@
 )
 
 DESCRIPTION = "Recorded by magnoliapier-entry."
+# The end of a drain is not known when it is recorded; no recording is so long.
+OPEN_DRAIN_S = 86_400.0
 
 
 class RequestTrace:
@@ -42,18 +44,29 @@
             )
         self._values = None
         self._version = 0
-        self._leaving = set()
+        self._working = set()
 
     def fleet_changed(self, manifest, endpoints):
-        """Record a new manifest as a commit and newly leaving hosts as drains."""
+        """
+        Record a new manifest as a commit, and hosts that take no more work as drains.
+
+        Only hosts of the own data centre count, because those of others also come
+        and go with grants.
+        """
         if self._recorder is None or manifest is None:
             return
         with self._lock:
             self._record_manifest(manifest.model_dump(mode="json"))
-            leaving = {endpoint.host for endpoint in endpoints if endpoint.leaving}
-            for host in sorted(leaving - self._leaving):
-                self._recorder.record(Drain(0.0, host))
-            self._leaving = leaving
+            working = {
+                endpoint.host
+                for endpoint in endpoints
+                if endpoint.data_centre == self._settings.data_centre
+                and not endpoint.leaving
+            }
+            for host in sorted(self._working - working):
+                if host in manifest.hosts:
+                    self._recorder.record(Drain(0.0, host, duration_s=OPEN_DRAIN_S))
+            self._working = working
 
     def arrived(self, request):
         """Record an admitted request; its run time follows when it is known."""
