Keep recordings apart from generated traces

Cause: the folder of generated traces is checked against the generator, which refused the recorded one. Change: recordings/ is replayed beside traces/.

--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,7 @@
 	$(RUN) -m magnoliapier.modelcheck --output build/model.json
 
 replay: $(VENV)/.installed
+	$(RUN) -m magnoliapier.replay --all recordings
 	$(RUN) -m magnoliapier.replay --all traces
 
 bench: bench-request bench-fleet
