State what set_fleet and arrive expect of their callers

Cause: two expectations of the dispatcher were only in its tests. Change: doc comments. Conclusion: no change of behaviour.

--- a/magnoliapier/dispatcher.py
+++ b/magnoliapier/dispatcher.py
@@ -119,7 +119,12 @@
     # Requests.
 
     def arrive(self, request):
-        """Admit a request or refuse it, and start what can start."""
+        """
+        Admit a request or refuse it, and start what can start.
+
+        The ``request_id`` must differ from those of all requests that are queued or
+        in flight; one that does not is refused as a bad request.
+        """
         now = self._clock.monotonic()
         service = self._services.get(request.service)
         refusal = self._check(service, request)
@@ -373,7 +378,12 @@
         return decisions
 
     def set_fleet(self, manifest, endpoints):
-        """Replace services, organisations and endpoints."""
+        """
+        Replace services, organisations and endpoints.
+
+        ``endpoints`` lists those that this entry host may send to now, by rules R1
+        and R2 of the design. It is not changed.
+        """
         now = self._clock.monotonic()
         self._organisations = {
             name: declared.weight for name, declared in manifest.organisations.items()
