Bound what the kernel holds of an answer that its caller does not read

Cause: test_slow_readers failed once in a full run: the kernel took whole answers of 1 MB, so the memory budget was not used and nothing was refused. That memory was also outside every stated bound.

--- a/magnoliapier/callers.py
+++ b/magnoliapier/callers.py
@@ -37,6 +37,9 @@
 log = get_logger(__name__)
 
 RECEIVE_BYTES = 16_384
+# Without a limit the kernel takes up to 4 MB of an answer for a caller that does not
+# read, outside max_buffered_bytes. The kernel doubles the value.
+SEND_BUFFER_BYTES = 131_072
 # A refusal before the body was read is followed by a read to the end, because
 # closing a socket with unread bytes resets it and may destroy the refusal.
 LINGER_S = 2.0
@@ -253,6 +256,7 @@
         self._lingered = None
         self._closed = False
         self._received = None
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         wasyncore.dispatcher.__init__(self, connection, map=map)
 
     @property
--- a/magnoliapier/outcomes.py
+++ b/magnoliapier/outcomes.py
@@ -859,7 +859,9 @@
     if not started:
         return nothing("start of a matching job")
     succeeded = {
-        seen["job"] for _, seen in report.of("job_end") if seen["outcome"] == "succeeded"
+        seen["job"]
+        for _, seen in report.of("job_end")
+        if seen["outcome"] == "succeeded"
     }
     for index, seen in started:
         if seen["job"] not in succeeded:
