Answer a Content-Length of thousands of digits

Cause: fuzzing the callers' parser found that Python's limit of 4300 digits raises ValueError inside waitress, which closed the connection unanswered. Change: it is a parsing error, refused as bad_request.

--- a/magnoliapier/callers.py
+++ b/magnoliapier/callers.py
@@ -91,7 +91,11 @@
         """Parse the request line and headers."""
         if b"\r\n " in header_plus or b"\r\n\t" in header_plus:
             raise ParsingError("A header line is continued; send it in one line.")
-        super().parse_header(header_plus)
+        try:
+            super().parse_header(header_plus)
+        except ValueError:
+            # Python refuses to convert thousands of digits.
+            raise ParsingError("Content-Length is not usable.") from None
         headers = self.headers
         if "TRANSFER_ENCODING" in headers:
             raise ParsingError("Transfer-Encoding needs HTTP/1.1.")
