Refuse unusable log entries with a typed error

Cause: fuzzing the fold found KeyError, TypeError, AttributeError and ValueError for bodies with missing or wrong fields, and an UnknownNameError for a kind of a later version, which LogFollower and FleetView do not catch; such an entry would end the reader of every process. Change: FleetState.apply raises StateOrderError for all of them. Conclusion: a follower stops before an unusable entry and reports it.

--- a/magnoliapier/fleet_state.py
+++ b/magnoliapier/fleet_state.py
@@ -8,7 +8,7 @@
 import enum
 from dataclasses import dataclass, field, replace
 
-from magnoliapier.exceptions import StateOrderError
+from magnoliapier.exceptions import StateOrderError, UnknownNameError
 from magnoliapier.manifest import digest, merge_patch, validate_manifest
 from magnoliapier.registry import Registry
 
@@ -109,7 +109,8 @@
 
     def apply(self, entry):
         """
-        Apply the entry that follows; raise StateOrderError for any other.
+        Apply the entry that follows; raise StateOrderError for any other one and for
+        an entry of an unknown kind or with an unusable body.
 
         Each kind of entry has a function in the registry ``entry_kinds``.
         """
@@ -118,7 +119,15 @@
                 f"Entry {entry.seq} does not follow state {self.seq}; "
                 f"read the entries from {self.seq + 1} again."
             )
-        entry_kinds.get(entry.kind)(self, entry)
+        try:
+            entry_kinds.get(entry.kind)(self, entry)
+        except UnknownNameError as error:
+            raise StateOrderError(f"Entry {entry.seq}: {error}") from None
+        except (KeyError, TypeError, AttributeError, ValueError) as error:
+            raise StateOrderError(
+                f"Entry {entry.seq} has an unusable body ({type(error).__name__}); "
+                "check the version of the program that wrote it."
+            ) from None
         self.seq = entry.seq
 
     def hosts_of(self, pool):
