--- a/magnoliapier/admission.py
+++ b/magnoliapier/admission.py
@@ -10,6 +10,7 @@
 
 from magnoliapier.reasons import REFUSALS, RefusalReason, RunState
 from magnoliapier.request_tables import Refusal, WorkClass
+from magnoliapier.scheduling import TRIALS
 
 # Waits are planned to use at most this share of the time to the deadline. Run
 # times are estimates, and a request that ends too late wastes its slot. Short work
@@ -27,8 +28,10 @@
 def expected_wait_s(queue, organisation, estimate, has_room):
     """Return the expected wait in seconds of a new request of an organisation."""
     ahead = organisation.short_queued_s
-    # Most short work that is not proven short queues with the long work.
-    if estimate.work_class is WorkClass.LONG or not estimate.is_proven:
+    # Beyond a few trials, short work that is not proven short queues with the long
+    # work.
+    is_trial = not estimate.is_proven and len(organisation.trials) < TRIALS
+    if estimate.work_class is WorkClass.LONG or not (estimate.is_proven or is_trial):
         ahead += organisation.long_queued_s
     if ahead <= 0.0 or (has_room and queue.queued == 0):
         return 0.0
