--- a/magnoliapier/scheduling.py
+++ b/magnoliapier/scheduling.py
@@ -504,6 +504,9 @@
         while len(organisation.trials) < TRIALS and organisation.kinds.get(kind):
             waiting = next(iter(organisation.kinds[kind].values()))
             self._take(organisation, waiting)
+            # It may have been queued while its kind was held to be long.
+            waiting.work_class = SHORT
+            waiting.estimate_s = estimate.mean_s
             self._insert(organisation, waiting, estimate)
 
     # The reserve.
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -117,6 +117,14 @@
         estimate = self.queue.estimates.find(self.request("a", "quick", "long"))
         self.assertEqual(estimate.work_class, WorkClass.SHORT)
 
+    def test_trial_of_work_that_was_queued_as_long_ends(self):
+        """Fails if a kind that turns short again makes the queue loop forever."""
+        self.add(5, "a", "odd", declared="long")
+        flight = self.start()
+        flight.estimate.work_class = WorkClass.SHORT
+        self.queue.end(flight, 0.1, ran=True)
+        self.assertEqual(len(self.queue.organisations["a"].trials), TRIALS)
+
     def test_returning_organisation_saves_up_no_claim(self):
         """Fails if an idle time gives an organisation all slots on its return."""
         self.add(400, "a", "long")
