Spill the demand of ejected endpoints over to other data centres

Cause: an entry host whose own endpoints were all ejected kept its share of their slots and got none elsewhere, so it refused nearly all requests as deadline_unreachable while other data centres were idle. Ruled out: probes (the endpoints came back as planned after the fault). Change: endpoints that are ejected or leaving have no slots to share out.

--- a/magnoliapier/dispatcher.py
+++ b/magnoliapier/dispatcher.py
@@ -65,7 +65,12 @@
     def update_shares(self, peers_age_s):
         """Recompute the share of each endpoint's slots."""
         demand = sum(self.demand if self.reported is None else self.reported)
-        shares = self.shares.shares(self.peers, demand, peers_age_s)
+        stopped = frozenset(
+            endpoint.name
+            for endpoint in self.pool.endpoints.values()
+            if endpoint.ejected or endpoint.leaving
+        )
+        shares = self.shares.shares(self.peers, demand, peers_age_s, stopped)
         self.queue.rank = self.shares.rank(self.peers)
         for endpoint in self.pool.endpoints.values():
             share = shares.get(endpoint.name, 0)
--- a/magnoliapier/slots.py
+++ b/magnoliapier/slots.py
@@ -151,29 +151,44 @@
     def __init__(self, name, data_centre):
         self._name = name
         self._data_centre = data_centre
+        self._groups = {}
         self._layouts = {}
+        self._stopped = None
         self._known = 1
 
     def set_endpoints(self, endpoints):
         """Take the endpoints of the service, a list of EndpointEntry."""
-        groups = defaultdict(dict)
+        self._groups = defaultdict(dict)
         for endpoint in endpoints:
-            groups[endpoint.data_centre][endpoint.name] = endpoint.slots
+            self._groups[endpoint.data_centre][endpoint.name] = endpoint.slots
+        self._stopped = None
+        self._lay_out(frozenset())
+
+    def _lay_out(self, stopped):
+        if stopped == self._stopped:
+            return
+        self._stopped = stopped
         self._layouts = {
-            data_centre: SlotLayout(group) for data_centre, group in groups.items()
+            data_centre: SlotLayout(
+                {name: slots for name, slots in group.items() if name not in stopped}
+            )
+            for data_centre, group in self._groups.items()
         }
 
     def rank(self, peers):
         """Return the place of this entry host in the order of names."""
         return sum(peer.name < self._name for peer in peers)
 
-    def shares(self, peers, own_demand, peers_age_s):
+    def shares(self, peers, own_demand, peers_age_s, stopped=frozenset()):
         """
         Return {endpoint: slots} by the peers' reports.
 
         ``peers`` is a list of PeerDemand and ``peers_age_s`` tells how long ago it
-        was given. Without recent reports the share is the safe one.
+        was given. Without recent reports the share is the safe one. Endpoints that
+        are ``stopped`` have no slots to share, so that the demand they leave
+        unserved spills over to other data centres.
         """
+        self._lay_out(stopped)
         local = [peer for peer in peers if peer.data_centre == self._data_centre]
         if peers_age_s > STALE_S:
             return self._safe_shares()
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -61,6 +61,19 @@
                 totals[name] = totals.get(name, 0) + slots
         self.assertEqual(totals, {f"e{n}": 8 for n in range(4)})
 
+    def test_demand_of_ejected_endpoints_spills_over(self):
+        """Fails if an entry host is left without slots when its endpoints fail."""
+        shares = SlotShares("a", "dc-1")
+        shares.set_endpoints(endpoints())
+        peers = [PeerDemand("b", "dc-2", 0, 1, 0.0)]
+        given = shares.shares(peers, 6, 0.0, frozenset({"e0", "e2"}))
+        self.assertEqual(sum(given.values()), 6)
+        self.assertLessEqual(given.keys(), {"e1", "e3"})
+        given = shares.shares(peers, 6, 0.0, frozenset({"e0"}))
+        self.assertEqual(given["e2"], 8)
+        given = shares.shares(peers, 6, 0.0)
+        self.assertEqual(given["e0"] + given["e2"], 16)
+
     def test_lost_reports_leave_the_safe_share(self):
         """Fails if an entry host that hears nothing keeps more than its part."""
         shares = SlotShares("entry-1", "dc-1")
