Keep a job off workers that it failed on

Cause: a worker that fails everything has room again at once, so a failed job was started there once more when the other workers were busy, and lost its attempts; urgent jobs made room there without looking at earlier failures. Change: both paths choose among the workers that the job did not fail on, as long as its pool has any; it waits for one otherwise. Conclusion: attempts are spent on different workers.

--- a/magnoliapier/jobs.py
+++ b/magnoliapier/jobs.py
@@ -368,19 +368,16 @@
         misfits = self._misfits[job.pool]
         if any(all(a <= b for a, b in zip(m, size, strict=True)) for m in misfits):
             return False
-        workers = [w for w in self._pool_workers[job.pool] if w.fits(job)]
-        if not workers:
+        if not any(w.fits(job) for w in self._pool_workers[job.pool]):
             misfits.append(size)
             return False
-        failed_on = {
-            run.task.host
-            for run in self._runs.get(name, ())
-            if run.task.status is TaskStatus.FAILED
-        }
+        workers = [w for w in self._candidates(name, job) if w.fits(job)]
+        if not workers:
+            self._tables.note(f"job/{name}", "Waits for a worker it did not fail on.")
+            return False
         worker = min(
             workers,
             key=lambda w: (
-                w.name in failed_on,
                 # Accelerators are kept for the jobs that need them.
                 w.accelerators if not job.accelerators else 0,
                 w.cores,
@@ -389,6 +386,21 @@
         )
         return self._start(name, job, worker)
 
+    def _candidates(self, name, job):
+        """
+        Return the workers that a job may be started on.
+
+        A worker that fails everything is fast and so often has room. A job does not
+        return to one that it failed on, as long as its pool has any other.
+        """
+        workers = self._pool_workers[job.pool]
+        failed_on = {
+            run.task.host
+            for run in self._runs.get(name, ())
+            if run.task.status is TaskStatus.FAILED
+        }
+        return [w for w in workers if w.name not in failed_on] or workers
+
     def _start(self, name, job, worker):
         runs = self._runs.get(name, ())
         number = 1 + max((run.number for run in runs), default=0)
@@ -424,7 +436,7 @@
         if not self._quotas.allows(job) and not self._free_quota(name, job):
             return
         best = None
-        for worker in self._pool_workers[job.pool]:
+        for worker in self._candidates(name, job):
             plan = self._room_plan(worker, job)
             if plan is not None:
                 cost = (len(plan[1]), len(plan[0]), worker.name)
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -135,6 +135,23 @@
         self.assertEqual(len(self.running()), 3)
         self.assertFalse(hosts & {task.host for task in self.running().values()})
 
+    def test_job_waits_for_a_worker_that_it_did_not_fail_on(self):
+        """Guards against a fast failing worker that uses up a job's attempts."""
+        for urgent in (False, True):
+            self.prepare(
+                {"a": job(cores=32, urgent=urgent), "b": job(cores=32, urgent=True)},
+                hosts=2,
+            )
+            self.tick()
+            first = self.running()["a"]
+            self.tasks.finish(first.task_id, TaskStatus.FAILED)
+            notes = self.tick()
+            self.assertNotIn("a", self.running())
+            self.assertIn("job/a", notes)
+            self.tasks.finish(self.running()["b"].task_id)
+            self.tick()
+            self.assertNotEqual(self.running()["a"].host, first.host)
+
     def test_retries_are_bounded(self):
         self.prepare({"a": job(max_attempts=2)})
         for _ in range(4):
