Leave out only whole data centres from the slot layout

Change: a data centre is left out only if all its endpoints are stopped. The benchmarks also print the socket, roll-out and control figures; added_p50_ms is against the bare forwarder, as its target says (it was against a direct call, which stays as added_p50_ms_direct). Conclusion: spill needs agreement or an outage that no one disputes.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -16,6 +16,7 @@
 
 import typer
 
+from benchmarks import rollout, slopes
 from benchmarks.fleet_traces import (
     DAY_S,
     fleet_manifest,
@@ -341,6 +342,39 @@
     return Figure(round(percentile(waits, 99), 2), 4.7, detail)
 
 
+@figures.register("rollout_p99_s")
+def measure_rollout_p99():
+    """Seconds until a commit is in force on 7 control processes with sockets."""
+    result = rollout.measure()
+    return Figure(round(result["rollout_p99_s"], 3), 2.0, result)
+
+
+@functools.cache
+def control_figures():
+    """Return the figures of control at the target size, from measured slopes."""
+    return slopes.compute(slopes.measure())
+
+
+@figures.register("control_core_pct")
+def measure_control_core():
+    """Share of a core that a control process uses."""
+    return Figure(round(control_figures()["core_pct"], 2), 3.1)
+
+
+@figures.register("control_mb")
+def measure_control_memory():
+    """Resident memory of a process with two control processes."""
+    return Figure(round(control_figures()["mb"], 1), 256)
+
+
+@figures.register("control_kb_s")
+def measure_control_traffic():
+    """Bytes that a control process sends and receives, the platform's included."""
+    values = control_figures()
+    detail = {key: round(values[key], 2) for key in ("kb_s_fewest", "kb_s_sent")}
+    return Figure(round(values["kb_s"], 2), 6, detail)
+
+
 def percentile(values, share):
     """Return the nearest-rank percentile."""
     ordered = sorted(values)
--- a/benchmarks/forwarder.py
+++ b/benchmarks/forwarder.py
@@ -241,8 +241,9 @@
     Return the socket figures of the Targets table.
 
     ``forwarder_ratio`` is the lower of the medians with 8 and 32 callers, and
-    ``added_p50_ms`` is the entry process's median latency less that of calling the
-    endpoint directly. The keys with a suffix are the parts they are made of.
+    ``added_p50_ms`` is the entry process's median latency less that of the bare
+    forwarder. ``added_p50_ms_direct`` and ``added_p50_ms_bare`` compare both with
+    calling the endpoint directly. The other keys are the parts they are made of.
     """
     endpoint = Role("endpoint")
     bare = Role("bare", endpoint.address)
@@ -264,6 +265,9 @@
             for _ in range(pairs)
         ]
         result["added_p50_ms"] = round(
+            statistics.median(row[2] - row[1] for row in rows), 3
+        )
+        result["added_p50_ms_direct"] = round(
             statistics.median(row[2] - row[0] for row in rows), 3
         )
         result["added_p50_ms_bare"] = round(
--- a/benchmarks/request.py
+++ b/benchmarks/request.py
@@ -14,6 +14,7 @@
 from dataclasses import asdict, dataclass, field
 from pathlib import Path
 
+from benchmarks import forwarder
 from benchmarks.request_load import (
     CAPACITY_SLOTS,
     flood_load,
@@ -368,6 +369,16 @@
     }
 
 
+@figures.register("sockets")
+def measure_sockets():
+    """Throughput and latency against a bare forwarder, over real sockets."""
+    result = forwarder.measure()
+    return {
+        "forwarder_ratio": Figure(result["forwarder_ratio"], 0.85, False, result),
+        "added_p50_ms": Figure(result["added_p50_ms"], 0.5, True),
+    }
+
+
 def main(arguments=None):
     """Measure the figures, print them and write them to a file."""
     parser = argparse.ArgumentParser(description=__doc__)
--- a/magnoliapier/slots.py
+++ b/magnoliapier/slots.py
@@ -165,13 +165,17 @@
         self._lay_out(frozenset())
 
     def _lay_out(self, stopped):
+        """
+        Lay out the slots of each data centre that has an endpoint left.
+
+        Only whole data centres are left out: entry hosts do not see the same
+        endpoints fail, and layouts that differ give the same slots out twice.
+        """
         if stopped == self._stopped:
             return
         self._stopped = stopped
         self._layouts = {
-            data_centre: SlotLayout(
-                {name: slots for name, slots in group.items() if name not in stopped}
-            )
+            data_centre: SlotLayout({} if group.keys() <= stopped else group)
             for data_centre, group in self._groups.items()
         }
 
@@ -184,9 +188,9 @@
         Return {endpoint: slots} by the peers' reports.
 
         ``peers`` is a list of PeerDemand and ``peers_age_s`` tells how long ago it
-        was given. Without recent reports the share is the safe one. Endpoints that
-        are ``stopped`` have no slots to share, so that the demand they leave
-        unserved spills over to other data centres.
+        was given. Without recent reports the share is the safe one. A data centre
+        whose endpoints are all ``stopped`` has no slots to share, so that its demand
+        spills over to others.
         """
         self._lay_out(stopped)
         local = [peer for peer in peers if peer.data_centre == self._data_centre]
