--- a/magnoliapier/settings.py
+++ b/magnoliapier/settings.py
@@ -31,7 +31,6 @@
         "max_queue": 2000,
         "connect_timeout_s": 1.0,
         "progress_timeout_s": 5.0,
-        "default_deadline_ms": 30_000,
         "drain_timeout_s": 60.0,
     },
     "control": {
@@ -94,7 +93,6 @@
     max_queue: int = Field(ge=1, le=100_000)
     connect_timeout_s: float = Field(gt=0, le=60)
     progress_timeout_s: float = Field(gt=0, le=3600)
-    default_deadline_ms: int = Field(ge=1, le=86_400_000)
     drain_timeout_s: float = Field(ge=0, le=86_400)
 
     _addresses = field_validator("address", "metrics_address")(check_address)
@@ -153,6 +151,14 @@
         return values
 
 
+def warn_of_risks(settings, log):
+    """Log what the settings allow and an operator should not leave so."""
+    if not settings.auth.peer_key:
+        log.warning(
+            "peer_key_empty", remedy="Set auth.peer_key; anyone can forge messages."
+        )
+
+
 def merge(base, changes):
     """Return ``base`` with ``changes`` laid over it, section by section."""
     result = copy.deepcopy(base)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,9 +1,10 @@
 import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
 
 from magnoliapier.exceptions import SettingsError
-from magnoliapier.settings import build_settings, load_settings
+from magnoliapier.settings import build_settings, load_settings, warn_of_risks
 
 
 class SettingsTests(unittest.TestCase):
@@ -25,6 +26,14 @@
         public = build_settings({"auth": {"peer_key": "hidden-key"}}).public()
         self.assertNotIn("hidden-key", str(public))
 
+    def test_empty_peer_key_gives_a_warning(self):
+        """Guards against a system that anyone can send messages to unnoticed."""
+        log = mock.Mock()
+        warn_of_risks(build_settings({"auth": {"peer_key": "k"}}), log)
+        log.warning.assert_not_called()
+        warn_of_risks(build_settings(), log)
+        self.assertEqual(log.warning.call_args.args, ("peer_key_empty",))
+
     def test_file_errors_name_the_file(self):
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder, "settings.json")
