Share the reasons of failed sends and the entries of replayed arrivals

Cause: the map from send outcomes to refusal reasons stood in the request path and in the retries, and two replay drivers built the same entries and observations. Change: one map, one make_request, one arrival_fields.

--- a/magnoliapier/observed_replay.py
+++ b/magnoliapier/observed_replay.py
@@ -17,6 +17,24 @@
 ANSWERED = frozenset({"ok", "repeat"})
 
 
+def arrival_fields(arrival):
+    """Return the fields of the observation of an arrival."""
+    return {
+        name: getattr(arrival, name)
+        for name in (
+            "request_id",
+            "entry",
+            "organisation",
+            "service",
+            "work_class",
+            "idempotent",
+            "key",
+            "run_s",
+            "deadline_s",
+        )
+    }
+
+
 class ObservedRequestReplay(RequestReplay):
     """The request driver with a list of :class:`Observation`."""
 
@@ -32,18 +50,7 @@
         self.observations.append(Observation(self.now, kind, fields))
 
     def _arrive(self, arrival):
-        self.observe(
-            "arrival",
-            request_id=arrival.request_id,
-            entry=arrival.entry,
-            organisation=arrival.organisation,
-            service=arrival.service,
-            work_class=arrival.work_class,
-            idempotent=arrival.idempotent,
-            key=arrival.key,
-            run_s=arrival.run_s,
-            deadline_s=arrival.deadline_s,
-        )
+        self.observe("arrival", **arrival_fields(arrival))
         super()._arrive(arrival)
 
     def _cancel(self, request_id):
--- a/magnoliapier/request_path.py
+++ b/magnoliapier/request_path.py
@@ -20,21 +20,10 @@
     Retry,
     SendOutcome,
 )
+from magnoliapier.retries import FINAL_REASONS
 
 log = get_logger(__name__)
 
-REASONS = {
-    SendOutcome.FAILED: RefusalReason.ENDPOINT_FAILED,
-    SendOutcome.BUSY: RefusalReason.ENDPOINT_BUSY,
-    SendOutcome.DRAINING: RefusalReason.ENDPOINT_BUSY,
-    SendOutcome.CONNECT_FAILED: RefusalReason.CONNECT_FAILED,
-    SendOutcome.TIMEOUT: RefusalReason.ENDPOINT_TIMEOUT,
-    SendOutcome.SILENT: RefusalReason.ENDPOINT_TIMEOUT,
-    SendOutcome.RESET: RefusalReason.ENDPOINT_FAILED,
-    SendOutcome.INCOMPLETE: RefusalReason.ANSWER_INCOMPLETE,
-    SendOutcome.CALLER_GONE: RefusalReason.CALLER_GONE,
-}
-
 
 class RequestPath:
     """
@@ -289,7 +278,7 @@
                 self._claims.record(claim, report.answer)
             return
         self._drop_answer(report)
-        reason = REASONS.get(result.outcome, RefusalReason.ANSWER_INCOMPLETE)
+        reason = FINAL_REASONS.get(result.outcome, RefusalReason.ANSWER_INCOMPLETE)
         if report.no_memory:
             reason = RefusalReason.MEMORY_LIMIT
         state = RunState.UNKNOWN if ran else result.run_state
--- a/magnoliapier/request_replay.py
+++ b/magnoliapier/request_replay.py
@@ -257,6 +257,24 @@
         self.known_leaving = set()
 
 
+def make_request(arrival, arrived, deadline):
+    """Return the RequestEntry of an Arrival; both instants are virtual seconds."""
+    return RequestEntry(
+        request_id=arrival.request_id,
+        service=arrival.service,
+        organisation=arrival.organisation,
+        kind=arrival.kind,
+        declared_class=WorkClass(arrival.work_class),
+        idempotent=arrival.idempotent,
+        arrived=arrived,
+        deadline=deadline,
+        body_bytes=arrival.body_bytes,
+        declared_s=arrival.declared_s,
+        key=arrival.key,
+        payload=arrival,
+    )
+
+
 class RequestReplay:
     """Runs one trace; see :func:`replay_requests`."""
 
@@ -500,20 +518,8 @@
         entry.open[arrival.request_id] = None
         if not self._claim(arrival, record):
             return
-        request = RequestEntry(
-            request_id=arrival.request_id,
-            service=arrival.service,
-            organisation=arrival.organisation,
-            kind=arrival.kind,
-            declared_class=WorkClass(arrival.work_class),
-            idempotent=arrival.idempotent,
-            arrived=self.now,
-            deadline=record.arrived + arrival.deadline_s,
-            body_bytes=arrival.body_bytes,
-            declared_s=arrival.declared_s,
-            key=arrival.key,
-            payload=arrival,
-        )
+        deadline = record.arrived + arrival.deadline_s
+        request = make_request(arrival, self.now, deadline)
         self._carry_out(entry, entry.decisions.arrive(request))
 
     def _claim(self, arrival, record):
--- a/magnoliapier/store_replay.py
+++ b/magnoliapier/store_replay.py
@@ -33,12 +33,13 @@
 from magnoliapier.manifest import digest, merge_patch
 from magnoliapier.memory_platform import MemoryPlatform
 from magnoliapier.metrics import Metrics
+from magnoliapier.observed_replay import arrival_fields
 from magnoliapier.outcomes import Observation, ReplayReport
 from magnoliapier.planner import advance_drains
 from magnoliapier.planner_tables import PlannerInputs, PlanTables, SenderRow
 from magnoliapier.platform_api import HostStatus, ListedHost
 from magnoliapier.registry import Registry
-from magnoliapier.request_tables import RequestEntry, WorkClass
+from magnoliapier.request_replay import make_request
 from magnoliapier.traces import Arrival, Commit, Drain, Fault
 
 store_faults = Registry("store fault")
@@ -347,19 +348,7 @@
     # Claims.
 
     def _arrive(self, arrival):
-        self.observe(
-            "arrival",
-            arrival.t,
-            request_id=arrival.request_id,
-            entry=arrival.entry,
-            organisation=arrival.organisation,
-            service=arrival.service,
-            work_class=arrival.work_class,
-            idempotent=arrival.idempotent,
-            key=arrival.key,
-            run_s=arrival.run_s,
-            deadline_s=arrival.deadline_s,
-        )
+        self.observe("arrival", arrival.t, **arrival_fields(arrival))
         if arrival.idempotent:
             self._run_request(arrival, None)
             return
@@ -367,7 +356,8 @@
         results = []
         first_id = arrival.request_id.removesuffix("-again")
         text = request_digest("POST", f"/{arrival.service}", first_id.encode())
-        claims.claim(request_entry(arrival), text, arrival.deadline_s, results.append)
+        request = make_request(arrival, arrival.t, arrival.t + arrival.deadline_s)
+        claims.claim(request, text, arrival.deadline_s, results.append)
         self._settle(claims)
         self._carry_out(arrival, results[0])
 
@@ -447,21 +437,6 @@
                 self._settle(claims)
 
 
-def request_entry(arrival):
-    """Return the RequestEntry of an arrival, as claims read it."""
-    return RequestEntry(
-        request_id=arrival.request_id,
-        service=arrival.service,
-        organisation=arrival.organisation,
-        kind=arrival.kind,
-        declared_class=WorkClass(arrival.work_class),
-        idempotent=arrival.idempotent,
-        arrived=arrival.t,
-        deadline=arrival.t + arrival.deadline_s,
-        key=arrival.key,
-    )
-
-
 @store_faults.register("store_down")
 def start_store_down(replay, fault):
     """Let every call fail without effect until the end of the fault."""
