Wait for a free slot before the slow request of the drain test

Cause: the test took the slot of the request just answered for that of the slow one, because an answer is delivered before its slot is given back; the drain could then begin before the slow request came in, which was refused as draining. Ruled out: a cut request (the refusal was true, nothing had been sent). Change: the test first waits until no request is in flight; what it asserts is as before. Conclusion: a race of the test, not of the drain.

--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -45,6 +45,8 @@
         """Guards against work taken on after a drain began, refused as not run."""
         caller = self.call()
         caller.send(head()).answer()
+        # An answer is delivered before its slot is given back.
+        wait_until(lambda: self.demand() == (0, 0))
         slow = self.call().send(head(X_Standin_Run_Ms=500))
         wait_until(lambda: self.demand() == (0, 1))
         drained = threading.Thread(target=self.process.drain)
