--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -29,6 +29,7 @@
 from magnoliapier.fleet_state import FleetState, LogEntry
 from magnoliapier.manifest import digest
 from magnoliapier.memory_platform import MemoryPlatform
+from magnoliapier.outcomes import nearest_rank
 from magnoliapier.planner import Planner, PlannerInputs, SenderRow
 from magnoliapier.platform_api import HostStatus, ListedHost
 from magnoliapier.registry import Registry
@@ -334,12 +335,12 @@
     plain, _, _ = urgent_waits(URGENT_SEEDS[0], preempt=False)
     detail = {
         "jobs": len(waits),
-        "p50_s": round(percentile(waits, 50), 2),
+        "p50_s": round(nearest_rank(waits, 50), 2),
         "max_s": round(max(waits), 2),
         "work_lost": lost,
-        "p99_s_without_preemption": round(percentile(plain, 99), 2),
+        "p99_s_without_preemption": round(nearest_rank(plain, 99), 2),
     }
-    return Figure(round(percentile(waits, 99), 2), 4.7, detail)
+    return Figure(round(nearest_rank(waits, 99), 2), 4.7, detail)
 
 
 @figures.register("rollout_p99_s")
@@ -375,12 +376,6 @@
     return Figure(round(values["kb_s"], 2), 6, detail)
 
 
-def percentile(values, share):
-    """Return the nearest-rank percentile."""
-    ordered = sorted(values)
-    return ordered[max(0, math.ceil(share / 100 * len(ordered)) - 1)]
-
-
 def run(names):
     """Return the figures called ``names`` as plain JSON, and print each."""
     results = {}
--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -20,9 +20,9 @@
 WAIT_S = 10
 
 
-def wait_until(condition):
-    """Wait for a condition that another thread brings about."""
-    until = time.monotonic() + WAIT_S
+def wait_until(condition, limit_s=WAIT_S):
+    """Wait for a condition that another thread or process brings about."""
+    until = time.monotonic() + limit_s
     while not condition():
         if time.monotonic() > until:
             raise AssertionError("The condition did not come true.")
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -6,7 +6,6 @@
 import sys
 import tempfile
 import threading
-import time
 import unittest
 from pathlib import Path
 
@@ -14,6 +13,7 @@
 
 from magnoliapier.exceptions import MagnoliapierError
 from magnoliapier.operator_client import OperatorClient
+from tests.entry_harness import wait_until
 from tests.samples import sample_manifest
 
 KEY = "operator-key"
@@ -21,15 +21,6 @@
 ROOT = Path(__file__).parent.parent
 
 
-def wait_until(condition):
-    """Wait for a condition that other processes, slow to start, bring about."""
-    until = time.monotonic() + START_S
-    while not condition():
-        if time.monotonic() > until:
-            raise AssertionError("The condition did not come true.")
-        time.sleep(0.02)
-
-
 def free_address():
     """Return an address that was free a moment ago."""
     with socket.socket() as probe:
@@ -105,12 +96,12 @@
         entry = self.start("entry", "--settings", self.settings)
         client = OperatorClient(self.operators, KEY, "test")
         self.addCleanup(client.close)
-        wait_until(lambda: self.commit(client))
-        wait_until(self.is_served)
+        wait_until(lambda: self.commit(client), START_S)
+        wait_until(self.is_served, START_S)
         answers = []
         slow = threading.Thread(target=lambda: answers.append(self.get(run_ms=1000)))
         slow.start()
-        wait_until(lambda: self.open_requests() == 1)
+        wait_until(lambda: self.open_requests() == 1, START_S)
         entry.send_signal(signal.SIGTERM)
         slow.join()
         self.assertEqual([answer.status for answer in answers], [200])
