--- a/magnoliapier/exceptions.py
+++ b/magnoliapier/exceptions.py
@@ -96,6 +96,34 @@
     """
 
 
+class HistoryLostError(PlatformError):
+    """The store no longer has the changes asked for; read the rows anew."""
+
+
+class EndpointError(PlatformError):
+    """A call to an endpoint failed."""
+
+
+class EndpointUnreachableError(EndpointError):
+    """
+    The endpoint gave no answer, so an order may have been or may yet be carried out.
+
+    Stop the run it was for before starting the task elsewhere.
+    """
+
+
+class OrderRefusedError(EndpointError):
+    """
+    The endpoint refused an order and did nothing.
+
+    ``reason`` is a :class:`magnoliapier.service.orders.OrderRefusal`.
+    """
+
+    def __init__(self, reason, detail=""):
+        self.reason = reason
+        super().__init__(f"Choose another endpoint or run: {reason} {detail}".rstrip())
+
+
 class ConflictError(PlatformError):
     """
     A conditional write found other versions than it expected.
--- /dev/null
+++ b/magnoliapier/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Placement: which task starts next, and on which endpoint."""
--- /dev/null
+++ b/magnoliapier/platform/boot.py
@@ -0,0 +1,79 @@
+"""The settings file that the platform gives each process."""
+
+import os
+from pathlib import Path
+
+import msgspec
+
+from magnoliapier.exceptions import MessageError, SettingsError
+from magnoliapier.platform.wire import decode
+
+SETTINGS_VARIABLE = "MAGNOLIAPIER_BOOT"
+
+
+class Listen(msgspec.Struct):
+    """Addresses that the process listens on."""
+
+    front: str
+    ready_address: str
+
+
+class Bounds(msgspec.Struct, frozen=True):
+    """Figures of the platform's rules that decisions depend on."""
+
+    hold_max_ms: int = 6000  # longest lease of an endpoint
+    stop_grace_ms: int = 200
+    grace_s: float = 6  # between SIGTERM and SIGKILL
+    notice_ms: int = 4500
+    harm_ms: int = 4000
+    checkpoint_s: float = 2
+    far_factor: float = 1.5
+    move_s: float = 1.5
+    upkeep_s: float = 2
+    lease_ms: int = 3000  # between orders of two holders for one host
+    status_s: float = 120  # how long a final state is kept
+    gang_timeout_ms: int = 3000
+
+
+class StoreSettings(msgspec.Struct):
+    """The platform's table."""
+
+    address: str
+
+
+class MachinesSettings(msgspec.Struct):
+    """The platform's interface for machines."""
+
+    address: str
+
+
+class BootSettings(msgspec.Struct):
+    """The fields of the settings file that the product uses; others are ignored."""
+
+    node_name: str
+    ip: str
+    zone: str
+    listen: Listen
+    internal_ports: tuple[int, int]
+    platform: StoreSettings
+    cloud_api: MachinesSettings
+    bounds: Bounds = Bounds()
+    advice: str = ""
+    heartbeat_ms: int = 1500
+
+
+def load_boot_settings(path=None):
+    """
+    Read the settings file at ``path``, or where the environment says.
+
+    Raises SettingsError with the remedy if there is none or it is invalid.
+    """
+    path = path or os.environ.get(SETTINGS_VARIABLE)
+    if not path:
+        raise SettingsError(f"Set {SETTINGS_VARIABLE} to the path of the settings file.")
+    try:
+        return decode(BootSettings, Path(path).read_bytes())
+    except OSError as error:
+        raise SettingsError(f"Make {path} readable: {error}") from error
+    except MessageError as error:
+        raise SettingsError(f"Correct {path}: {error}") from error
--- /dev/null
+++ b/magnoliapier/platform/http.py
@@ -0,0 +1,43 @@
+"""One HTTP client session for all calls of the process, by aiohttp."""
+
+import socket
+
+import aiohttp
+
+CONNECTIONS_PER_ADDRESS = 24
+KEEPALIVE_S = 14.0
+CONNECT_TIMEOUT_S = 0.5
+USER_TIMEOUT_MS = 4000  # unacknowledged bytes break a silent connection
+
+
+def _open_socket(address_info):
+    family, kind, protocol, *_ = address_info
+    sock = socket.socket(family, kind, protocol)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    return sock
+
+
+def open_session():
+    """Return the client session; close it with ``await session.close()``."""
+    connector = aiohttp.TCPConnector(
+        limit=0,
+        limit_per_host=CONNECTIONS_PER_ADDRESS,
+        keepalive_timeout=KEEPALIVE_S,
+        use_dns_cache=False,
+        socket_factory=_open_socket,
+    )
+    return aiohttp.ClientSession(
+        connector=connector,
+        auto_decompress=False,
+        skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+        headers={"Content-Type": "application/json"},
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
+
+
+def call_timeout(total_s):
+    """Return aiohttp's time limits for a call of ``total_s`` seconds."""
+    return aiohttp.ClientTimeout(
+        total=total_s, sock_connect=min(total_s, CONNECT_TIMEOUT_S)
+    )
--- /dev/null
+++ b/magnoliapier/platform/ingress.py
@@ -0,0 +1,135 @@
+"""Callers' HTTP requests, translated to questions to the entry and back."""
+
+import re
+
+from aiohttp import web
+
+from magnoliapier.exceptions import MessageError
+from magnoliapier.logs import get_logger
+from magnoliapier.platform import wire
+from magnoliapier.service.clock import unix_ms
+from magnoliapier.service.entry import AnswerKind
+
+SUBMISSION_ID = re.compile(r"[0-9a-f]{16}\Z")
+KEEPALIVE_S = 20.0
+STATUS_OF_KIND = {
+    AnswerKind.REFUSED: 503,
+    AnswerKind.UNKNOWN: 504,
+    AnswerKind.UNAVAILABLE: 503,
+    AnswerKind.ABSENT: 410,
+}
+
+log = get_logger(__name__)
+
+
+def error_response(status, message, retry_after_s=0):
+    """Return a refusal; the message names the remedy."""
+    headers = {"Retry-After": str(retry_after_s)} if retry_after_s else None
+    return web.Response(
+        status=status,
+        body=wire.encode(wire.ErrorBody(message)),
+        content_type="application/json",
+        headers=headers,
+    )
+
+
+def json_response(body):
+    """Return a successful answer."""
+    return web.Response(body=wire.encode(body), content_type="application/json")
+
+
+class Ingress:
+    """Serves callers on the front address and probes on the ready address."""
+
+    def __init__(self, node, listen, metrics):
+        self._node = node
+        self._listen = listen
+        self._metrics = metrics
+        self._runners = []
+        self._in_flight = 0
+
+    async def start(self):
+        """Listen on both addresses."""
+        await self._serve(self._listen.ready_address, self._answer_ready)
+        await self._serve(self._listen.front, self._answer)
+
+    async def _serve(self, address, handler):
+        runner = web.ServerRunner(
+            web.Server(handler, access_log=None, keepalive_timeout=KEEPALIVE_S)
+        )
+        await runner.setup()
+        host, _, port = address.rpartition(":")
+        await web.TCPSite(runner, host, int(port), backlog=512).start()
+        self._runners.append(runner)
+
+    @property
+    def in_flight(self):
+        """Return the number of requests that are being answered."""
+        return self._in_flight
+
+    async def close(self):
+        """Stop listening."""
+        for runner in self._runners:
+            await runner.cleanup()
+
+    async def _answer_ready(self, request):
+        return web.Response(status=200 if self._node.ready else 503)
+
+    async def _answer(self, request):
+        self._in_flight += 1
+        try:
+            response = await self._route(request)
+        finally:
+            self._in_flight -= 1
+        if self._node.stopping:
+            response.force_close()
+        self._metrics.count(
+            "answers_total", method=request.method, status=str(response.status)
+        )
+        return response
+
+    async def _route(self, request):
+        configuration = self._node.configuration
+        if configuration is None:
+            return error_response(503, "No configuration yet; try again.", 1)
+        host = request.headers.get("Host", "").partition(":")[0]
+        queue = configuration.queue_for(host, request.path)
+        if queue is None:
+            return error_response(404, "Use the path of a configured queue.")
+        name = request.path[len(queue.path_prefix) :]
+        if not name and request.method == "GET":
+            return self._translate(await self._node.entry.pending(queue), True)
+        if not SUBMISSION_ID.match(name):
+            return error_response(404, "Use an id of 16 hexadecimal digits.")
+        if request.method == "POST":
+            return await self._submit(request, configuration, queue, name)
+        if request.method == "GET":
+            return self._translate(await self._node.entry.state(queue, name))
+        if request.method == "DELETE":
+            return self._translate(await self._node.entry.cancel(queue, name))
+        return error_response(405, "Use POST, GET or DELETE.")
+
+    async def _submit(self, request, configuration, queue, submission_id):
+        limit = configuration.max_body_bytes
+        if (request.content_length or 0) > limit:
+            return error_response(413, f"Send at most {limit} bytes.")
+        try:
+            body = wire.decode(wire.SubmissionBody, await request.read())
+            submission = body.submission(submission_id, queue.name, unix_ms())
+        except MessageError as error:
+            log.info("malformed_submission", id=submission_id, error=error)
+            return error_response(400, str(error))
+        answer = await self._node.entry.submit(queue, submission)
+        if answer.kind == AnswerKind.REFUSED and answer.reason != "store":
+            return error_response(429, answer.reason, answer.retry_after_s)
+        return self._translate(answer)
+
+    def _translate(self, answer, pending=False):
+        if answer.kind == AnswerKind.OK:
+            if pending:
+                return json_response(wire.PendingBody(answer.pending))
+            if answer.state is not None:
+                return json_response(wire.StateBody(answer.state))
+            return web.Response(body=b"{}", content_type="application/json")
+        status = STATUS_OF_KIND[answer.kind]
+        return error_response(status, answer.reason or answer.kind, answer.retry_after_s)
--- /dev/null
+++ b/magnoliapier/platform/machines.py
@@ -0,0 +1,116 @@
+"""The client of the platform's interface for machines, which the product calls hosts."""
+
+from enum import StrEnum
+
+import aiohttp
+from yarl import URL
+
+from magnoliapier.exceptions import (
+    MessageError,
+    PlatformError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from magnoliapier.logs import get_logger
+from magnoliapier.platform import wire
+from magnoliapier.platform.http import call_timeout
+
+CALL_TIMEOUT_S = 1.5
+NOTHING_DONE = (429, 503)
+
+log = get_logger(__name__)
+
+
+class HostOrderRefusal(StrEnum):
+    """Why the platform refused an order for a host."""
+
+    FENCED = "fence"
+    BUSY = "busy"
+    WRONG_WAVE = "wave"
+
+
+class HostOrderRefusedError(PlatformError):
+    """The platform refused an order for a host and did nothing."""
+
+    def __init__(self, reason):
+        self.reason = reason
+        super().__init__(f"Read the host list again: refused for {reason}.")
+
+
+class MachineClient:
+    """Lists hosts and orders moves and maintenance."""
+
+    def __init__(self, session, address, holder, metrics):
+        self._session = session
+        self._base = f"http://{address}"
+        self._holder = holder
+        self._metrics = metrics
+
+    async def hosts(self):
+        """Return all hosts as a list of ``pools.hosts.Host``."""
+        hosts = []
+        token = None
+        while True:
+            page = await self._page(token)
+            hosts.extend(decode_hosts(page))
+            token = page.next_page_token
+            if not token:
+                return hosts
+
+    async def _page(self, token):
+        url = URL(f"{self._base}/machines")
+        if token:
+            url = url.with_query({"page_token": token})
+        status, data = await self._call("GET", url)
+        if status != 200:
+            raise StoreUnavailableError(f"Retry later; the host list gave {status}.")
+        return wire.decode(wire.MachinePage, data)
+
+    async def move(self, host, service, token):
+        """Move a host to the pool of a service."""
+        await self._order("/machine-move", wire.MoveBody(host, service), token)
+
+    async def maintain(self, host, wave, token):
+        """Take a host down for its maintenance in a wave."""
+        await self._order("/machine-upkeep", wire.UpkeepBody(host, wave), token)
+
+    async def _order(self, path, body, token):
+        headers = {wire.HOLDER_HEADER: self._holder, wire.TOKEN_HEADER: str(token)}
+        url = URL(f"{self._base}{path}")
+        status, data = await self._call("POST", url, wire.encode(body), headers)
+        if status == 200:
+            return
+        if status in NOTHING_DONE:
+            raise StoreUnavailableError(f"Retry later; {path} gave {status}.")
+        if status == 409:
+            reason = wire.decode(wire.ReasonBody, data).reason
+            raise HostOrderRefusedError(reason)
+        raise PlatformError(f"Check the order; {path} gave {status}: {data[:200]}")
+
+    async def _call(self, method, url, data=None, headers=None):
+        try:
+            async with self._session.request(
+                method,
+                url,
+                data=data,
+                headers=headers,
+                timeout=call_timeout(CALL_TIMEOUT_S),
+            ) as response:
+                content = await response.read()
+                status = response.status
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            self._metrics.count("host_calls_total", outcome="no_answer")
+            raise StoreOutcomeUnknownError(
+                f"Read the host list before repeating; no answer: {error!r}"
+            ) from error
+        self._metrics.count("host_calls_total", outcome=str(status))
+        return status, content
+
+
+def decode_hosts(page):
+    """Yield the hosts of a page; log and leave out those of an unknown state."""
+    for machine in page.machines:
+        try:
+            yield machine.host()
+        except (ValueError, MessageError) as error:
+            log.warning("unreadable_host", host=machine.machine, error=error)
--- /dev/null
+++ b/magnoliapier/platform/store.py
@@ -0,0 +1,163 @@
+"""The client of the platform's table."""
+
+import base64
+import binascii
+
+import aiohttp
+from yarl import URL
+
+from magnoliapier.exceptions import (
+    ConflictError,
+    HistoryLostError,
+    PlatformError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from magnoliapier.logs import get_logger
+from magnoliapier.platform import wire
+from magnoliapier.platform.http import call_timeout
+from magnoliapier.state.patience import Patience
+from magnoliapier.state.rows import Changes, Row
+
+PAGE_ROWS = 500
+FEED_GRACE_S = 0.6  # beyond the wait that was asked for
+NOTHING_DONE = (429, 503)
+HISTORY_LOST = 410
+CONFLICT = 412
+
+log = get_logger(__name__)
+
+
+class TableStore:
+    """
+    Reads and writes rows over HTTP. Implements ``state.rows.RowStore``.
+
+    Example::
+
+        store = TableStore(session, "10.200.1.7:8621", loop.time)
+        changes = await store.read("op", "")
+    """
+
+    def __init__(self, session, address, clock, metrics):
+        self._session = session
+        self._base = f"http://{address}"
+        self._clock = clock
+        self._metrics = metrics
+        self._patience = Patience()
+        self.last_answer_at = None
+
+    async def commit(self, expects, puts, removes=()):
+        """Apply a transaction and return its version."""
+        body = wire.TransactionBody(
+            [wire.RowVersion(e.table, e.part, e.key, e.version) for e in expects],
+            [wire.RowPut(p.table, p.part, p.key, p.value) for p in puts],
+            [wire.RowKey(r.table, r.part, r.key) for r in removes],
+        )
+        status, data = await self._call(
+            "POST", URL(f"{self._base}/rows-tx"), wire.encode(body)
+        )
+        answer = wire.decode(wire.RowsAnswer, data) if status in (200, CONFLICT) else None
+        if status == 200:
+            return answer.ver
+        if status == CONFLICT:
+            rows = [decode_row(row) for row in answer.rows]
+            raise ConflictError({row.key: row for row in rows if row and row.version})
+        raise self._failure(status, data)
+
+    async def read(self, table, part, first_key="", end_key=""):
+        """Return all rows of a key range."""
+        rows = []
+        start = first_key
+        while True:
+            answer = await self._read_page(table, part, start, end_key)
+            rows.extend(row for row in map(decode_row, answer.rows) if row)
+            if not answer.more_pages or not answer.rows:
+                return Changes(rows, answer.ver)
+            start = answer.rows[-1].key + "\x00"
+
+    async def _read_page(self, table, part, start, end):
+        query = {"table": table, "part": part, "limit": str(PAGE_ROWS)}
+        if start:
+            query["from"] = start
+        if end:
+            query["target"] = end
+        url = URL(f"{self._base}/rows-get").with_query(query)
+        status, data = await self._call("GET", url)
+        if status != 200:
+            raise self._failure(status, data)
+        return wire.decode(wire.RowsAnswer, data)
+
+    async def parts(self, table):
+        """Return all parts of a table, and a version to follow it from."""
+        parts = []
+        version = None
+        while True:
+            query = {"table": table}
+            if parts:
+                query["after"] = parts[-1]
+            url = URL(f"{self._base}/rows-parts").with_query(query)
+            status, data = await self._call("GET", url)
+            if status != 200:
+                raise self._failure(status, data)
+            answer = wire.decode(wire.PartsAnswer, data)
+            version = answer.ver if version is None else version
+            parts.extend(answer.parts)
+            if not answer.more_pages or not answer.parts:
+                return parts, version
+
+    async def changes(self, table, after, wait_s):
+        """Return the changes of a table after a version, waiting for one."""
+        query = {"table": table, "after": str(after), "wait_ms": str(int(wait_s * 1000))}
+        url = URL(f"{self._base}/rows-feed").with_query(query)
+        status, data = await self._call("GET", url, timeout_s=wait_s + FEED_GRACE_S)
+        if status == HISTORY_LOST:
+            raise HistoryLostError("Read the table anew; its history is gone.")
+        if status != 200:
+            raise self._failure(status, data)
+        answer = wire.decode(wire.RowsAnswer, data)
+        rows = [row for row in map(decode_row, answer.rows) if row]
+        return Changes(rows, answer.ver)
+
+    async def _call(self, method, url, data=None, timeout_s=None):
+        """Return status and body; raise a StoreUnavailableError or unknown outcome."""
+        adaptive = timeout_s is None
+        limit_s = self._patience.timeout_s if adaptive else timeout_s
+        sent_at = self._clock()
+        try:
+            async with self._session.request(
+                method, url, data=data, timeout=call_timeout(limit_s)
+            ) as response:
+                body = await response.read()
+                status = response.status
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            self._metrics.count("store_calls_total", outcome="unreachable")
+            raise StoreUnavailableError(f"Retry later; no connection: {error}") from error
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            self._metrics.count("store_calls_total", outcome="no_answer")
+            if adaptive:
+                self._patience.timed_out()
+            raise StoreOutcomeUnknownError(
+                f"Retry under the same condition; no answer: {error!r}"
+            ) from error
+        now = self._clock()
+        if adaptive:
+            self._patience.answered(now - sent_at)
+        if status not in NOTHING_DONE:
+            self.last_answer_at = now
+        self._metrics.count("store_calls_total", outcome=str(status))
+        return status, body
+
+    def _failure(self, status, data):
+        if status in NOTHING_DONE:
+            return StoreUnavailableError(f"Retry later; the store answered {status}.")
+        return PlatformError(f"Check the call; the store answered {status}: {data[:200]}")
+
+
+def decode_row(body):
+    """Return a Row, or None with a log line if its value cannot be read."""
+    try:
+        value = base64.b64decode(body.value, validate=True)
+    except (binascii.Error, ValueError) as error:
+        log.warning("unreadable_row", table=body.table, key=body.key, error=error)
+        return None
+    return Row(body.table, body.part, body.key, value, body.ver, body.removed)
--- /dev/null
+++ b/magnoliapier/service/__init__.py
@@ -0,0 +1,1 @@
+"""The running parts: shard controllers, the fleet controller and the entry."""
--- /dev/null
+++ b/magnoliapier/service/directory.py
@@ -0,0 +1,82 @@
+"""The endpoints that are listed now, by service."""
+
+from magnoliapier.exceptions import MessageError
+from magnoliapier.logs import get_logger
+from magnoliapier.placement.endpoint import EndpointRecord
+from magnoliapier.submissions.model import Resources
+
+RETURN_GRACE_S = 2.5  # entries that lapsed while the store was away return within it
+
+log = get_logger(__name__)
+
+
+class EndpointDirectory:
+    """
+    Keeps the records that endpoints write of themselves.
+
+    ``decode`` turns a stored row into an EndpointRecord and raises MessageError for a
+    foreign one. A record that vanishes stays listed for ``RETURN_GRACE_S``, because
+    the store may have been away.
+    """
+
+    def __init__(self, decode, clock):
+        self._decode = decode
+        self._clock = clock
+        self._records = {}
+        self._missing_since = {}
+        self.version = 0
+
+    def apply(self, rows, complete):
+        """Apply changed rows, or all rows if ``complete``."""
+        self.version += 1
+        if complete:
+            present = {row.key for row in rows}
+            for endpoint_id in self._records.keys() - present:
+                self._missing_since.setdefault(endpoint_id, self._clock())
+        for row in rows:
+            if row.removed:
+                self._missing_since.setdefault(row.key, self._clock())
+            else:
+                self._apply_row(row)
+
+    def _apply_row(self, row):
+        try:
+            record = self._decode(row.key, row.value)
+        except MessageError as error:
+            log.warning("foreign_endpoint_row", key=row.key, error=error)
+            return
+        known = self._records.get(row.key)
+        if known is None or known.draining != record.draining:
+            log.info(
+                "endpoint_listed",
+                endpoint=row.key,
+                service=record.service,
+                draining=record.draining,
+                version=row.version,
+            )
+        self._records[row.key] = record
+        self._missing_since.pop(row.key, None)
+
+    def records_of(self, service):
+        """Return the listed endpoints of a service by id."""
+        self._forget_gone()
+        return {
+            endpoint_id: record
+            for endpoint_id, record in self._records.items()
+            if record.service == service
+        }
+
+    def absent(self, endpoint_id, service):
+        """Return a record without address for an endpoint that is not listed."""
+        known = self._records.get(endpoint_id)
+        if known is not None:
+            return known
+        return EndpointRecord(endpoint_id, service, "", "", True, Resources())
+
+    def _forget_gone(self):
+        now = self._clock()
+        for endpoint_id, since in list(self._missing_since.items()):
+            if now - since >= RETURN_GRACE_S:
+                del self._missing_since[endpoint_id]
+                if self._records.pop(endpoint_id, None) is not None:
+                    log.info("endpoint_unlisted", endpoint=endpoint_id)
--- /dev/null
+++ b/magnoliapier/service/entry.py
@@ -0,0 +1,172 @@
+"""
+What callers ask: submit, cancel, state and pending.
+
+A submission is stored before it is accepted. A refusal that says the submission has
+not been accepted is given only where the store surely did nothing.
+"""
+
+from enum import StrEnum
+
+import msgspec
+
+from magnoliapier.exceptions import (
+    ConflictError,
+    PlatformError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from magnoliapier.logs import get_logger
+from magnoliapier.service.shard import (
+    CANCEL_SUFFIX,
+    progress_table,
+    submissions_table,
+)
+from magnoliapier.state.rows import ABSENT, Expect, Put
+from magnoliapier.submissions.codec import decode_progress, encode
+from magnoliapier.submissions.model import SubmissionState
+
+STORE_RETRY_AFTER_S = 2
+SUBMIT_BUDGET_S = 1.6  # callers of the shortest deadline can still ask elsewhere
+
+log = get_logger(__name__)
+
+
+class AnswerKind(StrEnum):
+    """What became of a caller's question."""
+
+    OK = "ok"
+    REFUSED = "refused"  # surely not accepted
+    UNKNOWN = "unknown"  # may have been accepted; ask again with the same id
+    UNAVAILABLE = "unavailable"  # a question that changes nothing got no answer
+    ABSENT = "absent"
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """An answer to a caller; ``retry_after_s`` goes with refusals."""
+
+    kind: AnswerKind
+    state: SubmissionState | None = None
+    pending: int = 0
+    reason: str = ""
+    retry_after_s: int = 0
+
+
+class Entry:
+    """
+    Answers callers on one host.
+
+    ``admission`` says whether a service can still take a submission; ``peers`` asks the
+    holder of a shard.
+    """
+
+    def __init__(self, store, peers, admission, clock, metrics):
+        self._store = store
+        self._peers = peers
+        self._admission = admission
+        self._clock = clock
+        self._metrics = metrics
+
+    async def submit(self, queue, submission):
+        """Store a submission and return an Answer."""
+        refusal = self._admission.refusal(queue, submission)
+        if refusal is not None:
+            return self._refuse(submission, refusal.reason, refusal.retry_after_s)
+        service = queue.service
+        key = submission.submission_id
+        expects = [
+            Expect(submissions_table(service), service, key, ABSENT),
+            Expect(progress_table(service), service, key, ABSENT),
+        ]
+        put = Put(submissions_table(service), service, key, encode(submission))
+        give_up_at = self._clock() + SUBMIT_BUDGET_S
+        uncertain = False
+        while True:
+            try:
+                version = await self._store.commit(expects, [put])
+            except ConflictError:
+                log.info("known_submission", id=key, queue=queue.name)
+                return Answer(AnswerKind.OK)
+            except StoreOutcomeUnknownError:
+                uncertain = True
+            except StoreUnavailableError as error:
+                if not uncertain:
+                    return self._refuse(submission, "store", STORE_RETRY_AFTER_S, error)
+            else:
+                log.info("accepted", id=key, queue=queue.name, version=version)
+                return Answer(AnswerKind.OK)
+            if self._clock() >= give_up_at:
+                self._metrics.count("uncertain_submissions_total")
+                log.warning("acceptance_unknown", id=key, queue=queue.name)
+                return Answer(AnswerKind.UNKNOWN, reason="store")
+
+    def _refuse(self, submission, reason, retry_after_s, cause=""):
+        self._metrics.count("refusals_total", reason=reason)
+        log.info(
+            "refused",
+            id=submission.submission_id,
+            queue=submission.queue,
+            reason=reason,
+            retry_after_s=retry_after_s,
+            cause=cause,
+        )
+        return Answer(
+            AnswerKind.REFUSED, reason=reason, retry_after_s=retry_after_s
+        )
+
+    async def cancel(self, queue, submission_id):
+        """Store a cancellation and return an Answer."""
+        service = queue.service
+        table = submissions_table(service)
+        put = Put(table, service, submission_id + CANCEL_SUFFIX, b"")
+        give_up_at = self._clock() + SUBMIT_BUDGET_S
+        while True:
+            try:
+                rows = await self._rows(table, service, submission_id)
+                if not rows:
+                    return await self._stored_state(service, submission_id)
+                expect = Expect(table, service, submission_id, rows[0].version)
+                await self._store.commit([expect], [put])
+            except ConflictError:
+                continue
+            except PlatformError as error:
+                if self._clock() >= give_up_at:
+                    log.warning("cancel_unknown", id=submission_id, error=error)
+                    return Answer(AnswerKind.UNKNOWN, reason="store")
+            else:
+                log.info("cancel_stored", id=submission_id, queue=queue.name)
+                return Answer(AnswerKind.OK)
+
+    async def state(self, queue, submission_id):
+        """Return an Answer with the state of a submission."""
+        state = await self._peers.state(queue.service, submission_id)
+        if state is not None:
+            return Answer(AnswerKind.OK, state=state)
+        try:
+            answer = await self._stored_state(queue.service, submission_id)
+            if answer.kind != AnswerKind.ABSENT:
+                return answer
+            table = submissions_table(queue.service)
+            if await self._rows(table, queue.service, submission_id):
+                return Answer(AnswerKind.OK, state=SubmissionState.QUEUED)
+            return await self._stored_state(queue.service, submission_id)
+        except PlatformError as error:
+            log.info("state_unavailable", id=submission_id, error=error)
+            return Answer(AnswerKind.UNAVAILABLE, retry_after_s=1)
+
+    async def _stored_state(self, service, submission_id):
+        rows = await self._rows(progress_table(service), service, submission_id)
+        if not rows:
+            return Answer(AnswerKind.ABSENT)
+        progress = decode_progress(rows[0].value)
+        return Answer(AnswerKind.OK, state=SubmissionState(progress.state))
+
+    async def _rows(self, table, service, key):
+        changes = await self._store.read(table, service, key, key + "\x00")
+        return changes.rows
+
+    async def pending(self, queue):
+        """Return an Answer with the number of submissions that have not begun."""
+        pending = await self._peers.pending(queue.service, queue.name)
+        if pending is None:
+            return Answer(AnswerKind.UNAVAILABLE, retry_after_s=1)
+        return Answer(AnswerKind.OK, pending=pending)
--- /dev/null
+++ b/magnoliapier/service/leases.py
@@ -0,0 +1,165 @@
+"""Which host holds which shard, and taking shards that nobody holds."""
+
+import asyncio
+import zlib
+
+from magnoliapier.exceptions import (
+    ConflictError,
+    MessageError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from magnoliapier.logs import get_logger
+from magnoliapier.state.lease import (
+    CONTROL_TABLE,
+    LEASE_KEY,
+    HeldLease,
+    LeaseRecord,
+    LeaseView,
+    decode_lease,
+    encode_lease,
+)
+from magnoliapier.state.rows import ABSENT, Expect, Put
+
+FLEET_SHARD = "fleet"
+CHECK_INTERVAL_S = 0.1
+DELAY_PER_HELD_SHARD_S = 0.25  # lets hosts with fewer shards go first
+MAX_JITTER_S = 0.1
+ATTEMPTS = 4
+
+log = get_logger(__name__)
+
+
+class LeaseDirectory:
+    """What this host knows of all leases."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._views = {}
+
+    def apply(self, rows, complete):
+        """Apply changed rows of the control table."""
+        now = self._clock()
+        for row in rows:
+            if row.key != LEASE_KEY or row.removed:
+                continue
+            try:
+                record = decode_lease(row.value)
+            except MessageError as error:
+                log.warning("unreadable_lease", shard=row.part, error=error)
+                record = None
+            self.view(row.part).observe(record, row.version, now)
+
+    def view(self, shard):
+        """Return the view of a shard's lease."""
+        return self._views.setdefault(shard, LeaseView())
+
+    def holder(self, shard):
+        """Return the LeaseRecord of a shard's holder, or None."""
+        record = self.view(shard).record
+        return record if record is not None and record.holder else None
+
+
+class LeaseTaker:
+    """
+    Takes shards that nobody holds.
+
+    ``wanted()`` returns the names of all shards; ``on_taken(shard, lease)`` is called
+    with each HeldLease.
+    """
+
+    def __init__(self, store, directory, identity, clock, wanted, on_taken):
+        self._store = store
+        self._directory = directory
+        self._identity = identity
+        self._clock = clock
+        self._wanted = wanted
+        self._on_taken = on_taken
+        self._free_since = {}
+        self._held = set()
+        self._task = None
+
+    def start(self):
+        """Begin to watch for free shards."""
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self):
+        """Stop taking shards."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def released(self, shard):
+        """Take note that this host does not hold a shard any more."""
+        self._held.discard(shard)
+
+    async def _run(self):
+        while True:
+            for shard in self._wanted():
+                if shard not in self._held and self._due(shard):
+                    await self._take(shard)
+            await asyncio.sleep(CHECK_INTERVAL_S)
+
+    def _due(self, shard):
+        view = self._directory.view(shard)
+        now = self._clock()
+        if view.left_by_predecessor(self._identity.holder, self._identity.process):
+            return True
+        if view.version != ABSENT and not view.expired(now):
+            self._free_since.pop(shard, None)
+            return False
+        free_since = self._free_since.setdefault(shard, now)
+        return now - free_since >= self._delay(shard)
+
+    def _delay(self, shard):
+        seed = f"{self._identity.holder}/{shard}".encode()
+        jitter = zlib.crc32(seed) % 1000 / 1000 * MAX_JITTER_S
+        return len(self._held) * DELAY_PER_HELD_SHARD_S + jitter
+
+    async def _take(self, shard):
+        view = self._directory.view(shard)
+        token = view.record.token + 1 if view.record else 1
+        record = LeaseRecord(
+            self._identity.holder, self._identity.process, self._identity.address, token
+        )
+        sent_at = self._clock()
+        version = await self._write(shard, record, view.version)
+        self._free_since.pop(shard, None)
+        if version is None:
+            return
+        lease = HeldLease(record)
+        lease.renewed(version, sent_at)
+        view.observe(record, version, self._clock())
+        self._held.add(shard)
+        log.info("shard_taken", shard=shard, token=token)
+        self._on_taken(shard, lease)
+
+    async def _write(self, shard, record, expected):
+        """Return the version of the written lease, or None if another was faster."""
+        expect = Expect(CONTROL_TABLE, shard, LEASE_KEY, expected)
+        put = Put(CONTROL_TABLE, shard, LEASE_KEY, encode_lease(record))
+        for _ in range(ATTEMPTS):
+            try:
+                return await self._store.commit([expect], [put])
+            except ConflictError as error:
+                row = error.rows.get(LEASE_KEY)
+                if row is not None and decode_lease(row.value) == record:
+                    return row.version
+                log.info("shard_taken_by_other", shard=shard)
+                return None
+            except (StoreUnavailableError, StoreOutcomeUnknownError) as error:
+                log.info("take_retried", shard=shard, error=error)
+        return None
+
+
+async def release(store, shard, lease):
+    """Give up a shard so that another host can take it at once."""
+    record = LeaseRecord("", lease.record.process, "", lease.record.token)
+    expect = Expect(CONTROL_TABLE, shard, LEASE_KEY, lease.version)
+    put = Put(CONTROL_TABLE, shard, LEASE_KEY, encode_lease(record))
+    try:
+        await store.commit([expect], [put])
+    except (ConflictError, StoreUnavailableError, StoreOutcomeUnknownError) as error:
+        log.info("release_failed", shard=shard, error=error)
+    else:
+        log.info("shard_released", shard=shard)
--- /dev/null
+++ b/magnoliapier/service/node.py
@@ -0,0 +1,196 @@
+"""One host's process: it answers callers and holds some of the shards."""
+
+import asyncio
+import uuid
+
+import msgspec
+
+from magnoliapier.logs import get_logger
+from magnoliapier.placement.admission import Admission
+from magnoliapier.service.clock import boottime
+from magnoliapier.service.directory import EndpointDirectory
+from magnoliapier.service.entry import Entry
+from magnoliapier.service.leases import (
+    LeaseDirectory,
+    LeaseTaker,
+    release,
+)
+from magnoliapier.service.peers import Peers, PeerServer
+from magnoliapier.service.shard import ShardController
+from magnoliapier.service.watch import TableWatcher
+from magnoliapier.state.lease import CONTROL_TABLE
+from magnoliapier.submissions.configuration import Queue
+
+CONTROL_WAIT_S = 1.0
+CONTROL_GAP_S = 0.6
+ENDPOINT_GAP_S = 0.4
+STORE_SILENCE_S = 2.5  # without an answer the host is not ready for callers
+
+log = get_logger(__name__)
+
+
+class Identity(msgspec.Struct, frozen=True):
+    """Names this process in leases; ``address`` answers other hosts."""
+
+    holder: str
+    process: str
+    address: str
+
+
+class ShardDependencies(msgspec.Struct):
+    """What every shard's controller uses."""
+
+    store: object
+    endpoint_client: object
+    directory: EndpointDirectory
+    boottime: object
+    metrics: object
+    queue_named: object
+    retired_queue: object
+    lease_ms: int
+
+
+class Node:
+    """
+    The parts of one process and their life.
+
+    The adapter passes in the clients and tells the node of configurations; it also
+    names the table that endpoints write to and how to read its rows.
+    """
+
+    def __init__(self, clients, settings, metrics):
+        self.metrics = metrics
+        self.configuration = None
+        self.leases = LeaseDirectory(boottime)
+        self.admission = Admission()
+        self.stopping = False
+        self._store = clients.store
+        self._settings = settings
+        self._shards = {}
+        self._old_queues = {}
+        self._background = set()
+        self._identity = Identity(settings.name, uuid.uuid4().hex, settings.peer_address)
+        self._peers = Peers(clients.http, self.leases, self._shards.get)
+        self.entry = Entry(
+            clients.store, self._peers, self.admission, boottime, metrics
+        )
+        self._peer_server = PeerServer(settings.peer_address, self._shards.get)
+        self._directory = EndpointDirectory(clients.decode_endpoint, boottime)
+        self._endpoint_watcher = TableWatcher(
+            clients.store,
+            clients.endpoint_table,
+            self._directory.apply,
+            gap_s=ENDPOINT_GAP_S,
+        )
+        self._control_watcher = TableWatcher(
+            clients.store,
+            CONTROL_TABLE,
+            self._apply_control,
+            parts=None,
+            wait_s=CONTROL_WAIT_S,
+            gap_s=CONTROL_GAP_S,
+        )
+        self._taker = LeaseTaker(
+            clients.store,
+            self.leases,
+            self._identity,
+            boottime,
+            self._wanted_shards,
+            self._shard_taken,
+        )
+        self._dependencies = ShardDependencies(
+            clients.store,
+            clients.endpoint_client,
+            self._directory,
+            boottime,
+            metrics,
+            self._queue_named,
+            self._retired_queue,
+            settings.endpoint_lease_ms,
+        )
+
+    async def start(self):
+        """Start all parts."""
+        await self._peer_server.start()
+        self._control_watcher.start()
+        self._spawn(self._take_shards())
+
+    async def _take_shards(self):
+        await self._control_watcher.complete.wait()
+        self._endpoint_watcher.start()
+        await self._endpoint_watcher.complete.wait()
+        self._taker.start()
+
+    async def close(self):
+        """Hand over the shards and stop all parts."""
+        self.stopping = True
+        await self._taker.close()
+        for service, shard in list(self._shards.items()):
+            await shard.close()
+            if shard.may_act():
+                await release(self._store, service, shard.lease)
+        self._shards.clear()
+        await self._endpoint_watcher.close()
+        await self._control_watcher.close()
+        await self._peer_server.close()
+
+    @property
+    def ready(self):
+        """Return whether callers should be sent to this host."""
+        answered = self._store.last_answer_at
+        return (
+            self.configuration is not None
+            and not self.stopping
+            and self._control_watcher.complete.is_set()
+            and answered is not None
+            and boottime() - answered < STORE_SILENCE_S
+        )
+
+    def configure(self, configuration):
+        """Put a configuration in force unless a newer one is."""
+        current = self.configuration
+        if current is not None and configuration.version <= current.version:
+            return
+        if current is not None:
+            self._old_queues.update({queue.name: queue for queue in current.queues})
+        self.configuration = configuration
+        self.metrics.gauge("configuration_version", configuration.version)
+        log.info(
+            "configured",
+            version=configuration.version,
+            queues=len(configuration.queues),
+        )
+
+    def _queue_named(self, name):
+        if self.configuration is None:
+            return None
+        return self.configuration.queue_named(name)
+
+    def _retired_queue(self, name, service):
+        """Return a queue that the configuration has dropped."""
+        return self._old_queues.get(name) or Queue(name, "", "", service)
+
+    def _wanted_shards(self):
+        if self.configuration is None:
+            return []
+        services = {queue.service for queue in self.configuration.queues}
+        return sorted(services)
+
+    def _shard_taken(self, service, lease):
+        shard = ShardController(service, lease, self._dependencies, self._shard_lost)
+        self._shards[service] = shard
+        shard.start()
+
+    def _shard_lost(self, shard):
+        if self._shards.get(shard.service) is shard:
+            del self._shards[shard.service]
+            self._taker.released(shard.service)
+        self._spawn(shard.close())
+
+    def _apply_control(self, rows, complete):
+        self.leases.apply(rows, complete)
+
+    def _spawn(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
--- /dev/null
+++ b/magnoliapier/service/peers.py
@@ -0,0 +1,118 @@
+"""
+Questions between hosts about shards that another host holds.
+
+The answers are a few bytes of JSON over HTTP/1.1 on an internal port: the questions
+are rare and small, and the client and server are there already.
+"""
+
+import aiohttp
+import msgspec
+from aiohttp import web
+from yarl import URL
+
+from magnoliapier.logs import get_logger
+from magnoliapier.submissions.model import SubmissionState
+
+ASK_TIMEOUT_S = 0.3
+
+log = get_logger(__name__)
+
+
+class StateAnswer(msgspec.Struct):
+    """The state of a submission."""
+
+    state: SubmissionState
+
+
+class PendingAnswer(msgspec.Struct):
+    """The number of submissions of a queue that have not begun."""
+
+    pending: int
+
+
+class PeerServer:
+    """Answers other hosts' questions about the shards held here."""
+
+    def __init__(self, address, shard_of):
+        self._host, _, port = address.rpartition(":")
+        self._port = int(port)
+        self._shard_of = shard_of
+        self._runner = None
+
+    async def start(self):
+        """Listen on the internal address."""
+        self._runner = web.ServerRunner(web.Server(self._answer, access_log=None))
+        await self._runner.setup()
+        await web.TCPSite(self._runner, self._host, self._port).start()
+
+    async def close(self):
+        """Stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _answer(self, request):
+        parts = request.path.strip("/").split("/")
+        if len(parts) != 3:
+            return web.Response(status=404)
+        service, kind, name = parts
+        shard = self._shard_of(service)
+        if shard is None or not shard.loaded or not shard.may_act():
+            return web.Response(status=503)
+        if kind == "state":
+            state = shard.state_of(name)
+            if state is None:
+                return web.Response(status=404)
+            return web.Response(body=msgspec.json.encode(StateAnswer(state)))
+        return web.Response(
+            body=msgspec.json.encode(PendingAnswer(shard.pending(name)))
+        )
+
+
+class Peers:
+    """Asks the holder of a shard, which may be this process."""
+
+    def __init__(self, session, leases, shard_of):
+        self._session = session
+        self._leases = leases
+        self._shard_of = shard_of
+
+    async def state(self, service, submission_id):
+        """Return a submission's state, or None if the holder does not tell."""
+        shard = self._local(service)
+        if shard is not None:
+            return shard.state_of(submission_id)
+        answer = await self._ask(service, "state", submission_id, StateAnswer)
+        return answer.state if answer else None
+
+    async def pending(self, service, queue_name):
+        """Return a queue's pending submissions, or None if the holder does not tell."""
+        shard = self._local(service)
+        if shard is not None:
+            return shard.pending(queue_name)
+        answer = await self._ask(service, "pending", queue_name, PendingAnswer)
+        return answer.pending if answer else None
+
+    def _local(self, service):
+        shard = self._shard_of(service)
+        if shard is not None and shard.loaded and shard.may_act():
+            return shard
+        return None
+
+    async def _ask(self, service, kind, name, answer_type):
+        holder = self._leases.holder(service)
+        if holder is None:
+            return None
+        url = URL(f"http://{holder.address}/{service}/{kind}/{name}")
+        timeout = aiohttp.ClientTimeout(total=ASK_TIMEOUT_S)
+        try:
+            async with self._session.get(url, timeout=timeout) as response:
+                data = await response.read()
+                if response.status != 200:
+                    return None
+                return msgspec.json.decode(data, type=answer_type)
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            log.info("peer_unanswered", shard=service, holder=holder.holder, error=error)
+            return None
+        except msgspec.MsgspecError as error:
+            log.warning("peer_unreadable", shard=service, error=error)
+            return None
--- /dev/null
+++ b/magnoliapier/service/watch.py
@@ -0,0 +1,89 @@
+"""Follows the changes of one table."""
+
+import asyncio
+
+from magnoliapier.exceptions import HistoryLostError, PlatformError
+from magnoliapier.logs import get_logger
+
+RETRY_DELAY_S = 0.2
+
+log = get_logger(__name__)
+
+
+class TableWatcher:
+    """
+    Reads a table whole, then follows its changes.
+
+    ``on_rows(rows, complete)`` is called with all rows after each whole reading and
+    with the changed ones otherwise. ``parts`` is None for all parts of the table.
+    ``gap_s`` is slept between two calls, so that changes arrive in groups.
+    """
+
+    def __init__(self, store, table, on_rows, parts=("",), wait_s=1.0, gap_s=0.0):
+        self._store = store
+        self._table = table
+        self._parts = parts
+        self._on_rows = on_rows
+        self._wait_s = wait_s
+        self._gap_s = gap_s
+        self._available = True
+        self._task = None
+        self.complete = asyncio.Event()
+
+    def start(self):
+        """Begin to follow the table."""
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self):
+        """Stop following."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self):
+        version = None
+        while True:
+            try:
+                if version is None:
+                    version = await self._read()
+                version = await self._follow(version)
+                self._mark_available()
+            except HistoryLostError:
+                log.info("history_lost", table=self._table, version=version)
+                version = None
+            except PlatformError as error:
+                self._mark_lost(error)
+                await asyncio.sleep(RETRY_DELAY_S)
+            else:
+                await asyncio.sleep(self._gap_s)
+
+    async def _read(self):
+        rows = []
+        versions = []
+        parts = self._parts
+        if parts is None:
+            parts, version = await self._store.parts(self._table)
+            versions.append(version)
+        for part in parts:
+            changes = await self._store.read(self._table, part)
+            rows.extend(changes.rows)
+            versions.append(changes.version)
+        self._on_rows(rows, True)
+        self.complete.set()
+        return min(versions)
+
+    async def _follow(self, version):
+        changes = await self._store.changes(self._table, version, self._wait_s)
+        if changes.rows:
+            self._on_rows(changes.rows, False)
+        return max(version, changes.version)
+
+    def _mark_available(self):
+        if not self._available:
+            log.info("dependency_regained", table=self._table)
+        self._available = True
+
+    def _mark_lost(self, error):
+        if self._available:
+            log.warning("dependency_lost", table=self._table, error=error)
+        self._available = False
--- /dev/null
+++ b/magnoliapier/state/__init__.py
@@ -0,0 +1,1 @@
+"""State that outlives a process: leases, rows and grouped commits."""
--- /dev/null
+++ b/magnoliapier/state/lease.py
@@ -0,0 +1,117 @@
+"""
+Leases on shards, kept as conditional rows.
+
+A shard has one holder at a time. The holder rewrites the lease row before
+``LEASE_TTL_S`` has passed; others may take the shard once they have seen the same
+version for that long. Every commit of a holder expects the version of its lease row,
+so a former holder cannot write.
+"""
+
+import msgspec
+
+from magnoliapier.exceptions import MessageError
+
+CONTROL_TABLE = "control"
+LEASE_KEY = "lease"
+LEASE_TTL_S = 3.0
+RENEW_INTERVAL_S = 0.8
+ACTING_MARGIN_S = 0.2  # covers the time between a check and the order it allows
+
+
+class LeaseRecord(msgspec.Struct, frozen=True):
+    """
+    The value of a lease row.
+
+    ``holder`` is the host's name, empty after a release; ``process`` identifies one
+    life of the process; ``address`` answers other hosts' questions about the shard.
+    ``token`` rises with each holder and fences orders.
+    """
+
+    holder: str
+    process: str
+    address: str
+    token: int
+
+
+_DECODER = msgspec.msgpack.Decoder(LeaseRecord)
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+def encode_lease(record):
+    """Return the stored bytes of a lease record."""
+    return _ENCODER.encode(record)
+
+
+def decode_lease(data):
+    """Return the LeaseRecord in ``data``; raise MessageError if it is not one."""
+    try:
+        return _DECODER.decode(data)
+    except msgspec.MsgspecError as error:
+        raise MessageError(f"Remove the lease row, it is unreadable: {error}") from error
+
+
+class LeaseView:
+    """
+    What a host knows of a shard's lease from reading its row.
+
+    Times are seconds on a clock that counts suspended time.
+    """
+
+    def __init__(self):
+        self.record = None
+        self.version = 0
+        self.unchanged_since = None
+
+    def observe(self, record, version, now):
+        """Take note of a row that was read at ``now``."""
+        if version > self.version or self.unchanged_since is None:
+            self.record = record
+            self.version = version
+            self.unchanged_since = now
+
+    def expired(self, now):
+        """Return whether the holder can no longer be acting on the lease."""
+        if self.unchanged_since is None:
+            return False
+        if self.record is None or not self.record.holder:
+            return True
+        return now - self.unchanged_since >= LEASE_TTL_S
+
+    def left_by_predecessor(self, holder, process):
+        """Return whether the holder is an earlier process on the same host."""
+        record = self.record
+        return (
+            record is not None
+            and record.holder == holder
+            and record.process != process
+        )
+
+
+class HeldLease:
+    """The holder's side of a lease: its row version and until when it may act."""
+
+    def __init__(self, record):
+        self.record = record
+        self.version = 0
+        self._renewed_at = None
+
+    @property
+    def token(self):
+        """Return the fencing token of this holder."""
+        return self.record.token
+
+    def renewed(self, version, sent_at):
+        """Take note of a renewal that was sent at ``sent_at`` and confirmed."""
+        self.version = version
+        if self._renewed_at is None or sent_at > self._renewed_at:
+            self._renewed_at = sent_at
+
+    def renewal_due(self, now):
+        """Return whether the row should be written again."""
+        return self._renewed_at is None or now - self._renewed_at >= RENEW_INTERVAL_S
+
+    def may_act(self, now):
+        """Return whether no other host can hold the shard yet."""
+        if self._renewed_at is None:
+            return False
+        return now - self._renewed_at < LEASE_TTL_S - ACTING_MARGIN_S
--- /dev/null
+++ b/magnoliapier/submissions/codec.py
@@ -0,0 +1,33 @@
+"""The stored form of submissions and their progress: MessagePack, by msgspec."""
+
+import msgspec
+
+from magnoliapier.exceptions import MessageError
+from magnoliapier.submissions.model import Submission
+from magnoliapier.submissions.progress import StoredProgress
+
+_ENCODER = msgspec.msgpack.Encoder()
+_SUBMISSION = msgspec.msgpack.Decoder(Submission)
+_PROGRESS = msgspec.msgpack.Decoder(StoredProgress)
+
+
+def encode(value):
+    """Return the stored bytes of a submission or of a stored progress."""
+    return _ENCODER.encode(value)
+
+
+def decode_submission(data):
+    """Return the Submission in ``data``; raise MessageError if it is not one."""
+    return _decode(_SUBMISSION, data)
+
+
+def decode_progress(data):
+    """Return the StoredProgress in ``data``; raise MessageError if it is not one."""
+    return _decode(_PROGRESS, data)
+
+
+def _decode(decoder, data):
+    try:
+        return decoder.decode(data)
+    except msgspec.MsgspecError as error:
+        raise MessageError(f"Remove or rewrite the stored row: {error}") from error
--- /dev/null
+++ b/magnoliapier/submissions/configuration.py
@@ -0,0 +1,64 @@
+"""The configuration in force: queues, services and limits."""
+
+import msgspec
+
+
+class Queue(msgspec.Struct, frozen=True):
+    """
+    A queue of submissions.
+
+    ``host`` and ``path_prefix`` select it; ``service`` names the pool that runs its
+    tasks. A submission's target is ``stretch`` times its longest chain plus
+    ``target_ms``. Priority 0 comes first.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    service: str
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    target_ms: int = 0
+    timeout_ms: int = 0
+    advised: bool = False
+
+
+class Service(msgspec.Struct, frozen=True):
+    """A pool of hosts. The hosts of a standby pool are off and cost nothing."""
+
+    name: str
+    rejects_overload: bool = True
+    standby: bool = False
+
+
+class Configuration(msgspec.Struct, frozen=True):
+    """One version of the configuration, always complete."""
+
+    version: int
+    queues: tuple[Queue, ...]
+    services: tuple[Service, ...]
+    max_body_bytes: int = 262_144
+
+    def queue_for(self, host, path):
+        """Return the queue with the longest prefix of ``path``, or None."""
+        best = None
+        for queue in self.queues:
+            if queue.host == host and path.startswith(queue.path_prefix):
+                if best is None or len(queue.path_prefix) > len(best.path_prefix):
+                    best = queue
+        return best
+
+    def queue_named(self, name):
+        """Return the queue called ``name``, or None."""
+        for queue in self.queues:
+            if queue.name == name:
+                return queue
+        return None
+
+    def standby_service(self):
+        """Return the name of the standby pool, or None."""
+        for service in self.services:
+            if service.standby:
+                return service.name
+        return None
--- /dev/null
+++ b/magnoliapier/submissions/model.py
@@ -0,0 +1,141 @@
+"""What a caller submits: steps of tasks, and the queues that take them."""
+
+from enum import StrEnum
+
+import msgspec
+
+NO_REPEAT = 0
+
+
+class SubmissionState(StrEnum):
+    """The state of a submission as callers see it."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+    @property
+    def is_final(self):
+        """Return whether the state never changes again."""
+        return self in FINAL_STATES
+
+
+FINAL_STATES = frozenset(
+    {SubmissionState.COMPLETED, SubmissionState.FAILED, SubmissionState.CANCELLED}
+)
+
+
+class EndReason(StrEnum):
+    """How a run of a task ended on its endpoint."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    BROKEN = "broken"
+    ALONE = "alone"
+
+
+class Resources(msgspec.Struct, frozen=True, array_like=True):
+    """Processor in thousandths of a core, memory in MB, accelerators."""
+
+    cpu_millicores: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+
+class Step(msgspec.Struct, omit_defaults=True):
+    """
+    A group of tasks of the same kind.
+
+    ``after`` holds indexes of steps whose tasks must all be done first.
+    ``estimated_ms`` is the submitter's guess and may be off several times over.
+    ``may_miss`` is the number of long-running tasks that may be away at once.
+    """
+
+    task_count: int
+    resources: Resources = Resources()
+    estimated_ms: int = 0
+    after: tuple[int, ...] = ()
+    checkpointing: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    required_label: str = ""
+    data_rack: str = ""
+    max_per_endpoint: int = 0
+    speculative: bool = False
+    long_running: bool = False
+    image: str = ""
+    latency_target_ms: int = 0
+    fills: bool = False
+    may_miss: int = 0
+
+
+class Submission(msgspec.Struct, omit_defaults=True):
+    """
+    One accepted submission.
+
+    ``accepted_ms`` and ``start_at_ms`` are Unix milliseconds. With
+    ``repeat_count`` above zero the steps run that many times, ``interval_ms``
+    apart from ``start_at_ms`` on.
+    """
+
+    submission_id: str
+    queue: str
+    spec: str
+    steps: tuple[Step, ...]
+    accepted_ms: int
+    repeat_count: int = NO_REPEAT
+    start_at_ms: int = 0
+    interval_ms: int = 0
+
+    @property
+    def occurrence_count(self):
+        """Return how many times the steps run."""
+        return max(1, self.repeat_count)
+
+    def due_ms(self, occurrence):
+        """Return the Unix milliseconds from which an occurrence may start."""
+        if self.repeat_count == NO_REPEAT:
+            return 0
+        return self.start_at_ms + occurrence * self.interval_ms
+
+    @property
+    def long_running(self):
+        """Return whether any task runs until the submission is cancelled."""
+        return any(step.long_running for step in self.steps)
+
+
+class TaskName(msgspec.Struct, frozen=True, array_like=True):
+    """Identifies a task: submission, occurrence, step and index in the step."""
+
+    submission_id: str
+    occurrence: int
+    step: int
+    index: int
+
+    def __str__(self):
+        return f"{self.submission_id}.{self.occurrence}.{self.step}.{self.index}"
+
+    @classmethod
+    def parse(cls, text):
+        """Return the name written as ``ID.OCCURRENCE.STEP.INDEX``; ValueError if not."""
+        submission_id, occurrence, step, index = text.split(".")
+        return cls(submission_id, int(occurrence), int(step), int(index))
+
+
+def chain_ms(steps):
+    """
+    Return the longest chain of dependent steps in estimated milliseconds.
+
+    Example::
+
+        chain_ms((Step(1, estimated_ms=5), Step(1, estimated_ms=7, after=(0,)))) == 12
+    """
+    finish = []
+    for step in steps:
+        begin = max((finish[i] for i in step.after if i < len(finish)), default=0)
+        finish.append(begin + step.estimated_ms)
+    return max(finish, default=0)
--- /dev/null
+++ b/magnoliapier/submissions/progress.py
@@ -0,0 +1,336 @@
+"""How far a submission has come: tasks, runs, ends and attempts."""
+
+import msgspec
+
+from magnoliapier.submissions.model import (
+    EndReason,
+    Submission,
+    SubmissionState,
+    TaskName,
+)
+
+
+FULL_PACE = 100  # percent of a run's speed
+
+
+class RunState:
+    """The life of a run, as plain integers to keep the stored form small."""
+
+    ORDERED = 0  # recorded, its start order may be on its way
+    CONFIRMED = 1  # the endpoint confirmed the start
+    STOPPING = 2  # a stop was ordered; the end is not listed yet
+
+
+class Run:
+    """One start of a task on one endpoint."""
+
+    __slots__ = (
+        "number",
+        "endpoint_id",
+        "state",
+        "percent",
+        "reading",
+        "ordered_at",
+        "advanced_at",
+        "stop_reason",
+        "pace",
+    )
+
+    def __init__(self, number, endpoint_id, ordered_at=0.0):
+        self.number = number
+        self.endpoint_id = endpoint_id
+        self.state = RunState.ORDERED
+        self.percent = 0
+        self.reading = 0
+        self.ordered_at = ordered_at
+        self.advanced_at = ordered_at
+        self.stop_reason = ""
+        self.pace = FULL_PACE
+
+
+class Task:
+    """A task with its attempts and its live runs."""
+
+    __slots__ = (
+        "name",
+        "step",
+        "last_run",
+        "failures",
+        "done",
+        "checkpoint",
+        "runs",
+        "failed_on",
+        "not_before",
+    )
+
+    def __init__(self, name, step):
+        self.name = name
+        self.step = step
+        self.last_run = 0
+        self.failures = 0
+        self.done = False
+        self.checkpoint = ""
+        self.runs = []
+        self.failed_on = set()
+        self.not_before = 0.0
+
+    def run_numbered(self, number):
+        """Return the live run with ``number``, or None."""
+        for run in self.runs:
+            if run.number == number:
+                return run
+        return None
+
+    def begin_run(self, endpoint_id, now, number=None):
+        """Record a new run on an endpoint and return it."""
+        self.last_run = number or self.last_run + 1
+        run = Run(self.last_run, endpoint_id, now)
+        self.runs.append(run)
+        return run
+
+    @property
+    def available(self):
+        """Return whether a long-running task is at work in full."""
+        return any(
+            run.state == RunState.CONFIRMED and run.percent == 100 for run in self.runs
+        )
+
+
+class LiveRun:
+    """
+    A run on an endpoint, with the task and submission that it belongs to.
+
+    ``settled_at`` is the time from which a listing without the run proves it gone; it
+    is None while a start order may still arrive.
+    """
+
+    __slots__ = ("progress", "task", "run", "settled_at", "step")
+
+    def __init__(self, progress, task, run, settled_at=None):
+        self.progress = progress
+        self.task = task
+        self.run = run
+        self.step = task.step
+        self.settled_at = settled_at
+
+    @property
+    def serves(self):
+        """Return whether the run serves users of its own, with a latency target."""
+        return self.step.latency_target_ms > 0
+
+
+class StoredTask(msgspec.Struct, array_like=True):
+    """The stored form of a task that differs from a fresh one."""
+
+    occurrence: int
+    step: int
+    index: int
+    last_run: int
+    failures: int
+    done: bool
+    checkpoint: str
+    runs: tuple[tuple[int, str], ...]
+
+
+class StoredProgress(msgspec.Struct, array_like=True):
+    """The stored form of a submission's progress; a final one holds no tasks."""
+
+    state: str
+    finished_ms: int = 0
+    tasks: tuple[StoredTask, ...] = ()
+
+
+class Progress:
+    """
+    The progress of one submission. Holds no clock, socket or thread.
+
+    Occurrences are materialised when they are due, so that a submission of many
+    occurrences keeps only those in progress in memory.
+    """
+
+    def __init__(self, submission: Submission, queue):
+        self.submission = submission
+        self.queue = queue
+        self.cancelled = False
+        self.started = False
+        self.failed = False
+        self.finished_ms = 0
+        self.occurrences = {}
+        self._completed_occurrences = 0
+
+    @property
+    def submission_id(self):
+        """Return the caller's identifier."""
+        return self.submission.submission_id
+
+    def open_occurrences(self, now_ms):
+        """Materialise the occurrences that are due at Unix ``now_ms``."""
+        opened = False
+        for number in range(len(self.occurrences), self.submission.occurrence_count):
+            if self.submission.due_ms(number) > now_ms:
+                break
+            self._open(number)
+            opened = True
+        return opened
+
+    def next_due_ms(self):
+        """Return when the next occurrence is due in Unix milliseconds, or None."""
+        number = len(self.occurrences)
+        if number >= self.submission.occurrence_count:
+            return None
+        return self.submission.due_ms(number)
+
+    def _open(self, number):
+        self.occurrences[number] = [
+            [
+                Task(TaskName(self.submission_id, number, index, i), step)
+                for i in range(step.task_count)
+            ]
+            for index, step in enumerate(self.submission.steps)
+        ]
+
+    def tasks(self):
+        """Yield all materialised tasks."""
+        for steps in self.occurrences.values():
+            for tasks in steps:
+                yield from tasks
+
+    def live_tasks(self):
+        """Yield the tasks that have a run."""
+        for task in self.tasks():
+            if task.runs:
+                yield task
+
+    def task_named(self, name):
+        """Return a materialised task by its name, or None."""
+        steps = self.occurrences.get(name.occurrence)
+        if steps is None or name.step >= len(steps):
+            return None
+        tasks = steps[name.step]
+        return tasks[name.index] if name.index < len(tasks) else None
+
+    def siblings(self, task):
+        """Return the tasks of the same step and occurrence."""
+        return self.occurrences[task.name.occurrence][task.name.step]
+
+    def startable_tasks(self):
+        """Yield the tasks without a live run whose earlier steps are done."""
+        if self.cancelled or self.failed or self.finished_ms:
+            return
+        for steps in self.occurrences.values():
+            complete = [all(task.done for task in tasks) for tasks in steps]
+            for index, tasks in enumerate(steps):
+                if complete[index] or not tasks:
+                    continue
+                if all(complete[i] for i in tasks[0].step.after):
+                    for task in tasks:
+                        if not task.done and not task.runs:
+                            yield task
+
+    def remaining_steps_ms(self, progress_of=None):
+        """Return the estimated milliseconds of the longest chain left to do."""
+        longest = 0
+        for steps in self.occurrences.values():
+            finish = []
+            for tasks in steps:
+                if not tasks:
+                    finish.append(0)
+                    continue
+                step = tasks[0].step
+                begin = max((finish[i] for i in step.after if i < len(finish)), default=0)
+                left = 0 if all(task.done for task in tasks) else step.estimated_ms
+                finish.append(begin + left)
+            longest = max(longest, max(finish, default=0))
+        return longest
+
+    def record_end(self, task, run, reason, checkpoint):
+        """
+        Apply the end of a live run; return whether an attempt was used up.
+
+        ``run`` must be one of the task's live runs, so that an end which is listed
+        twice counts once.
+        """
+        task.runs.remove(run)
+        if checkpoint:
+            task.checkpoint = checkpoint
+        if reason == EndReason.DONE:
+            self._mark_done(task)
+        elif reason == EndReason.FAILED:
+            task.failures += 1
+            task.failed_on.add(run.endpoint_id)
+            if not task.step.long_running and self._attempts_exhausted(task):
+                self.failed = True
+            return True
+        return False
+
+    def _attempts_exhausted(self, task):
+        return not task.done and task.failures >= self.queue.max_attempts
+
+    def _mark_done(self, task):
+        if task.step.long_running:
+            return
+        task.done = True
+        if task.step.gang:
+            for member in self.siblings(task):
+                member.done = True
+
+    @property
+    def all_done(self):
+        """Return whether every task of every occurrence is done."""
+        if len(self.occurrences) < self.submission.occurrence_count:
+            return False
+        return all(task.done for task in self.tasks())
+
+    @property
+    def has_live_runs(self):
+        """Return whether any run may still be on an endpoint."""
+        return any(task.runs for task in self.tasks())
+
+    @property
+    def state(self):
+        """Return the state that callers may be shown."""
+        if self.cancelled:
+            return SubmissionState.CANCELLED
+        if self.failed:
+            return SubmissionState.FAILED
+        if self.all_done:
+            return SubmissionState.COMPLETED
+        return SubmissionState.RUNNING if self.started else SubmissionState.QUEUED
+
+    def to_stored(self):
+        """Return the stored form."""
+        state = self.state
+        if state.is_final and not self.has_live_runs:
+            return StoredProgress(state, self.finished_ms)
+        tasks = [
+            StoredTask(
+                task.name.occurrence,
+                task.name.step,
+                task.name.index,
+                task.last_run,
+                task.failures,
+                task.done,
+                task.checkpoint,
+                tuple((run.number, run.endpoint_id) for run in task.runs),
+            )
+            for task in self.tasks()
+            if task.last_run or task.done
+        ]
+        return StoredProgress(state, self.finished_ms, tuple(tasks))
+
+    def restore(self, stored, now_ms, now):
+        """Apply a stored form to a fresh progress; ``now`` is a monotonic time."""
+        self.finished_ms = stored.finished_ms
+        self.started = stored.state != SubmissionState.QUEUED
+        self.failed = stored.state == SubmissionState.FAILED
+        self.cancelled = stored.state == SubmissionState.CANCELLED
+        self.open_occurrences(now_ms)
+        for item in stored.tasks:
+            for number in range(len(self.occurrences), item.occurrence + 1):
+                self._open(number)
+            task = self.occurrences[item.occurrence][item.step][item.index]
+            task.last_run = item.last_run
+            task.failures = item.failures
+            task.done = item.done
+            task.checkpoint = item.checkpoint
+            task.runs = [Run(number, endpoint, now) for number, endpoint in item.runs]
