--- a/magnoliapier/exceptions.py
+++ b/magnoliapier/exceptions.py
@@ -124,6 +124,19 @@
         super().__init__(f"Choose another endpoint or run: {reason} {detail}".rstrip())
 
 
+class HostOrderRefusedError(PlatformError):
+    """
+    The platform refused an order for a host and did nothing.
+
+    ``reason`` is the platform's: a higher token was seen, the host is not up, or the
+    host does not belong to the wave.
+    """
+
+    def __init__(self, reason):
+        self.reason = reason
+        super().__init__(f"Read the host list again: refused for {reason}.")
+
+
 class ConflictError(PlatformError):
     """
     A conditional write found other versions than it expected.
--- a/magnoliapier/placement/scheduler.py
+++ b/magnoliapier/placement/scheduler.py
@@ -35,6 +35,15 @@
                 misfits += 1
         return starts
 
+    def could_place(self, live):
+        """Return whether there is room for a live run's task on another endpoint."""
+        siblings = live.progress.siblings(live.task)
+        return any(
+            session.endpoint_id != live.run.endpoint_id
+            and self._allowed(session, live.task, siblings)
+            for session in self._usable
+        )
+
     def _place_submission(self, progress, starts):
         full_steps = set()
         gangs = {}
--- a/magnoliapier/platform/__main__.py
+++ b/magnoliapier/platform/__main__.py
@@ -19,6 +19,7 @@
 from magnoliapier.service.clock import boottime
 from magnoliapier.service.node import Node
 from magnoliapier.service.watch import TableWatcher
+from magnoliapier.state.rows import Put
 
 OPERATOR_WAIT_S = 1.5
 DRAIN_S = 2.6  # two missed probes a second apart, and the requests under way
@@ -36,6 +37,7 @@
     machines: MachineClient
     endpoint_table: str
     decode_endpoint: object
+    wave_status: object
 
 
 class NodeSettings(msgspec.Struct):
@@ -44,6 +46,7 @@
     name: str
     peer_address: str
     endpoint_lease_ms: int
+    holder_gap_s: float
 
 
 def decode_endpoint(endpoint_id, data):
@@ -51,6 +54,13 @@
     return wire.decode(wire.ServerBody, data).record(endpoint_id)
 
 
+def wave_status(number, completed):
+    """Return the row that tells the operator how far a wave has come."""
+    body = wire.WaveStatusBody("completed" if completed else "running")
+    key = f"{wire.WAVE_PREFIX}{number}"
+    return Put(wire.STATUS_TABLE, "", key, wire.encode(body))
+
+
 class Program:
     """The adapter around one node."""
 
@@ -71,11 +81,13 @@
             ),
             wire.SERVERS_TABLE,
             decode_endpoint,
+            wave_status,
         )
         settings = NodeSettings(
             boot.node_name,
             f"{boot.ip}:{boot.internal_ports[0]}",
             boot.bounds.hold_max_ms,
+            boot.bounds.lease_ms / 1000,
         )
         self._node = Node(clients, settings, self._metrics)
         self._ingress = Ingress(self._node, boot.listen, self._metrics)
@@ -130,6 +142,9 @@
             return
         if row.key == wire.CONFIG_KEY:
             self._node.configure(wire.decode(wire.ConfigBody, row.value).configuration())
+        elif row.key.startswith(wire.WAVE_PREFIX):
+            wave = wire.decode(wire.WaveBody, row.value).maintenance_wave()
+            self._node.fleet.apply_wave(wave)
 
 
 def main():
--- a/magnoliapier/platform/machines.py
+++ b/magnoliapier/platform/machines.py
@@ -1,11 +1,10 @@
 """The client of the platform's interface for machines, which the product calls hosts."""
 
-from enum import StrEnum
-
 import aiohttp
 from yarl import URL
 
 from magnoliapier.exceptions import (
+    HostOrderRefusedError,
     MessageError,
     PlatformError,
     StoreOutcomeUnknownError,
@@ -21,22 +20,6 @@
 log = get_logger(__name__)
 
 
-class HostOrderRefusal(StrEnum):
-    """Why the platform refused an order for a host."""
-
-    FENCED = "fence"
-    BUSY = "busy"
-    WRONG_WAVE = "wave"
-
-
-class HostOrderRefusedError(PlatformError):
-    """The platform refused an order for a host and did nothing."""
-
-    def __init__(self, reason):
-        self.reason = reason
-        super().__init__(f"Read the host list again: refused for {reason}.")
-
-
 class MachineClient:
     """Lists hosts and orders moves and maintenance."""
 
--- /dev/null
+++ b/magnoliapier/pools/report.py
@@ -0,0 +1,62 @@
+"""What a shard's controller and the fleet controller tell each other."""
+
+import msgspec
+
+from magnoliapier.exceptions import MessageError
+
+REPORT_KEY = "pool"
+PLAN_KEY = "plan"
+
+
+class PoolReport(msgspec.Struct, array_like=True):
+    """
+    The state of a pool, written by the controller of its shard.
+
+    ``released`` maps an endpoint to its host; nothing runs there or will be started
+    there, so the host may be moved or maintained. ``wanted`` is how many more hosts
+    the pool could use now.
+    """
+
+    released: dict[str, str] = {}
+    wanted: int = 0
+    hosts: int = 0
+    backlog_s: float = 0.0
+
+
+class FleetPlan(msgspec.Struct, array_like=True):
+    """
+    What the fleet controller wants, and what it has done.
+
+    ``to_maintain`` holds hosts that their pools should empty now. ``maintained`` maps
+    the number of a wave to the hosts whose maintenance has begun.
+    """
+
+    to_maintain: tuple[str, ...] = ()
+    maintained: dict[int, tuple[str, ...]] = {}
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_REPORT = msgspec.msgpack.Decoder(PoolReport)
+_PLAN = msgspec.msgpack.Decoder(FleetPlan)
+
+
+def encode(value):
+    """Return the stored bytes of a report or plan."""
+    return _ENCODER.encode(value)
+
+
+def decode_report(data):
+    """Return the PoolReport in ``data``; raise MessageError if it is not one."""
+    return _decode(_REPORT, data)
+
+
+def decode_plan(data):
+    """Return the FleetPlan in ``data``; raise MessageError if it is not one."""
+    return _decode(_PLAN, data)
+
+
+def _decode(decoder, data):
+    try:
+        return decoder.decode(data)
+    except msgspec.MsgspecError as error:
+        raise MessageError(f"Remove or rewrite the stored row: {error}") from error
--- /dev/null
+++ b/magnoliapier/service/fleet.py
@@ -0,0 +1,173 @@
+"""
+The controller of the fleet: it moves hosts between pools and runs waves.
+
+One host at a time holds the fleet's lease. After a takeover it waits before its first
+order, so that no two holders order for one host in turns.
+"""
+
+import asyncio
+
+from magnoliapier.exceptions import (
+    FencedError,
+    HostOrderRefusedError,
+    PlatformError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from magnoliapier.logs import get_logger
+from magnoliapier.pools.planner import FleetPlanner, Maintain
+from magnoliapier.pools.report import PLAN_KEY, FleetPlan, decode_plan, encode
+from magnoliapier.service.leases import FLEET_SHARD
+from magnoliapier.state.commit import FencedCommitter
+from magnoliapier.state.lease import CONTROL_TABLE
+from magnoliapier.state.rows import Put
+
+TICK_S = 0.2
+BUSY_LIST_INTERVAL_S = 0.4
+IDLE_LIST_INTERVAL_S = 3.0
+RETRY_DELAY_S = 0.2
+
+log = get_logger(__name__)
+
+
+class FleetController:
+    """
+    Runs the fleet while its lease is held.
+
+    ``view`` gives the pools' reports, the waves and the standby pool as this host
+    knows them; ``wave_status`` turns a wave's state into the row that operators read.
+    """
+
+    def __init__(self, lease, deps, view, on_lost):
+        self.service = FLEET_SHARD
+        self.lease = lease
+        self._machines = deps.machines
+        self._store = deps.store
+        self._clock = deps.boottime
+        self._metrics = deps.metrics
+        self._wave_status = deps.wave_status
+        self._holder_gap_s = deps.holder_gap_s
+        self._view = view
+        self._on_lost = on_lost
+        self._committer = FencedCommitter(
+            deps.store, FLEET_SHARD, lease, deps.boottime
+        )
+        self._planner = FleetPlanner()
+        self._plan = FleetPlan()
+        self._listed_at = None
+        self._hosts = []
+        self._wave_states = {}
+        self._lost = False
+        self._task = None
+
+    def start(self):
+        """Begin to act."""
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self):
+        """Stop acting."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def may_act(self):
+        """Return whether orders are allowed now."""
+        return not self._lost and self.lease.may_act(self._clock())
+
+    async def _run(self):
+        await self._load()
+        quiet_until = self._clock() + self._holder_gap_s
+        while not self._lost:
+            try:
+                await self._tick(self._clock() >= quiet_until)
+            except FencedError as error:
+                log.warning("fleet_lost", error=error)
+                self._lost = True
+                self._on_lost(self)
+                return
+            except PlatformError as error:
+                log.info("fleet_tick_failed", error=error)
+            await asyncio.sleep(TICK_S)
+
+    async def _load(self):
+        while True:
+            try:
+                changes = await self._store.read(
+                    CONTROL_TABLE, FLEET_SHARD, PLAN_KEY, PLAN_KEY + "\x00"
+                )
+                break
+            except PlatformError as error:
+                log.info("fleet_load_failed", error=error)
+                await asyncio.sleep(RETRY_DELAY_S)
+        if changes.rows:
+            self._plan = decode_plan(changes.rows[0].value)
+        self._planner = FleetPlanner(self._plan.maintained)
+
+    async def _tick(self, may_order):
+        await self._commit_plan()
+        await self._list_hosts()
+        now = self._clock()
+        self._planner.update(
+            self._hosts,
+            self._view.reports(),
+            self._view.waves(),
+            self._view.standby(),
+            now,
+        )
+        if may_order:
+            for order in self._planner.orders():
+                if not self.may_act():
+                    break
+                await self._send(order)
+        await self._commit_plan()
+        await self._write_wave_states()
+
+    async def _list_hosts(self):
+        now = self._clock()
+        busy = self._planner.has_pending or self._view.active()
+        interval = BUSY_LIST_INTERVAL_S if busy else IDLE_LIST_INTERVAL_S
+        if self._listed_at is not None and now - self._listed_at < interval:
+            return
+        self._hosts = await self._machines.hosts()
+        self._listed_at = now
+
+    async def _send(self, order):
+        self._planner.ordered(order, self._clock())
+        self._listed_at = None
+        try:
+            if isinstance(order, Maintain):
+                await self._machines.maintain(order.host, order.wave, self.lease.token)
+                self._planner.maintenance_begun(order)
+            else:
+                await self._machines.move(order.host, order.service, self.lease.token)
+        except (HostOrderRefusedError, StoreUnavailableError) as error:
+            self._planner.refused(order)
+            log.info("host_order_refused", order=order, error=error)
+        except StoreOutcomeUnknownError as error:
+            log.warning("host_order_unanswered", order=order, error=error)
+        else:
+            log.info("host_ordered", order=order, token=self.lease.token)
+        self._metrics.count("host_orders_total", kind=type(order).__name__)
+
+    async def _commit_plan(self):
+        plan = FleetPlan(
+            self._planner.hosts_to_empty(),
+            {
+                wave: tuple(sorted(hosts))
+                for wave, hosts in self._planner.maintained.items()
+            },
+        )
+        puts = []
+        if plan != self._plan:
+            puts.append(Put(CONTROL_TABLE, FLEET_SHARD, PLAN_KEY, encode(plan)))
+        await self._committer.commit(puts)
+        self._plan = plan
+
+    async def _write_wave_states(self):
+        for wave in self._view.waves():
+            completed = self._planner.wave_completed(wave)
+            if self._wave_states.get(wave.number) == completed:
+                continue
+            await self._store.commit([], [self._wave_status(wave.number, completed)])
+            self._wave_states[wave.number] = completed
+            log.info("wave_state", wave=wave.number, completed=completed)
--- a/magnoliapier/service/node.py
+++ b/magnoliapier/service/node.py
@@ -5,12 +5,22 @@
 
 import msgspec
 
+from magnoliapier.exceptions import MessageError
 from magnoliapier.logs import get_logger
 from magnoliapier.placement.admission import Admission
+from magnoliapier.pools.report import (
+    PLAN_KEY,
+    REPORT_KEY,
+    FleetPlan,
+    decode_plan,
+    decode_report,
+)
 from magnoliapier.service.clock import boottime
 from magnoliapier.service.directory import EndpointDirectory
 from magnoliapier.service.entry import Entry
+from magnoliapier.service.fleet import FleetController
 from magnoliapier.service.leases import (
+    FLEET_SHARD,
     LeaseDirectory,
     LeaseTaker,
     release,
@@ -23,6 +33,7 @@
 
 CONTROL_WAIT_S = 1.0
 CONTROL_GAP_S = 0.6
+FLEET_CONTROL_GAP_S = 0.1  # pools that want hosts are waiting
 ENDPOINT_GAP_S = 0.4
 STORE_SILENCE_S = 2.5  # without an answer the host is not ready for callers
 
@@ -47,9 +58,69 @@
     metrics: object
     queue_named: object
     retired_queue: object
+    hosts_to_empty: object
     lease_ms: int
 
 
+class FleetDependencies(msgspec.Struct):
+    """What the fleet's controller uses."""
+
+    store: object
+    machines: object
+    boottime: object
+    metrics: object
+    wave_status: object
+    holder_gap_s: float
+
+
+class FleetView:
+    """What this host knows of pools, waves and the fleet's plan."""
+
+    def __init__(self, node):
+        self._node = node
+        self._reports = {}
+        self._waves = {}
+        self.plan = FleetPlan()
+
+    def apply(self, rows, complete):
+        """Apply changed rows of the control table."""
+        for row in rows:
+            if row.removed:
+                continue
+            try:
+                if row.key == REPORT_KEY:
+                    self._reports[row.part] = decode_report(row.value)
+                elif row.key == PLAN_KEY:
+                    self.plan = decode_plan(row.value)
+            except MessageError as error:
+                log.warning("unreadable_control_row", key=row.key, error=error)
+
+    def apply_wave(self, wave):
+        """Take note of a wave that the operator asks for."""
+        if wave.number not in self._waves:
+            log.info("wave", wave=wave.number, hosts=len(wave.hosts))
+        self._waves[wave.number] = wave
+
+    def reports(self):
+        """Return the pools' reports by service."""
+        return self._reports
+
+    def waves(self):
+        """Return all waves by number."""
+        return [self._waves[number] for number in sorted(self._waves)]
+
+    def standby(self):
+        """Return the name of the standby pool, or None."""
+        configuration = self._node.configuration
+        return configuration.standby_service() if configuration else None
+
+    def active(self):
+        """Return whether any pool wants or offers hosts, or a wave is asked for."""
+        return bool(self._waves) or any(
+            report.wanted or report.released for report in self._reports.values()
+        )
+
+
 class Node:
     """
     The parts of one process and their life.
@@ -63,6 +134,7 @@
         self.configuration = None
         self.leases = LeaseDirectory(boottime)
         self.admission = Admission()
+        self.fleet = FleetView(self)
         self.stopping = False
         self._store = clients.store
         self._settings = settings
@@ -106,8 +178,17 @@
             metrics,
             self._queue_named,
             self._retired_queue,
+            lambda: self.fleet.plan.to_maintain,
             settings.endpoint_lease_ms,
         )
+        self._fleet_dependencies = FleetDependencies(
+            clients.store,
+            clients.machines,
+            boottime,
+            metrics,
+            clients.wave_status,
+            settings.holder_gap_s,
+        )
 
     async def start(self):
         """Start all parts."""
@@ -174,10 +255,18 @@
         if self.configuration is None:
             return []
         services = {queue.service for queue in self.configuration.queues}
-        return sorted(services)
+        return [FLEET_SHARD, *sorted(services)]
 
     def _shard_taken(self, service, lease):
-        shard = ShardController(service, lease, self._dependencies, self._shard_lost)
+        if service == FLEET_SHARD:
+            shard = FleetController(
+                lease, self._fleet_dependencies, self.fleet, self._shard_lost
+            )
+            self._control_watcher.gap_s = FLEET_CONTROL_GAP_S
+        else:
+            shard = ShardController(
+                service, lease, self._dependencies, self._shard_lost
+            )
         self._shards[service] = shard
         shard.start()
 
@@ -185,10 +274,13 @@
         if self._shards.get(shard.service) is shard:
             del self._shards[shard.service]
             self._taker.released(shard.service)
+        if shard.service == FLEET_SHARD:
+            self._control_watcher.gap_s = CONTROL_GAP_S
         self._spawn(shard.close())
 
     def _apply_control(self, rows, complete):
         self.leases.apply(rows, complete)
+        self.fleet.apply(rows, complete)
 
     def _spawn(self, coroutine):
         task = asyncio.create_task(coroutine)
--- /dev/null
+++ b/magnoliapier/service/pool.py
@@ -0,0 +1,145 @@
+"""
+One pool's side of moving and maintaining hosts.
+
+It empties endpoints whose hosts are to be maintained or are not needed, releases them
+once nothing runs there, and says how many more hosts the pool could use.
+"""
+
+from magnoliapier.logs import get_logger
+from magnoliapier.pools.demand import NeedWindow, hosts_for, spread_of
+from magnoliapier.pools.report import PoolReport
+from magnoliapier.submissions.progress import RunState
+
+LEAST_HOSTS = 1
+
+log = get_logger(__name__)
+
+
+class PoolKeeper:
+    """
+    Decides which endpoints of a pool are emptied and released.
+
+    ``released`` maps endpoints to hosts; an entry stays until the endpoint has left,
+    because the fleet controller may act on it at any moment.
+    """
+
+    def __init__(self, service):
+        self._service = service
+        self._window = NeedWindow()
+        self.released = {}
+        self._wanted = 0
+        self._hosts = 0
+
+    def restore(self, report):
+        """Take over what an earlier holder has released."""
+        self.released = dict(report.released)
+
+    def report(self, backlog_s):
+        """Return the report to store."""
+        return PoolReport(dict(self.released), self._wanted, self._hosts, backlog_s)
+
+    def update(self, sessions, progresses, to_maintain, now):
+        """
+        Mark endpoints as leaving or released; return those to empty for maintenance.
+
+        ``sessions`` are those of listed endpoints, ``to_maintain`` names hosts.
+        """
+        self._forget_left(sessions)
+        staying = []
+        emptying = []
+        for session in sessions:
+            endpoint_id = session.endpoint_id
+            session.released = endpoint_id in self.released
+            if session.released:
+                continue
+            session.leaving = session.record.host in to_maintain
+            if session.leaving:
+                emptying.append(session)
+            elif session.usable_or_opening():
+                staying.append(session)
+        need = self._need(staying, progresses)
+        self._window.observe(need, now)
+        self._wanted = max(0, need - len(staying))
+        self._hosts = len(staying)
+        self._release_empty([*emptying, *self._surplus(staying)])
+        return emptying
+
+    def _forget_left(self, sessions):
+        present = {session.endpoint_id for session in sessions}
+        for endpoint_id in list(self.released):
+            if endpoint_id not in present:
+                del self.released[endpoint_id]
+
+    def _need(self, staying, progresses):
+        """Return how many hosts the work that can run now needs."""
+        capacity = max(
+            (session.record.capacity for session in staying),
+            key=lambda capacity: capacity.cpu_millicores,
+            default=None,
+        )
+        needs = []
+        spread = LEAST_HOSTS
+        for progress in progresses:
+            if progress.cancelled or progress.failed:
+                continue
+            spread = max(spread, spread_of(progress))
+            needs.extend(task.step.resources for task in progress.live_tasks())
+            needs.extend(task.step.resources for task in progress.startable_tasks())
+        if capacity is None:
+            return spread
+        return max(spread, hosts_for(needs, capacity))
+
+    def _surplus(self, staying):
+        """Return the endpoints to give away: those with the least work."""
+        surplus = len(staying) - max(self._window.highest, LEAST_HOSTS)
+        if surplus <= 0:
+            return []
+        movable = [s for s in staying if not s.runs_long]
+        movable.sort(key=lambda s: len(s.live))
+        chosen = movable[:surplus]
+        for session in chosen:
+            session.leaving = True
+        return chosen
+
+    def _release_empty(self, emptying):
+        for session in emptying:
+            if not session.live and session.opened and session.record.host:
+                session.released = True
+                self.released[session.endpoint_id] = session.record.host
+                log.info(
+                    "endpoint_released",
+                    endpoint=session.endpoint_id,
+                    host=session.record.host,
+                    service=self._service,
+                )
+
+
+def evacuations(session, sessions_with_room):
+    """
+    Return the live runs to stop now so that an endpoint empties.
+
+    A long-running task is stopped only while fewer of its step are away than may be,
+    and once there is room for it elsewhere. Short tasks without checkpoints run to
+    their end.
+    """
+    stops = []
+    for live in session.live.values():
+        if live.run.state != RunState.CONFIRMED:
+            continue
+        if live.step.long_running:
+            if may_interrupt(live) and sessions_with_room(live):
+                stops.append(live)
+                return stops
+        elif live.step.checkpointing:
+            stops.append(live)
+    return stops
+
+
+def may_interrupt(live):
+    """Return whether a long-running task may be away now."""
+    allowed = live.step.may_miss
+    if not allowed or not live.task.available:
+        return True
+    siblings = live.progress.siblings(live.task)
+    away = sum(not task.available for task in siblings if task is not live.task)
+    return away < allowed
--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -72,6 +72,11 @@
         """Return the number of the last end that was handed to the owner."""
         return self._processed
 
+    @property
+    def runs_long(self):
+        """Return whether a long-running task is here."""
+        return any(live.step.long_running for live in self.live.values())
+
     def usable(self, now):
         """Return whether new runs may be placed here."""
         return (
@@ -84,6 +89,15 @@
             and now >= self.blocked_until
         )
 
+    def usable_or_opening(self):
+        """Return whether the endpoint counts as one of the pool's."""
+        return (
+            self.listed
+            and not self.record.draining
+            and not self.released
+            and self.failing_since is None
+        )
+
     def start(self):
         """Begin to look at the endpoint."""
         self._task = asyncio.create_task(self._run())
--- a/magnoliapier/service/shard.py
+++ b/magnoliapier/service/shard.py
@@ -19,10 +19,17 @@
 from magnoliapier.placement.interference import fill_pace, worst_load
 from magnoliapier.placement.order import order_key
 from magnoliapier.placement.scheduler import Scheduler
+from magnoliapier.pools.report import (
+    REPORT_KEY,
+    decode_report,
+    encode as encode_report,
+)
 from magnoliapier.service.clock import unix_ms
+from magnoliapier.service.pool import PoolKeeper, evacuations
 from magnoliapier.service.session import EndpointSession
 from magnoliapier.service.watch import TableWatcher
 from magnoliapier.state.commit import FencedCommitter
+from magnoliapier.state.lease import CONTROL_TABLE
 from magnoliapier.state.rows import Put, Remove
 from magnoliapier.submissions.codec import decode_progress, decode_submission, encode
 from magnoliapier.submissions.model import EndReason, SubmissionState, TaskName
@@ -36,6 +43,7 @@
 COMMIT_RETRY_S = 0.06
 LOAD_RETRY_S = 0.2
 PACE_INTERVAL_S = 0.4
+REPORT_INTERVAL_S = 0.12
 LASTING_RETRY_S = 0.3
 FAILED_RETRY_S = 0.05
 
@@ -78,6 +86,10 @@
         self._intake = None
         self._tasks = []
         self._paced_at = 0.0
+        self._stored = {}
+        self._pool = PoolKeeper(service)
+        self._reported = None
+        self._reported_at = 0.0
         self._lost = False
 
     def start(self):
@@ -180,7 +192,7 @@
             live.task, live.run, EndReason(end.reason), end.checkpoint
         )
         progress.started = True
-        if end.reason != EndReason.DONE:
+        if used:
             live.task.not_before = self._clock() + (
                 LASTING_RETRY_S if live.step.long_running else FAILED_RETRY_S
             )
@@ -271,6 +283,7 @@
             await self._cycle()
 
     async def _load(self):
+        await self._load_report()
         stored = await self._store.read(progress_table(self.service), self.service)
         progress_of = {}
         for row in stored.rows:
@@ -302,6 +315,13 @@
             submissions=len(self._progresses),
         )
 
+    async def _load_report(self):
+        changes = await self._store.read(
+            CONTROL_TABLE, self.service, REPORT_KEY, REPORT_KEY + "\x00"
+        )
+        if changes.rows:
+            self._pool.restore(decode_report(changes.rows[0].value))
+
     def _adopt_runs(self):
         for progress in self._progresses.values():
             for task in list(progress.live_tasks()):
@@ -419,8 +439,9 @@
         self._open_occurrences()
         self._control_pace(now)
         if self.may_act():
+            self._keep_pool(now)
             self._schedule(now)
-        await self._commit()
+        await self._commit(now)
 
     def _open_occurrences(self):
         now_ms = unix_ms()
@@ -428,6 +449,26 @@
             if progress.submission.repeat_count and progress.open_occurrences(now_ms):
                 self._dirty.add(progress.submission_id)
 
+    def _keep_pool(self, now):
+        listed = [s for s in self._sessions.values() if s.listed]
+        emptying = self._pool.update(
+            listed, self._progresses.values(), self._deps.hosts_to_empty(), now
+        )
+        if not emptying:
+            return
+        scheduler = Scheduler(self._sessions.values(), now)
+        for session in emptying:
+            for live in evacuations(session, scheduler.could_place):
+                session.order_stop(live, "evacuated")
+
+    def _report_put(self, now):
+        """Return the put of a changed report, at most one each interval."""
+        report = self._pool.report(0.0)
+        if report == self._reported or now - self._reported_at < REPORT_INTERVAL_S:
+            return []
+        self._reported, self._reported_at = report, now
+        return [Put(CONTROL_TABLE, self.service, REPORT_KEY, encode_report(report))]
+
     def _schedule(self, now):
         now_ms = unix_ms()
         ordered = sorted(
@@ -454,16 +495,18 @@
                     live.run.pace = pace
                     session.order_pace(live, pace)
 
-    async def _commit(self):
+    async def _commit(self, now):
         ids = list(self._dirty)[:BATCH_SUBMISSIONS]
         whole = len(ids) == len(self._dirty)
         ends = {s: s.processed for s in self._sessions.values()}
         self._dirty.difference_update(ids)
         puts, removes, finals = self._writes(ids)
+        puts.extend(self._report_put(now))
         try:
             await self._committer.commit(puts, removes)
         except (StoreUnavailableError, StoreOutcomeUnknownError) as error:
             self._dirty.update(ids)
+            self._reported = None
             self._metrics.count("commit_retries_total", shard=self.service)
             log.info("commit_retried", shard=self.service, error=error)
             await asyncio.sleep(COMMIT_RETRY_S)
--- a/magnoliapier/service/watch.py
+++ b/magnoliapier/service/watch.py
@@ -25,7 +25,7 @@
         self._parts = parts
         self._on_rows = on_rows
         self._wait_s = wait_s
-        self._gap_s = gap_s
+        self.gap_s = gap_s
         self._available = True
         self._task = None
         self.complete = asyncio.Event()
@@ -55,7 +55,7 @@
                 self._mark_lost(error)
                 await asyncio.sleep(RETRY_DELAY_S)
             else:
-                await asyncio.sleep(self._gap_s)
+                await asyncio.sleep(self.gap_s)
 
     async def _read(self):
         rows = []
