--- a/magnoliapier/platform/__main__.py
+++ b/magnoliapier/platform/__main__.py
@@ -141,7 +141,9 @@
         if row.removed:
             return
         if row.key == wire.CONFIG_KEY:
-            self._node.configure(wire.decode(wire.ConfigBody, row.value).configuration())
+            self._node.configure(
+                wire.decode(wire.ConfigBody, row.value).configuration()
+            )
         elif row.key.startswith(wire.WAVE_PREFIX):
             wave = wire.decode(wire.WaveBody, row.value).maintenance_wave()
             self._node.fleet.apply_wave(wave)
--- a/magnoliapier/platform/boot.py
+++ b/magnoliapier/platform/boot.py
@@ -70,7 +70,9 @@
     """
     path = path or os.environ.get(SETTINGS_VARIABLE)
     if not path:
-        raise SettingsError(f"Set {SETTINGS_VARIABLE} to the path of the settings file.")
+        raise SettingsError(
+            f"Set {SETTINGS_VARIABLE} to the path of the settings file."
+        )
     try:
         return decode(BootSettings, Path(path).read_bytes())
     except OSError as error:
--- a/magnoliapier/platform/ingress.py
+++ b/magnoliapier/platform/ingress.py
@@ -132,4 +132,6 @@
                 return json_response(wire.StateBody(answer.state))
             return web.Response(body=b"{}", content_type="application/json")
         status = STATUS_OF_KIND[answer.kind]
-        return error_response(status, answer.reason or answer.kind, answer.retry_after_s)
+        return error_response(
+            status, answer.reason or answer.kind, answer.retry_after_s
+        )
--- a/magnoliapier/platform/machines.py
+++ b/magnoliapier/platform/machines.py
@@ -1,4 +1,4 @@
-"""The client of the platform's interface for machines, which the product calls hosts."""
+"""The client of the platform's interface for machines: the product's hosts."""
 
 import aiohttp
 from yarl import URL
--- a/magnoliapier/platform/store.py
+++ b/magnoliapier/platform/store.py
@@ -56,7 +56,9 @@
         status, data = await self._call(
             "POST", URL(f"{self._base}/rows-tx"), wire.encode(body)
         )
-        answer = wire.decode(wire.RowsAnswer, data) if status in (200, CONFLICT) else None
+        answer = (
+            wire.decode(wire.RowsAnswer, data) if status in (200, CONFLICT) else None
+        )
         if status == 200:
             return answer.ver
         if status == CONFLICT:
@@ -107,7 +109,11 @@
 
     async def changes(self, table, after, wait_s):
         """Return the changes of a table after a version, waiting for one."""
-        query = {"table": table, "after": str(after), "wait_ms": str(int(wait_s * 1000))}
+        query = {
+            "table": table,
+            "after": str(after),
+            "wait_ms": str(int(wait_s * 1000)),
+        }
         url = URL(f"{self._base}/rows-feed").with_query(query)
         status, data = await self._call("GET", url, timeout_s=wait_s + FEED_GRACE_S)
         if status == HISTORY_LOST:
@@ -131,7 +137,9 @@
                 status = response.status
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             self._metrics.count("store_calls_total", outcome="unreachable")
-            raise StoreUnavailableError(f"Retry later; no connection: {error}") from error
+            raise StoreUnavailableError(
+                f"Retry later; no connection: {error}"
+            ) from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             self._metrics.count("store_calls_total", outcome="no_answer")
             if adaptive:
@@ -150,7 +158,9 @@
     def _failure(self, status, data):
         if status in NOTHING_DONE:
             return StoreUnavailableError(f"Retry later; the store answered {status}.")
-        return PlatformError(f"Check the call; the store answered {status}: {data[:200]}")
+        return PlatformError(
+            f"Check the call; the store answered {status}: {data[:200]}"
+        )
 
 
 def decode_row(body):
--- a/magnoliapier/service/entry.py
+++ b/magnoliapier/service/entry.py
@@ -109,9 +109,7 @@
             retry_after_s=retry_after_s,
             cause=cause,
         )
-        return Answer(
-            AnswerKind.REFUSED, reason=reason, retry_after_s=retry_after_s
-        )
+        return Answer(AnswerKind.REFUSED, reason=reason, retry_after_s=retry_after_s)
 
     async def cancel(self, queue, submission_id):
         """Store a cancellation and return an Answer."""
--- a/magnoliapier/service/fleet.py
+++ b/magnoliapier/service/fleet.py
@@ -49,9 +49,7 @@
         self._holder_gap_s = deps.holder_gap_s
         self._view = view
         self._on_lost = on_lost
-        self._committer = FencedCommitter(
-            deps.store, FLEET_SHARD, lease, deps.boottime
-        )
+        self._committer = FencedCommitter(deps.store, FLEET_SHARD, lease, deps.boottime)
         self._planner = FleetPlanner()
         self._plan = FleetPlan()
         self._listed_at = None
--- a/magnoliapier/service/node.py
+++ b/magnoliapier/service/node.py
@@ -141,7 +141,9 @@
         self._shards = {}
         self._old_queues = {}
         self._background = set()
-        self._identity = Identity(settings.name, uuid.uuid4().hex, settings.peer_address)
+        self._identity = Identity(
+            settings.name, uuid.uuid4().hex, settings.peer_address
+        )
         self._peers = Peers(clients.http, self.leases, self._shards.get)
         self.entry = Entry(
             clients.store, self._peers, self.admission, boottime, metrics
--- a/magnoliapier/service/peers.py
+++ b/magnoliapier/service/peers.py
@@ -111,7 +111,9 @@
                     return None
                 return msgspec.json.decode(data, type=answer_type)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            log.info("peer_unanswered", shard=service, holder=holder.holder, error=error)
+            log.info(
+                "peer_unanswered", shard=service, holder=holder.holder, error=error
+            )
             return None
         except msgspec.MsgspecError as error:
             log.warning("peer_unreadable", shard=service, error=error)
--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -224,9 +224,7 @@
         while key in self.live:
             if self._owner.may_act():
                 try:
-                    await self._client.stop(
-                        self.record, key[0], key[1], self._token
-                    )
+                    await self._client.stop(self.record, key[0], key[1], self._token)
                 except OrderRefusedError as error:
                     if error.reason != OrderRefusal.UNHEALTHY:
                         self._stop_refused(live, error.reason)
@@ -240,7 +238,9 @@
             await asyncio.sleep(RETRY_DELAY_S)
 
     def _stop_refused(self, live, reason):
-        log.info("stop_refused", task=live.task.name, run=live.run.number, reason=reason)
+        log.info(
+            "stop_refused", task=live.task.name, run=live.run.number, reason=reason
+        )
         if reason == OrderRefusal.FENCED:
             self._owner.fenced(self)
         elif reason != OrderRefusal.WRONG_INSTANCE:
--- a/magnoliapier/service/shard.py
+++ b/magnoliapier/service/shard.py
@@ -338,7 +338,7 @@
             session.order_stop(live, "not_wanted")
 
     def _absent_session(self, progress, run):
-        """Return a session for an endpoint that is not listed, until its lease lapses."""
+        """Return a session for an unlisted endpoint, until its lease lapses."""
         record = self._deps.directory.absent(run.endpoint_id, self.service)
         session = self._open_session(record)
         session.listed = False
--- a/magnoliapier/state/lease.py
+++ b/magnoliapier/state/lease.py
@@ -47,7 +47,9 @@
     try:
         return _DECODER.decode(data)
     except msgspec.MsgspecError as error:
-        raise MessageError(f"Remove the lease row, it is unreadable: {error}") from error
+        raise MessageError(
+            f"Remove the lease row, it is unreadable: {error}"
+        ) from error
 
 
 class LeaseView:
@@ -81,9 +83,7 @@
         """Return whether the holder is an earlier process on the same host."""
         record = self.record
         return (
-            record is not None
-            and record.holder == holder
-            and record.process != process
+            record is not None and record.holder == holder and record.process != process
         )
 
 
--- a/magnoliapier/submissions/configuration.py
+++ b/magnoliapier/submissions/configuration.py
@@ -44,9 +44,10 @@
         """Return the queue with the longest prefix of ``path``, or None."""
         best = None
         for queue in self.queues:
-            if queue.host == host and path.startswith(queue.path_prefix):
-                if best is None or len(queue.path_prefix) > len(best.path_prefix):
-                    best = queue
+            if queue.host != host or not path.startswith(queue.path_prefix):
+                continue
+            if best is None or len(queue.path_prefix) > len(best.path_prefix):
+                best = queue
         return best
 
     def queue_named(self, name):
--- a/magnoliapier/submissions/model.py
+++ b/magnoliapier/submissions/model.py
@@ -121,7 +121,7 @@
 
     @classmethod
     def parse(cls, text):
-        """Return the name written as ``ID.OCCURRENCE.STEP.INDEX``; ValueError if not."""
+        """Return the name in ``ID.OCCURRENCE.STEP.INDEX``; ValueError if it is none."""
         submission_id, occurrence, step, index = text.split(".")
         return cls(submission_id, int(occurrence), int(step), int(index))
 
--- a/magnoliapier/submissions/progress.py
+++ b/magnoliapier/submissions/progress.py
@@ -9,7 +9,6 @@
     TaskName,
 )
 
-
 FULL_PACE = 100  # percent of a run's speed
 
 
@@ -237,7 +236,9 @@
                     finish.append(0)
                     continue
                 step = tasks[0].step
-                begin = max((finish[i] for i in step.after if i < len(finish)), default=0)
+                begin = max(
+                    (finish[i] for i in step.after if i < len(finish)), default=0
+                )
                 left = 0 if all(task.done for task in tasks) else step.estimated_ms
                 finish.append(begin + left)
             longest = max(longest, max(finish, default=0))
