--- a/magnoliapier/placement/scheduler.py
+++ b/magnoliapier/placement/scheduler.py
@@ -122,10 +122,11 @@
         step = task.step
         far = self._far(session, step, siblings)
         failed = session.endpoint_id in task.failed_on
+        avoided = failed or session.health.suspect(self._now)
         if step.fills:
             serving = sum(live.serves for live in session.live.values())
-            return (failed, far, serving, len(session.live))
-        return (failed, far, session.leaving, session.room.cpu_millicores)
+            return (avoided, far, serving, len(session.live))
+        return (avoided, far, session.room.cpu_millicores)
 
     def _far(self, session, step, siblings):
         rack = session.record.rack
--- a/magnoliapier/pools/demand.py
+++ b/magnoliapier/pools/demand.py
@@ -1,25 +1,25 @@
-"""How many hosts a pool needs for the work that it has now."""
+"""
+How many hosts a pool needs for the work it has and the work that keeps coming.
+
+Work is counted in host-seconds: the share of a host that a task takes, by its scarcer
+resource, times how long it takes.
+"""
 
 import math
 from collections import deque
 
-PACKING = 0.85  # of a host's resources that tasks of mixed sizes can fill
-SURPLUS_HOLD_S = 0.8  # a host is given away after it was needless for so long
-
+PACKING = 0.85  # of a host that tasks of mixed sizes can fill
+SURPLUS_HOLD_S = 2.0  # giving a host away and getting it back costs as much
+ARRIVAL_WINDOW_S = 1.2
+CATCH_UP_S = 1.5  # in which waiting work should be begun
 
-def hosts_for(needs, capacity):
-    """
-    Return how many hosts of a capacity hold tasks that need ``needs`` together.
 
-    ``needs`` is a list of ``Resources``.
-    """
-    cpu = sum(need.cpu_millicores for need in needs)
-    memory = sum(need.memory_mb for need in needs)
-    shares = (
-        cpu / max(1, capacity.cpu_millicores),
-        memory / max(1, capacity.memory_mb),
+def host_share(resources, capacity):
+    """Return the share of a host that ``resources`` take, by the scarcer one."""
+    return max(
+        resources.cpu_millicores / max(1, capacity.cpu_millicores),
+        resources.memory_mb / max(1, capacity.memory_mb),
     )
-    return math.ceil(max(shares) / PACKING)
 
 
 def spread_of(progress):
@@ -31,6 +31,44 @@
     return spread
 
 
+class ArrivalRate:
+    """
+    Host-seconds of work that arrive per second, over the last ``ARRIVAL_WINDOW_S``.
+
+    Example::
+
+        rate = ArrivalRate()
+        rate.add(2.4, now=10.0)
+        assert rate.per_second(10.5) == 2.0
+    """
+
+    def __init__(self, window_s=ARRIVAL_WINDOW_S):
+        self._window_s = window_s
+        self._arrivals = deque()
+
+    def add(self, host_seconds, now):
+        """Take note of arriving work."""
+        self._arrivals.append((now, host_seconds))
+
+    def per_second(self, now):
+        """Return the present rate."""
+        while self._arrivals and now - self._arrivals[0][0] > self._window_s:
+            self._arrivals.popleft()
+        return sum(work for _, work in self._arrivals) / self._window_s
+
+
+def hosts_needed(lasting_share, arrival_rate, waiting_work, spread):
+    """
+    Return how many hosts a pool needs.
+
+    ``lasting_share`` is the sum of the shares of long-running tasks, ``arrival_rate``
+    the host-seconds that arrive per second, ``waiting_work`` the host-seconds that
+    have not begun, and ``spread`` the hosts over which tasks must be spread.
+    """
+    share = lasting_share + arrival_rate + waiting_work / CATCH_UP_S
+    return max(1, spread, math.ceil(share / PACKING))
+
+
 class NeedWindow:
     """
     The highest need of the last ``SURPLUS_HOLD_S`` seconds.
--- a/magnoliapier/service/pool.py
+++ b/magnoliapier/service/pool.py
@@ -6,12 +6,16 @@
 """
 
 from magnoliapier.logs import get_logger
-from magnoliapier.pools.demand import NeedWindow, hosts_for, spread_of
+from magnoliapier.pools.demand import (
+    ArrivalRate,
+    NeedWindow,
+    host_share,
+    hosts_needed,
+    spread_of,
+)
 from magnoliapier.pools.report import PoolReport
 from magnoliapier.submissions.progress import RunState
 
-LEAST_HOSTS = 1
-
 log = get_logger(__name__)
 
 
@@ -23,9 +27,12 @@
     because the fleet controller may act on it at any moment.
     """
 
-    def __init__(self, service):
+    def __init__(self, service, durations):
         self._service = service
+        self._durations = durations
         self._window = NeedWindow()
+        self._arrivals = ArrivalRate()
+        self._capacity = None
         self.released = {}
         self._wanted = 0
         self._hosts = 0
@@ -38,6 +45,20 @@
         """Return the report to store."""
         return PoolReport(dict(self.released), self._wanted, self._hosts, backlog_s)
 
+    def arrived(self, progress, now):
+        """Take note of a new submission."""
+        if self._capacity is None or progress.submission.long_running:
+            return
+        work = 0.0
+        for step in progress.submission.steps:
+            work += step.task_count * self._work(progress, step)
+        self._arrivals.add(work, now)
+
+    def _work(self, progress, step):
+        """Return the host-seconds of a task of a step."""
+        seconds = self._durations.task_ms(progress.queue.name, step) / 1000
+        return host_share(step.resources, self._capacity) * seconds
+
     def update(self, sessions, progresses, to_maintain, now):
         """
         Mark endpoints as leaving or released; return those to empty for maintenance.
@@ -57,7 +78,7 @@
                 emptying.append(session)
             elif session.usable_or_opening():
                 staying.append(session)
-        need = self._need(staying, progresses)
+        need = self._need(staying, progresses, now)
         self._window.observe(need, now)
         self._wanted = max(0, need - len(staying))
         self._hosts = len(staying)
@@ -70,28 +91,34 @@
             if endpoint_id not in present:
                 del self.released[endpoint_id]
 
-    def _need(self, staying, progresses):
-        """Return how many hosts the work that can run now needs."""
-        capacity = max(
-            (session.record.capacity for session in staying),
-            key=lambda capacity: capacity.cpu_millicores,
-            default=None,
-        )
-        needs = []
-        spread = LEAST_HOSTS
+    def _need(self, staying, progresses, now):
+        """Return how many hosts the pool needs now."""
+        for session in staying:
+            self._capacity = session.record.capacity
+            break
+        lasting = waiting = 0.0
+        spread = 1
         for progress in progresses:
             if progress.cancelled or progress.failed:
                 continue
             spread = max(spread, spread_of(progress))
-            needs.extend(task.step.resources for task in progress.live_tasks())
-            needs.extend(task.step.resources for task in progress.startable_tasks())
-        if capacity is None:
-            return spread
-        return max(spread, hosts_for(needs, capacity))
+            if self._capacity is None:
+                continue
+            if progress.submission.long_running:
+                lasting += sum(
+                    host_share(task.step.resources, self._capacity)
+                    for task in progress.tasks()
+                )
+            else:
+                waiting += sum(
+                    self._work(progress, task.step)
+                    for task in progress.startable_tasks()
+                )
+        return hosts_needed(lasting, self._arrivals.per_second(now), waiting, spread)
 
     def _surplus(self, staying):
         """Return the endpoints to give away: those with the least work."""
-        surplus = len(staying) - max(self._window.highest, LEAST_HOSTS)
+        surplus = len(staying) - self._window.highest
         if surplus <= 0:
             return []
         movable = [s for s in staying if not s.runs_long]
--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -12,12 +12,13 @@
 from magnoliapier.exceptions import EndpointUnreachableError, OrderRefusedError
 from magnoliapier.logs import get_logger
 from magnoliapier.placement.endpoint import Room
+from magnoliapier.placement.health import EndpointHealth
 from magnoliapier.service.clock import SLOWEST_CLOCK_RATE, EndpointClock
 from magnoliapier.service.orders import OrderRefusal, StartOrder
 from magnoliapier.submissions.progress import RunState
 
 LOOK_WAIT_MS = 1000
-LOOK_GAP_S = 0.08  # gathers ends and spares looks while many runs end
+LOOK_GAP_S = 0.14  # gathers ends and spares looks while many runs end
 ACKNOWLEDGE_DELAY_S = 1.2  # before an idle endpoint is called only to acknowledge
 RETRY_DELAY_S = 0.25
 UNHEALTHY_BACKOFF_S = 0.6
@@ -38,6 +39,7 @@
     def __init__(self, record, client, owner, token, lease_ms, clock):
         self.record = record
         self.room = Room(record.capacity)
+        self.health = EndpointHealth()
         self.live = {}
         self.opened = False
         self.listed = True
--- a/magnoliapier/service/shard.py
+++ b/magnoliapier/service/shard.py
@@ -16,6 +16,8 @@
     StoreUnavailableError,
 )
 from magnoliapier.logs import get_logger
+from magnoliapier.placement.durations import DurationModel
+from magnoliapier.placement.health import stalled
 from magnoliapier.placement.interference import fill_pace, worst_load
 from magnoliapier.placement.order import order_key
 from magnoliapier.placement.scheduler import Scheduler
@@ -87,7 +89,8 @@
         self._tasks = []
         self._paced_at = 0.0
         self._stored = {}
-        self._pool = PoolKeeper(service)
+        self._durations = DurationModel()
+        self._pool = PoolKeeper(service, self._durations)
         self._reported = None
         self._reported_at = 0.0
         self._lost = False
@@ -188,6 +191,7 @@
         session.drop(live)
         self._metrics.count("ends_total", reason=end.reason)
         progress = live.progress
+        self._learn(session, live, end.reason)
         used = progress.record_end(
             live.task, live.run, EndReason(end.reason), end.checkpoint
         )
@@ -208,6 +212,19 @@
             self._stop_unwanted(progress, live.task)
         self._mark(progress)
 
+    def _learn(self, session, live, reason):
+        """Note how long a task took, or that it failed, for later placements."""
+        now = self._clock()
+        if reason == EndReason.FAILED:
+            session.health.task_failed(live.progress.submission_id, now)
+        if reason != EndReason.DONE or live.task.last_run > 1:
+            return
+        queue = live.progress.queue.name
+        duration_ms = (now - live.run.ordered_at) * 1000
+        expected_ms = self._durations.task_ms(queue, live.step)
+        session.health.task_done(duration_ms, expected_ms)
+        self._durations.observe(queue, duration_ms)
+
     def _unexpected_end(self, session, end):
         """Accept a late ``done`` of a run that was given up."""
         try:
@@ -373,6 +390,9 @@
             progress.restore(stored, unix_ms(), self._clock())
         progress.open_occurrences(unix_ms())
         self._progresses[row.key] = progress
+        for step in submission.steps:
+            self._durations.suggest(submission.queue, step.estimated_ms)
+        self._pool.arrived(progress, self._clock())
         self._metrics.count("submissions_total", queue=submission.queue)
         log.info(
             "taken_in",
@@ -439,6 +459,7 @@
         self._open_occurrences()
         self._control_pace(now)
         if self.may_act():
+            self._restart_stalled(now)
             self._keep_pool(now)
             self._schedule(now)
         await self._commit(now)
@@ -449,6 +470,18 @@
             if progress.submission.repeat_count and progress.open_occurrences(now_ms):
                 self._dirty.add(progress.submission_id)
 
+    def _restart_stalled(self, now):
+        """Stop short tasks that stand still, so that they start elsewhere."""
+        for session in self._sessions.values():
+            if session.failing_since is not None:
+                continue
+            for live in list(session.live.values()):
+                if live.run.state == RunState.CONFIRMED and stalled(live, now):
+                    session.health.task_stalled(now)
+                    live.task.failed_on.add(session.endpoint_id)
+                    session.order_stop(live, "stalled")
+                    self._metrics.count("stalled_total", service=self.service)
+
     def _keep_pool(self, now):
         listed = [s for s in self._sessions.values() if s.listed]
         emptying = self._pool.update(
@@ -473,7 +506,7 @@
         now_ms = unix_ms()
         ordered = sorted(
             (p for p in self._progresses.values() if not p.cancelled and not p.failed),
-            key=lambda progress: order_key(progress, now_ms),
+            key=lambda progress: order_key(progress, self._durations, now_ms),
         )
         for session, live in Scheduler(self._sessions.values(), now).place(ordered):
             submission_id = live.progress.submission_id
--- a/magnoliapier/submissions/model.py
+++ b/magnoliapier/submissions/model.py
@@ -124,18 +124,3 @@
         """Return the name in ``ID.OCCURRENCE.STEP.INDEX``; ValueError if it is none."""
         submission_id, occurrence, step, index = text.split(".")
         return cls(submission_id, int(occurrence), int(step), int(index))
-
-
-def chain_ms(steps):
-    """
-    Return the longest chain of dependent steps in estimated milliseconds.
-
-    Example::
-
-        chain_ms((Step(1, estimated_ms=5), Step(1, estimated_ms=7, after=(0,)))) == 12
-    """
-    finish = []
-    for step in steps:
-        begin = max((finish[i] for i in step.after if i < len(finish)), default=0)
-        finish.append(begin + step.estimated_ms)
-    return max(finish, default=0)
--- a/magnoliapier/submissions/progress.py
+++ b/magnoliapier/submissions/progress.py
@@ -226,23 +226,17 @@
                         if not task.done and not task.runs:
                             yield task
 
-    def remaining_steps_ms(self, progress_of=None):
-        """Return the estimated milliseconds of the longest chain left to do."""
-        longest = 0
+    def done_steps(self):
+        """Return the indexes of steps that are done in every occurrence."""
+        done = None
         for steps in self.occurrences.values():
-            finish = []
-            for tasks in steps:
-                if not tasks:
-                    finish.append(0)
-                    continue
-                step = tasks[0].step
-                begin = max(
-                    (finish[i] for i in step.after if i < len(finish)), default=0
-                )
-                left = 0 if all(task.done for task in tasks) else step.estimated_ms
-                finish.append(begin + left)
-            longest = max(longest, max(finish, default=0))
-        return longest
+            here = {i for i, tasks in enumerate(steps) if all(t.done for t in tasks)}
+            done = here if done is None else done & here
+        return done or set()
+
+    def size_millicores(self):
+        """Return the processor that all tasks that are not done need together."""
+        return sum(t.step.resources.cpu_millicores for t in self.tasks() if not t.done)
 
     def record_end(self, task, run, reason, checkpoint):
         """
