--- a/magnoliapier/pools/demand.py
+++ b/magnoliapier/pools/demand.py
@@ -11,7 +11,8 @@
 PACKING = 0.85  # of a host that tasks of mixed sizes can fill
 SURPLUS_HOLD_S = 2.0  # giving a host away and getting it back costs as much
 ARRIVAL_WINDOW_S = 1.2
-CATCH_UP_S = 1.5  # in which waiting work should be begun
+CATCH_UP_S = 2.0  # in which work that has waited should be begun
+USUAL_WAIT_S = 0.5  # of arrivals; work that waits as usual is not counted twice
 
 
 def host_share(resources, capacity):
@@ -65,7 +66,8 @@
     the host-seconds that arrive per second, ``waiting_work`` the host-seconds that
     have not begun, and ``spread`` the hosts over which tasks must be spread.
     """
-    share = lasting_share + arrival_rate + waiting_work / CATCH_UP_S
+    backlog = max(0.0, waiting_work - arrival_rate * USUAL_WAIT_S)
+    share = lasting_share + arrival_rate + backlog / CATCH_UP_S
     return max(1, spread, math.ceil(share / PACKING))
 
 
--- a/magnoliapier/service/pool.py
+++ b/magnoliapier/service/pool.py
@@ -16,6 +16,8 @@
 from magnoliapier.pools.report import PoolReport
 from magnoliapier.submissions.progress import RunState
 
+SETTLING_S = 6.0  # after a takeover the recent arrivals are not known
+
 log = get_logger(__name__)
 
 
@@ -33,6 +35,7 @@
         self._window = NeedWindow()
         self._arrivals = ArrivalRate()
         self._capacity = None
+        self._taken_at = None
         self.released = {}
         self._wanted = 0
         self._hosts = 0
@@ -79,6 +82,10 @@
             elif session.usable_or_opening():
                 staying.append(session)
         need = self._need(staying, progresses, now)
+        if self._taken_at is None:
+            self._taken_at = now
+        if now - self._taken_at < SETTLING_S:
+            need = max(need, len(staying))
         self._window.observe(need, now)
         self._wanted = max(0, need - len(staying))
         self._hosts = len(staying)
--- /dev/null
+++ b/tests/service/fakes.py
@@ -0,0 +1,205 @@
+"""A table store and endpoints in memory, for tests of the controllers."""
+
+import asyncio
+
+from magnoliapier.exceptions import (
+    ConflictError,
+    EndpointUnreachableError,
+    OrderRefusedError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from magnoliapier.metrics import Metrics
+from magnoliapier.service.orders import (
+    Inspection,
+    OrderRefusal,
+    RunEnd,
+    RunReading,
+)
+from magnoliapier.state.rows import Changes, Row
+
+FOREVER_MS = 10**12
+
+
+class FakeClock:
+    """A steady clock that tests move."""
+
+    def __init__(self, now=100.0):
+        self.now = now
+
+    def __call__(self):
+        return self.now
+
+
+class FakeStore:
+    """
+    The platform's table in memory.
+
+    ``fail_next`` raises an error instead of applying a commit; ``lose_next`` applies
+    it and loses the answer; ``delay_next`` loses it and keeps it for ``apply_late``.
+    """
+
+    def __init__(self):
+        self.rows = {}
+        self.version = 0
+        self.fail_next = 0
+        self.lose_next = 0
+        self.delay_next = 0
+        self.late = []
+        self.commits = []
+        self.last_answer_at = 0.0
+
+    async def commit(self, expects, puts, removes=()):
+        await asyncio.sleep(0)
+        if self.fail_next:
+            self.fail_next -= 1
+            raise StoreUnavailableError("down")
+        if self.delay_next:
+            self.delay_next -= 1
+            self.late.append((expects, puts, removes))
+            raise StoreOutcomeUnknownError("late")
+        version = self._apply(expects, puts, removes)
+        if self.lose_next:
+            self.lose_next -= 1
+            raise StoreOutcomeUnknownError("lost")
+        return version
+
+    def apply_late(self):
+        """Apply the delayed commits; return how many still met their condition."""
+        applied = 0
+        for entry in self.late:
+            try:
+                self._apply(*entry)
+                applied += 1
+            except ConflictError:
+                pass
+        self.late.clear()
+        return applied
+
+    def _apply(self, expects, puts, removes):
+        for expect in expects:
+            key = (expect.table, expect.part, expect.key)
+            row = self.rows.get(key)
+            if (row.version if row else 0) != expect.version:
+                raise ConflictError({expect.key: row} if row else {})
+        self.version += 1
+        for put in puts:
+            key = (put.table, put.part, put.key)
+            self.rows[key] = Row(*key, put.value, self.version)
+        for remove in removes:
+            self.rows.pop((remove.table, remove.part, remove.key), None)
+        self.commits.append((list(puts), list(removes)))
+        return self.version
+
+    async def read(self, table, part, first_key="", end_key=""):
+        await asyncio.sleep(0)
+        rows = [
+            row
+            for (t, p, key), row in sorted(self.rows.items())
+            if t == table
+            and p == part
+            and key >= first_key
+            and (not end_key or key < end_key)
+        ]
+        return Changes(rows, self.version)
+
+    async def parts(self, table):
+        await asyncio.sleep(0)
+        return sorted({p for (t, p, _) in self.rows if t == table}), self.version
+
+    async def changes(self, table, after, wait_s):
+        for _ in range(20):
+            rows = [
+                row
+                for (t, _, _), row in self.rows.items()
+                if t == table and row.version > after
+            ]
+            if rows:
+                rows.sort(key=lambda row: row.version)
+                return Changes(rows, self.version)
+            await asyncio.sleep(0.002)
+        return Changes([], max(after, self.version))
+
+
+class FakeEndpoint:
+    """What one endpoint holds and has seen."""
+
+    def __init__(self):
+        self.running = {}
+        self.ended = []
+        self.token = 0
+        self.barred = {}
+        self.starts = []
+        self.acknowledged = 0
+        self.next_end = 1
+        self.silent = False
+        self.unanswered_starts = 0
+        self.clock_ms = 5000
+
+    def end(self, task, reason="done"):
+        """End a running task."""
+        run = self.running.pop(task)
+        self.ended.append(RunEnd(self.next_end, task, run, reason, ""))
+        self.next_end += 1
+        self.barred[task] = run
+
+
+class FakeEndpoints:
+    """Implements the endpoint client over FakeEndpoint objects."""
+
+    def __init__(self):
+        self.by_id = {}
+
+    def add(self, endpoint_id):
+        """Return a new endpoint."""
+        self.by_id[endpoint_id] = FakeEndpoint()
+        return self.by_id[endpoint_id]
+
+    def _reach(self, record, token):
+        endpoint = self.by_id.get(record.endpoint_id)
+        if endpoint is None or endpoint.silent:
+            raise EndpointUnreachableError("silent")
+        if token < endpoint.token:
+            raise OrderRefusedError(OrderRefusal.FENCED)
+        endpoint.token = token
+        endpoint.clock_ms += 1
+        return endpoint
+
+    async def start(self, record, order):
+        await asyncio.sleep(0)
+        endpoint = self._reach(record, order.token)
+        if order.run <= endpoint.barred.get(order.task, 0):
+            raise OrderRefusedError(OrderRefusal.SUPERSEDED)
+        endpoint.starts.append((order.task, order.run))
+        endpoint.running[order.task] = order.run
+        if endpoint.unanswered_starts:
+            endpoint.unanswered_starts -= 1
+            raise EndpointUnreachableError("no answer")
+        return endpoint.clock_ms
+
+    async def stop(self, record, task, run, token):
+        await asyncio.sleep(0)
+        endpoint = self._reach(record, token)
+        if endpoint.running.get(task) == run:
+            endpoint.end(task, "stopped")
+        endpoint.barred[task] = max(run, endpoint.barred.get(task, 0))
+        return endpoint.clock_ms
+
+    async def set_pace(self, record, task, run, percent, token):
+        await asyncio.sleep(0)
+        return self._reach(record, token).clock_ms
+
+    async def inspect(self, record, token, deadline_ms, acknowledged, wait_ms):
+        await asyncio.sleep(0.002)
+        endpoint = self._reach(record, token)
+        endpoint.acknowledged = max(endpoint.acknowledged, acknowledged)
+        endpoint.ended = [e for e in endpoint.ended if e.number > acknowledged]
+        running = [
+            RunReading(task, run, "", 100) for task, run in endpoint.running.items()
+        ]
+        return Inspection(endpoint.clock_ms, running, list(endpoint.ended), 1)
+
+
+def metrics():
+    """Return fresh metrics."""
+    return Metrics()
--- /dev/null
+++ b/tests/service/test_shard.py
@@ -0,0 +1,357 @@
+import asyncio
+import unittest
+
+from magnoliapier.placement.endpoint import EndpointRecord
+from magnoliapier.service.directory import EndpointDirectory
+from magnoliapier.service.entry import AnswerKind, Entry
+from magnoliapier.service.node import ShardDependencies
+from magnoliapier.service.shard import (
+    CANCEL_SUFFIX,
+    ShardController,
+    progress_table,
+    submissions_table,
+)
+from magnoliapier.state.lease import (
+    CONTROL_TABLE,
+    LEASE_KEY,
+    HeldLease,
+    LeaseRecord,
+    encode_lease,
+)
+from magnoliapier.state.rows import Put
+from magnoliapier.submissions.codec import decode_progress, encode
+from magnoliapier.submissions.configuration import Queue
+from magnoliapier.submissions.model import Resources, Step, Submission, SubmissionState
+from tests.service.fakes import FakeClock, FakeEndpoints, FakeStore, metrics
+
+SERVICE = "desk"
+QUEUE = Queue("filings", "desk.example", "/f/", SERVICE, max_attempts=2)
+CAPACITY = Resources(8000, 8000, 0)
+WAIT_S = 3.0
+
+
+def submission(submission_id, *steps):
+    return Submission(submission_id, QUEUE.name, "spec", steps, accepted_ms=1)
+
+
+def short_step(count=1, after=(), **fields):
+    return Step(count, Resources(1000, 100, 0), estimated_ms=100, after=after, **fields)
+
+
+class ShardTestCase(unittest.IsolatedAsyncioTestCase):
+    """A shard's controller over an in-memory store and endpoints."""
+
+    async def asyncSetUp(self):
+        self.store = FakeStore()
+        self.clock = FakeClock()
+        self.endpoints = FakeEndpoints()
+        self.directory = EndpointDirectory(None, self.clock)
+        self.shards = []
+        self.token = 0
+
+    async def asyncTearDown(self):
+        for shard in self.shards:
+            await shard.close()
+
+    def add_endpoint(self, endpoint_id, labels=("a", "rack-1")):
+        record = EndpointRecord(
+            endpoint_id,
+            SERVICE,
+            f"{endpoint_id}:1",
+            "dc-1",
+            False,
+            CAPACITY,
+            labels,
+            host=f"host-{endpoint_id}",
+        )
+        self.directory._records[endpoint_id] = record
+        return self.endpoints.add(endpoint_id)
+
+    async def start_shard(self):
+        """Take the shard's lease under the next token and start a controller."""
+        self.token += 1
+        record = LeaseRecord(f"host-{self.token}", f"p{self.token}", "", self.token)
+        lease = HeldLease(record)
+        put = Put(CONTROL_TABLE, SERVICE, LEASE_KEY, encode_lease(record))
+        version = await self.store.commit([], [put])
+        lease.renewed(version, self.clock())
+        dependencies = ShardDependencies(
+            self.store,
+            self.endpoints,
+            self.directory,
+            self.clock,
+            metrics(),
+            lambda name: QUEUE,
+            lambda name, service: QUEUE,
+            lambda: (),
+            6000,
+        )
+        self.lost = []
+        shard = ShardController(SERVICE, lease, dependencies, self.lost.append)
+        self.shards.append(shard)
+        shard.start()
+        return shard
+
+    async def submit(self, item):
+        put = Put(submissions_table(SERVICE), SERVICE, item.submission_id, encode(item))
+        await self.store.commit([], [put])
+
+    async def until(self, condition):
+        for _ in range(int(WAIT_S / 0.005)):
+            if condition():
+                return
+            await asyncio.sleep(0.005)
+        self.fail("condition not met in time")
+
+    def stored(self, submission_id):
+        row = self.store.rows.get((progress_table(SERVICE), SERVICE, submission_id))
+        return decode_progress(row.value) if row else None
+
+
+class PathTests(ShardTestCase):
+    async def test_steps_run_in_order_and_complete(self):
+        """Guards against a step that starts before the ones it follows are done."""
+        endpoint = self.add_endpoint("e1")
+        shard = await self.start_shard()
+        await self.submit(submission("a" * 16, short_step(2), short_step(1, after=(0,))))
+        await self.until(lambda: len(endpoint.starts) == 2)
+        endpoint.end(f"{'a' * 16}.0.0.0")
+        await asyncio.sleep(0.3)
+        self.assertEqual(len(endpoint.starts), 2)
+        endpoint.end(f"{'a' * 16}.0.0.1")
+        await self.until(lambda: len(endpoint.starts) == 3)
+        endpoint.end(f"{'a' * 16}.0.1.0")
+        await self.until(
+            lambda: shard.state_of("a" * 16) == SubmissionState.COMPLETED
+        )
+        self.assertEqual(self.stored("a" * 16).state, "completed")
+
+    async def test_run_is_stored_before_it_is_ordered(self):
+        """Guards against a start that a successor could not know of."""
+        endpoint = self.add_endpoint("e1")
+        await self.start_shard()
+        await asyncio.sleep(0.1)
+        self.store.fail_next = 10**6
+        put = Put(
+            submissions_table(SERVICE),
+            SERVICE,
+            "b" * 16,
+            encode(submission("b" * 16, short_step())),
+        )
+        self.store._apply([], [put], [])
+        await asyncio.sleep(0.4)
+        self.assertEqual(endpoint.starts, [])
+        self.store.fail_next = 0
+        await self.until(lambda: endpoint.starts)
+        self.assertEqual(self.stored("b" * 16).tasks[0].runs, ((1, "e1"),))
+
+    async def test_end_is_stored_before_it_is_acknowledged(self):
+        """Guards against an end that is lost with the process that read it."""
+        endpoint = self.add_endpoint("e1")
+        await self.start_shard()
+        await self.submit(submission("c" * 16, short_step(), short_step(1, (0,))))
+        await self.until(lambda: endpoint.starts)
+        self.store.fail_next = 10**6
+        endpoint.end(f"{'c' * 16}.0.0.0")
+        await asyncio.sleep(0.4)
+        self.assertEqual(endpoint.acknowledged, 0)
+        self.store.fail_next = 0
+        await self.until(lambda: endpoint.acknowledged == 1)
+        self.assertTrue(self.stored("c" * 16).tasks[0].done)
+
+    async def test_attempts_are_limited(self):
+        """Guards against a task that runs on after its attempts are used up."""
+        endpoint = self.add_endpoint("e1")
+        shard = await self.start_shard()
+        await self.submit(submission("d" * 16, short_step()))
+        for attempt in (1, 2):
+            await self.until(lambda n=attempt: len(endpoint.starts) == n)
+            endpoint.end(f"{'d' * 16}.0.0.0", "failed")
+            await self.until(lambda: endpoint.acknowledged == len(endpoint.starts))
+            self.clock.now += 1
+        await self.until(lambda: shard.state_of("d" * 16) == SubmissionState.FAILED)
+        self.assertEqual(len(endpoint.starts), 2)
+
+    async def test_cancelled_submission_is_stopped(self):
+        """Guards against work that goes on after its cancellation was confirmed."""
+        endpoint = self.add_endpoint("e1")
+        shard = await self.start_shard()
+        await self.submit(submission("e" * 16, short_step(3, long_running=True)))
+        await self.until(lambda: len(endpoint.running) == 3)
+        key = "e" * 16 + CANCEL_SUFFIX
+        await self.store.commit(
+            [], [Put(submissions_table(SERVICE), SERVICE, key, b"")]
+        )
+        await self.until(lambda: not endpoint.running)
+        await self.until(
+            lambda: shard.state_of("e" * 16) == SubmissionState.CANCELLED
+        )
+
+    async def test_room_is_never_exceeded(self):
+        """Guards against more tasks on an endpoint than its resources hold."""
+        endpoint = self.add_endpoint("e1")
+        await self.start_shard()
+        await self.submit(submission("f" * 16, short_step(20)))
+        await self.until(lambda: len(endpoint.running) == 8)
+        await asyncio.sleep(0.3)
+        self.assertEqual(len(endpoint.running), 8)
+
+
+class FaultTests(ShardTestCase):
+    async def test_unanswered_start_that_ran_is_not_started_twice(self):
+        """Guards against two runs of a task after a start's answer was lost."""
+        first = self.add_endpoint("e1")
+        second = self.add_endpoint("e2")
+        first.unanswered_starts = second.unanswered_starts = 1
+        await self.start_shard()
+        await self.submit(submission("1" * 16, short_step()))
+        await self.until(lambda: len(first.starts) + len(second.starts) == 2)
+        self.assertLessEqual(len(first.running) + len(second.running), 1)
+
+    async def test_successor_repeats_no_finished_task(self):
+        """Guards against a second run of a task whose end the first holder stored."""
+        endpoint = self.add_endpoint("e1")
+        shard = await self.start_shard()
+        await self.submit(submission("2" * 16, short_step(2), short_step(1, (0,))))
+        await self.until(lambda: len(endpoint.running) == 2)
+        endpoint.end(f"{'2' * 16}.0.0.0")
+        await self.until(lambda: endpoint.acknowledged == 1)
+        await shard.close()
+        await self.start_shard()
+        await asyncio.sleep(0.3)
+        self.assertEqual(len(endpoint.starts), 2)
+        endpoint.end(f"{'2' * 16}.0.0.1")
+        await self.until(lambda: len(endpoint.starts) == 3)
+
+    async def test_former_holder_cannot_write(self):
+        """Guards against progress that an outdated holder writes over newer values."""
+        self.add_endpoint("e1")
+        await self.start_shard()
+        await asyncio.sleep(0.1)
+        await self.start_shard()
+        former = self.shards[0]
+        former._dirty.add("none")
+        self.clock.now += 1
+        former._wake.set()
+        await self.until(lambda: former._lost)
+
+    async def test_no_order_after_the_lease(self):
+        """Guards against orders of a holder that could not renew its lease."""
+        endpoint = self.add_endpoint("e1")
+        shard = await self.start_shard()
+        await asyncio.sleep(0.1)
+        self.store.fail_next = 10**6
+        self.clock.now += 3.1
+        self.assertFalse(shard.may_act())
+        item = submission("3" * 16, short_step())
+        put = Put(submissions_table(SERVICE), SERVICE, "3" * 16, encode(item))
+        self.store._apply([], [put], [])
+        await asyncio.sleep(0.3)
+        self.assertEqual(endpoint.starts, [])
+
+    async def test_task_of_a_silent_endpoint_waits_for_its_lease(self):
+        """Guards against a second run while a cut-off endpoint may still run the task."""
+        first = self.add_endpoint("e1")
+        await self.start_shard()
+        await self.submit(submission("4" * 16, short_step()))
+        await self.until(lambda: first.running)
+        await asyncio.sleep(0.4)
+        first.silent = True
+        second = self.add_endpoint("e2")
+        await asyncio.sleep(0.6)
+        self.assertEqual(second.starts, [])
+        for _ in range(10):
+            self.clock.now += 0.7
+            await asyncio.sleep(0.2)
+        await self.until(lambda: second.starts)
+
+    async def test_late_commit_does_not_bring_back_older_progress(self):
+        """Guards against a delayed write that is applied after a newer one."""
+        endpoint = self.add_endpoint("e1")
+        await self.start_shard()
+        await asyncio.sleep(0.1)
+        self.store.delay_next = 1
+        await self.submit_directly(submission("5" * 16, short_step()))
+        await self.until(lambda: endpoint.starts)
+        endpoint.end(f"{'5' * 16}.0.0.0")
+        await self.until(
+            lambda: self.stored("5" * 16) and self.stored("5" * 16).state == "completed"
+        )
+        self.assertEqual(self.store.apply_late(), 0)
+        self.assertEqual(self.stored("5" * 16).state, "completed")
+
+    async def submit_directly(self, item):
+        put = Put(submissions_table(SERVICE), SERVICE, item.submission_id, encode(item))
+        self.store._apply([], [put], [])
+
+
+class EntryTests(unittest.IsolatedAsyncioTestCase):
+    class NoPeers:
+        async def state(self, service, submission_id):
+            return None
+
+        async def pending(self, service, queue_name):
+            return None
+
+    class OpenAdmission:
+        def refusal(self, queue, submission):
+            return None
+
+    async def asyncSetUp(self):
+        self.store = FakeStore()
+        self.clock = FakeClock()
+        self.entry = Entry(
+            self.store, self.NoPeers(), self.OpenAdmission(), self.clock, metrics()
+        )
+        self.item = submission("6" * 16, short_step())
+
+    async def test_repeated_submission_is_stored_once(self):
+        """Guards against a retried submission that becomes a second one."""
+        for _ in range(2):
+            answer = await self.entry.submit(QUEUE, self.item)
+            self.assertEqual(answer.kind, AnswerKind.OK)
+        self.assertEqual(len(self.store.commits), 1)
+
+    async def test_lost_answer_is_resolved(self):
+        """Guards against an unknown outcome where asking again tells it."""
+        self.store.lose_next = 1
+        answer = await self.entry.submit(QUEUE, self.item)
+        self.assertEqual(answer.kind, AnswerKind.OK)
+
+    async def test_refusal_is_given_only_if_nothing_was_done(self):
+        """Guards against a false «not accepted» after a write without an answer."""
+        self.store.fail_next = 1
+        answer = await self.entry.submit(QUEUE, self.item)
+        self.assertEqual(answer.kind, AnswerKind.REFUSED)
+        self.store.delay_next = 1
+        self.store.fail_next = 0
+        self.clock.now += 1
+
+        async def fail(expects, puts, removes=()):
+            self.clock.now += 1
+            self.store.commit = self.down
+            return await FakeStore.commit(self.store, expects, puts, removes)
+
+        self.store.commit = fail
+        answer = await self.entry.submit(QUEUE, self.item)
+        self.assertEqual(answer.kind, AnswerKind.UNKNOWN)
+
+    async def down(self, expects, puts, removes=()):
+        self.clock.now += 1
+        self.store.fail_next = 1
+        return await FakeStore.commit(self.store, expects, puts, removes)
+
+    async def test_state_and_cancel_of_unknown_submission(self):
+        """Guards against a state that is told of a submission nobody made."""
+        self.assertEqual(
+            (await self.entry.state(QUEUE, "7" * 16)).kind, AnswerKind.ABSENT
+        )
+        self.assertEqual(
+            (await self.entry.cancel(QUEUE, "7" * 16)).kind, AnswerKind.ABSENT
+        )
+
+    async def test_state_without_a_holder_is_read_from_the_store(self):
+        """Guards against an accepted submission that is denied while no host leads."""
+        await self.entry.submit(QUEUE, self.item)
+        answer = await self.entry.state(QUEUE, self.item.submission_id)
+        self.assertEqual(answer.state, SubmissionState.QUEUED)
