--- a/tests/service/test_shard.py
+++ b/tests/service/test_shard.py
@@ -167,7 +167,7 @@
         for attempt in (1, 2):
             await self.until(lambda n=attempt: len(endpoint.starts) == n)
             endpoint.end(f"{'d' * 16}.0.0.0", "failed")
-            await self.until(lambda: endpoint.acknowledged == len(endpoint.starts))
+            await self.until(lambda: not shard._sessions["e1"].live)
             self.clock.now += 1
         await self.until(lambda: shard.state_of("d" * 16) == SubmissionState.FAILED)
         self.assertEqual(len(endpoint.starts), 2)
