Write submissions to parts of their own and give shards to strong hosts

Reads of a whole shard timed out on links of 10 Mbit/s. The fleet's successor waited 3 s before its first order; now a holder orders only while its lease outlasts an order.

--- a/magnoliapier/platform/__main__.py
+++ b/magnoliapier/platform/__main__.py
@@ -22,6 +22,7 @@
 from magnoliapier.state.rows import Put
 
 OPERATOR_WAIT_S = 1.5
+ENDPOINT_LEASE_MS = 5500  # outlasts a takeover; work of a lost endpoint waits as long
 DRAIN_S = 2.6  # two missed probes a second apart, and the requests under way
 DRAIN_STEP_S = 0.05
 
@@ -46,7 +47,7 @@
     name: str
     peer_address: str
     endpoint_lease_ms: int
-    holder_gap_s: float
+    weak: bool
 
 
 def decode_endpoint(endpoint_id, data):
@@ -86,8 +87,8 @@
         settings = NodeSettings(
             boot.node_name,
             f"{boot.ip}:{boot.internal_ports[0]}",
-            boot.bounds.hold_max_ms,
-            boot.bounds.lease_ms / 1000,
+            min(boot.bounds.hold_max_ms, ENDPOINT_LEASE_MS),
+            boot.limits.weak,
         )
         self._node = Node(clients, settings, self._metrics)
         self._ingress = Ingress(self._node, boot.listen, self._metrics)
--- a/magnoliapier/platform/boot.py
+++ b/magnoliapier/platform/boot.py
@@ -9,6 +9,8 @@
 from magnoliapier.platform.wire import decode
 
 SETTINGS_VARIABLE = "MAGNOLIAPIER_BOOT"
+WEAK_PROCESSOR = 0.9  # cores
+WEAK_LINK_MBPS = 50.0
 
 
 class Listen(msgspec.Struct):
@@ -47,6 +49,20 @@
     address: str
 
 
+class Limits(msgspec.Struct, frozen=True):
+    """What the machine gives the process."""
+
+    cpu_share: float = 1.0  # of a core that is ``cores`` times as fast
+    cores: float = 1.0
+    link_mbps: float = 1000.0
+
+    @property
+    def weak(self):
+        """Return whether the machine is too small to run a shard comfortably."""
+        processor = self.cpu_share * self.cores
+        return processor < WEAK_PROCESSOR or self.link_mbps < WEAK_LINK_MBPS
+
+
 class BootSettings(msgspec.Struct):
     """The fields of the settings file that the product uses; others are ignored."""
 
@@ -58,6 +74,7 @@
     platform: StoreSettings
     cloud_api: MachinesSettings
     bounds: Bounds = Bounds()
+    limits: Limits = Limits()
     advice: str = ""
     heartbeat_ms: int = 1500
 
--- a/magnoliapier/platform/machines.py
+++ b/magnoliapier/platform/machines.py
@@ -14,7 +14,7 @@
 from magnoliapier.platform import wire
 from magnoliapier.platform.http import call_timeout
 
-CALL_TIMEOUT_S = 1.5
+CALL_TIMEOUT_S = 1.0  # within state.lease.SLOW_ORDER_S
 NOTHING_DONE = (429, 503)
 
 log = get_logger(__name__)
--- a/magnoliapier/platform/store.py
+++ b/magnoliapier/platform/store.py
@@ -21,6 +21,7 @@
 
 PAGE_ROWS = 500
 FEED_GRACE_S = 0.6  # beyond the wait that was asked for
+READ_TIMEOUT_S = 2.0  # a page of rows takes a while on a slow link
 NOTHING_DONE = (429, 503)
 HISTORY_LOST = 410
 CONFLICT = 412
@@ -84,7 +85,7 @@
         if end:
             query["target"] = end
         url = URL(f"{self._base}/rows-get").with_query(query)
-        status, data = await self._call("GET", url)
+        status, data = await self._call("GET", url, timeout_s=READ_TIMEOUT_S)
         if status != 200:
             raise self._failure(status, data)
         return wire.decode(wire.RowsAnswer, data)
@@ -98,7 +99,7 @@
             if parts:
                 query["after"] = parts[-1]
             url = URL(f"{self._base}/rows-parts").with_query(query)
-            status, data = await self._call("GET", url)
+            status, data = await self._call("GET", url, timeout_s=READ_TIMEOUT_S)
             if status != 200:
                 raise self._failure(status, data)
             answer = wire.decode(wire.PartsAnswer, data)
--- a/magnoliapier/service/entry.py
+++ b/magnoliapier/service/entry.py
@@ -16,12 +16,13 @@
     StoreUnavailableError,
 )
 from magnoliapier.logs import get_logger
-from magnoliapier.service.shard import (
+from magnoliapier.state.rows import ABSENT, Expect, Put
+from magnoliapier.state.tables import (
     CANCEL_SUFFIX,
+    intake_part,
     progress_table,
     submissions_table,
 )
-from magnoliapier.state.rows import ABSENT, Expect, Put
 from magnoliapier.submissions.codec import decode_progress, encode
 from magnoliapier.submissions.model import SubmissionState
 
@@ -71,13 +72,11 @@
         refusal = self._admission.refusal(queue, submission)
         if refusal is not None:
             return self._refuse(submission, refusal.reason, refusal.retry_after_s)
-        service = queue.service
         key = submission.submission_id
-        expects = [
-            Expect(submissions_table(service), service, key, ABSENT),
-            Expect(progress_table(service), service, key, ABSENT),
-        ]
-        put = Put(submissions_table(service), service, key, encode(submission))
+        table = submissions_table(queue.service)
+        part = intake_part(queue.service, key)
+        expects = [Expect(table, part, key, ABSENT)]
+        put = Put(table, part, key, encode(submission))
         give_up_at = self._clock() + SUBMIT_BUDGET_S
         uncertain = False
         while True:
@@ -115,14 +114,17 @@
         """Store a cancellation and return an Answer."""
         service = queue.service
         table = submissions_table(service)
-        put = Put(table, service, submission_id + CANCEL_SUFFIX, b"")
+        part = intake_part(service, submission_id)
+        put = Put(table, part, submission_id + CANCEL_SUFFIX, b"")
         give_up_at = self._clock() + SUBMIT_BUDGET_S
         while True:
             try:
-                rows = await self._rows(table, service, submission_id)
+                rows = await self._rows(table, part, submission_id)
                 if not rows:
-                    return await self._stored_state(service, submission_id)
-                expect = Expect(table, service, submission_id, rows[0].version)
+                    return Answer(AnswerKind.ABSENT)
+                if not rows[0].value:
+                    return Answer(AnswerKind.OK)
+                expect = Expect(table, part, submission_id, rows[0].version)
                 await self._store.commit([expect], [put])
             except ConflictError:
                 continue
@@ -144,7 +146,9 @@
             if answer.kind != AnswerKind.ABSENT:
                 return answer
             table = submissions_table(queue.service)
-            if await self._rows(table, queue.service, submission_id):
+            part = intake_part(queue.service, submission_id)
+            rows = await self._rows(table, part, submission_id)
+            if rows and rows[0].value:
                 return Answer(AnswerKind.OK, state=SubmissionState.QUEUED)
             return await self._stored_state(queue.service, submission_id)
         except PlatformError as error:
@@ -158,8 +162,8 @@
         progress = decode_progress(rows[0].value)
         return Answer(AnswerKind.OK, state=SubmissionState(progress.state))
 
-    async def _rows(self, table, service, key):
-        changes = await self._store.read(table, service, key, key + "\x00")
+    async def _rows(self, table, part, key):
+        changes = await self._store.read(table, part, key, key + "\x00")
         return changes.rows
 
     async def pending(self, queue):
--- a/magnoliapier/service/fleet.py
+++ b/magnoliapier/service/fleet.py
@@ -1,8 +1,8 @@
 """
 The controller of the fleet: it moves hosts between pools and runs waves.
 
-One host at a time holds the fleet's lease. After a takeover it waits before its first
-order, so that no two holders order for one host in turns.
+One host at a time holds the fleet's lease. It orders only while the lease lasts longer
+than an order can take, so that none of its orders arrives after a successor's.
 """
 
 import asyncio
@@ -26,6 +26,7 @@
 BUSY_LIST_INTERVAL_S = 0.4
 IDLE_LIST_INTERVAL_S = 3.0
 RETRY_DELAY_S = 0.2
+CONCURRENT_ORDERS = 16  # a quarter of what the platform accepts in a second
 
 log = get_logger(__name__)
 
@@ -46,7 +47,6 @@
         self._clock = deps.boottime
         self._metrics = deps.metrics
         self._wave_status = deps.wave_status
-        self._holder_gap_s = deps.holder_gap_s
         self._view = view
         self._on_lost = on_lost
         self._committer = FencedCommitter(deps.store, FLEET_SHARD, lease, deps.boottime)
@@ -74,10 +74,9 @@
 
     async def _run(self):
         await self._load()
-        quiet_until = self._clock() + self._holder_gap_s
         while not self._lost:
             try:
-                await self._tick(self._clock() >= quiet_until)
+                await self._tick()
             except FencedError as error:
                 log.warning("fleet_lost", error=error)
                 self._lost = True
@@ -101,7 +100,7 @@
             self._plan = decode_plan(changes.rows[0].value)
         self._planner = FleetPlanner(self._plan.maintained)
 
-    async def _tick(self, may_order):
+    async def _tick(self):
         await self._commit_plan()
         await self._list_hosts()
         now = self._clock()
@@ -112,11 +111,12 @@
             self._view.standby(),
             now,
         )
-        if may_order:
-            for order in self._planner.orders():
-                if not self.may_act():
-                    break
-                await self._send(order)
+        orders = self._planner.orders()
+        for start in range(0, len(orders), CONCURRENT_ORDERS):
+            if not self.lease.may_order_slowly(self._clock()):
+                break
+            batch = orders[start : start + CONCURRENT_ORDERS]
+            await asyncio.gather(*(self._send(order) for order in batch))
         await self._commit_plan()
         await self._write_wave_states()
 
--- a/magnoliapier/service/leases.py
+++ b/magnoliapier/service/leases.py
@@ -25,6 +25,7 @@
 CHECK_INTERVAL_S = 0.1
 DELAY_PER_HELD_SHARD_S = 0.25  # lets hosts with fewer shards go first
 MAX_JITTER_S = 0.1
+WEAK_HOST_DELAY_S = 0.7  # lets hosts with more processor and bandwidth go first
 ATTEMPTS = 4
 
 log = get_logger(__name__)
@@ -114,7 +115,8 @@
     def _delay(self, shard):
         seed = f"{self._identity.holder}/{shard}".encode()
         jitter = zlib.crc32(seed) % 1000 / 1000 * MAX_JITTER_S
-        return len(self._held) * DELAY_PER_HELD_SHARD_S + jitter
+        weakness = WEAK_HOST_DELAY_S if self._identity.weak else 0.0
+        return len(self._held) * DELAY_PER_HELD_SHARD_S + jitter + weakness
 
     async def _take(self, shard):
         view = self._directory.view(shard)
--- a/magnoliapier/service/node.py
+++ b/magnoliapier/service/node.py
@@ -41,11 +41,16 @@
 
 
 class Identity(msgspec.Struct, frozen=True):
-    """Names this process in leases; ``address`` answers other hosts."""
+    """
+    Names this process in leases; ``address`` answers other hosts.
+
+    A ``weak`` host takes a shard only if no stronger one does.
+    """
 
     holder: str
     process: str
     address: str
+    weak: bool = False
 
 
 class ShardDependencies(msgspec.Struct):
@@ -70,7 +75,6 @@
     boottime: object
     metrics: object
     wave_status: object
-    holder_gap_s: float
 
 
 class FleetView:
@@ -142,7 +146,7 @@
         self._old_queues = {}
         self._background = set()
         self._identity = Identity(
-            settings.name, uuid.uuid4().hex, settings.peer_address
+            settings.name, uuid.uuid4().hex, settings.peer_address, settings.weak
         )
         self._peers = Peers(clients.http, self.leases, self._shards.get)
         self.entry = Entry(
@@ -189,7 +193,6 @@
             boottime,
             metrics,
             clients.wave_status,
-            settings.holder_gap_s,
         )
 
     async def start(self):
--- a/magnoliapier/service/pool.py
+++ b/magnoliapier/service/pool.py
@@ -16,7 +16,7 @@
 from magnoliapier.pools.report import PoolReport
 from magnoliapier.submissions.progress import RunState
 
-SETTLING_S = 6.0  # after a takeover the recent arrivals are not known
+SETTLING_S = 16.0  # after a takeover the recent arrivals are not known
 
 log = get_logger(__name__)
 
@@ -148,7 +148,7 @@
                 )
 
 
-def evacuations(session, sessions_with_room):
+def evacuations(session, sessions_with_room, now):
     """
     Return the live runs to stop now so that an endpoint empties.
 
@@ -161,7 +161,7 @@
         if live.run.state != RunState.CONFIRMED:
             continue
         if live.step.long_running:
-            if may_interrupt(live) and sessions_with_room(live):
+            if may_interrupt(live, now) and sessions_with_room(live):
                 stops.append(live)
                 return stops
         elif live.step.checkpointing:
@@ -169,11 +169,11 @@
     return stops
 
 
-def may_interrupt(live):
+def may_interrupt(live, now):
     """Return whether a long-running task may be away now."""
     allowed = live.step.may_miss
-    if not allowed or not live.task.available:
+    if not allowed:
         return True
     siblings = live.progress.siblings(live.task)
-    away = sum(not task.available for task in siblings if task is not live.task)
+    away = sum(not task.available(now) for task in siblings if task is not live.task)
     return away < allowed
--- a/magnoliapier/service/shard.py
+++ b/magnoliapier/service/shard.py
@@ -32,16 +32,25 @@
 from magnoliapier.service.watch import TableWatcher
 from magnoliapier.state.commit import FencedCommitter
 from magnoliapier.state.lease import CONTROL_TABLE
-from magnoliapier.state.rows import Put, Remove
+from magnoliapier.state.rows import MAX_ENTRIES, Put, Remove
+from magnoliapier.state.tables import (
+    CANCEL_SUFFIX,
+    intake_part,
+    intake_parts,
+    progress_table,
+    submissions_table,
+)
 from magnoliapier.submissions.codec import decode_progress, decode_submission, encode
 from magnoliapier.submissions.model import EndReason, SubmissionState, TaskName
 from magnoliapier.submissions.progress import LiveRun, Progress, RunState
 
-CANCEL_SUFFIX = "/cancel"
 TICK_S = 0.15
 INTAKE_WAIT_S = 1.0
 INTAKE_GAP_S = 0.03
-BATCH_SUBMISSIONS = 30  # three rows each at most, within the store's 100 entries
+BATCH_SUBMISSIONS = MAX_ENTRIES - 4  # a row each, beside the lease and the report
+CLEANUP_INTERVAL_S = 10.0
+CLEANUP_SUBMISSIONS = MAX_ENTRIES // 2  # of one part, two rows each
+TOMBSTONE = b""  # in place of a finished submission, so that a repeat is recognised
 COMMIT_RETRY_S = 0.06
 LOAD_RETRY_S = 0.2
 PACE_INTERVAL_S = 0.4
@@ -52,16 +61,6 @@
 log = get_logger(__name__)
 
 
-def submissions_table(service):
-    """Return the table that entries write the submissions of a service to."""
-    return f"submissions.{service}"
-
-
-def progress_table(service):
-    """Return the table that the shard's holder writes progress to."""
-    return f"progress.{service}"
-
-
 class ShardController:
     """
     Runs one shard while its lease is held.
@@ -93,6 +92,8 @@
         self._pool = PoolKeeper(service, self._durations)
         self._reported = None
         self._reported_at = 0.0
+        self._finished = {}
+        self._cleaned_at = deps.boottime()
         self._lost = False
 
     def start(self):
@@ -170,6 +171,7 @@
             live.task.checkpoint = reading.checkpoint
         if reading.percent != run.percent or run.state == RunState.ORDERED:
             run.advanced_at = now
+        run.listed_at = now
         run.percent = reading.percent
         run.reading = reading.reading
         if run.state == RunState.ORDERED:
@@ -316,7 +318,7 @@
             self._store,
             submissions_table(self.service),
             self._take_in,
-            parts=(self.service,),
+            parts=intake_parts(self.service),
             wait_s=INTAKE_WAIT_S,
             gap_s=INTAKE_GAP_S,
         )
@@ -365,7 +367,7 @@
     def _take_in(self, rows, complete):
         cancels = []
         for row in rows:
-            if row.removed:
+            if row.removed or (row.value == TOMBSTONE and "/" not in row.key):
                 continue
             if row.key.endswith(CANCEL_SUFFIX):
                 cancels.append(row.key.removesuffix(CANCEL_SUFFIX))
@@ -450,6 +452,25 @@
         while not self._lost:
             await asyncio.sleep(TICK_S)
             self._wake.set()
+            if self._clock() - self._cleaned_at >= CLEANUP_INTERVAL_S:
+                self._cleaned_at = self._clock()
+                await self._clean_up()
+
+    async def _clean_up(self):
+        """Replace finished submissions by tombstones; repeats may still arrive."""
+        table = submissions_table(self.service)
+        for part in list(self._finished):
+            progresses = self._finished.pop(part)[:CLEANUP_SUBMISSIONS]
+            puts = [Put(table, part, p.submission_id, TOMBSTONE) for p in progresses]
+            removes = [
+                Remove(table, part, p.submission_id + CANCEL_SUFFIX)
+                for p in progresses
+                if p.cancelled
+            ]
+            try:
+                await self._store.commit([], puts, removes)
+            except PlatformError as error:
+                log.info("clean_up_failed", part=part, error=error)
 
     async def _cycle(self):
         await self._wake.wait()
@@ -491,7 +512,7 @@
             return
         scheduler = Scheduler(self._sessions.values(), now)
         for session in emptying:
-            for live in evacuations(session, scheduler.could_place):
+            for live in evacuations(session, scheduler.could_place, now):
                 session.order_stop(live, "evacuated")
 
     def _report_put(self, now):
@@ -533,10 +554,10 @@
         whole = len(ids) == len(self._dirty)
         ends = {s: s.processed for s in self._sessions.values()}
         self._dirty.difference_update(ids)
-        puts, removes, finals = self._writes(ids)
+        puts, finals = self._writes(ids)
         puts.extend(self._report_put(now))
         try:
-            await self._committer.commit(puts, removes)
+            await self._committer.commit(puts)
         except (StoreUnavailableError, StoreOutcomeUnknownError) as error:
             self._dirty.update(ids)
             self._reported = None
@@ -559,7 +580,7 @@
             self._wake.set()
 
     def _writes(self, ids):
-        puts, removes, finals = [], [], []
+        puts, finals = [], []
         table = progress_table(self.service)
         for submission_id in ids:
             progress = self._progresses.get(submission_id)
@@ -570,20 +591,9 @@
                 progress.finished_ms = unix_ms()
             stored = progress.to_stored()
             puts.append(Put(table, self.service, submission_id, encode(stored)))
-            if state.is_final and not progress.has_live_runs:
-                removes.extend(self._intake_rows(progress))
+            if state.is_final:
                 finals.append((submission_id, state))
-            elif state.is_final:
-                finals.append((submission_id, state))
-        return puts, removes, finals
-
-    def _intake_rows(self, progress):
-        table = submissions_table(self.service)
-        rows = [Remove(table, self.service, progress.submission_id)]
-        if progress.cancelled:
-            key = progress.submission_id + CANCEL_SUFFIX
-            rows.append(Remove(table, self.service, key))
-        return rows
+        return puts, finals
 
     def _send_starts(self, ids):
         for submission_id in ids:
@@ -599,6 +609,8 @@
             progress = self._progresses.get(submission_id)
             if progress is not None and not progress.has_live_runs:
                 del self._progresses[submission_id]
+                part = intake_part(self.service, submission_id)
+                self._finished.setdefault(part, []).append(progress)
                 log.info(
                     "finished",
                     id=submission_id,
--- a/magnoliapier/state/lease.py
+++ b/magnoliapier/state/lease.py
@@ -13,9 +13,10 @@
 
 CONTROL_TABLE = "control"
 LEASE_KEY = "lease"
-LEASE_TTL_S = 3.0
-RENEW_INTERVAL_S = 0.8
+LEASE_TTL_S = 2.2
+RENEW_INTERVAL_S = 0.6
 ACTING_MARGIN_S = 0.2  # covers the time between a check and the order it allows
+SLOW_ORDER_S = 1.1  # after which the connection of an unanswered order is reset
 
 
 class LeaseRecord(msgspec.Struct, frozen=True):
@@ -112,6 +113,13 @@
 
     def may_act(self, now):
         """Return whether no other host can hold the shard yet."""
+        return self._valid_for(now) > ACTING_MARGIN_S
+
+    def may_order_slowly(self, now):
+        """Return whether an order without an answer ends before another can hold."""
+        return self._valid_for(now) > SLOW_ORDER_S
+
+    def _valid_for(self, now):
         if self._renewed_at is None:
-            return False
-        return now - self._renewed_at < LEASE_TTL_S - ACTING_MARGIN_S
+            return 0.0
+        return LEASE_TTL_S - (now - self._renewed_at)
--- a/magnoliapier/submissions/progress.py
+++ b/magnoliapier/submissions/progress.py
@@ -10,6 +10,7 @@
 )
 
 FULL_PACE = 100  # percent of a run's speed
+LISTING_MAX_AGE_S = 1.6
 
 
 class RunState:
@@ -31,6 +32,7 @@
         "reading",
         "ordered_at",
         "advanced_at",
+        "listed_at",
         "stop_reason",
         "pace",
     )
@@ -43,6 +45,7 @@
         self.reading = 0
         self.ordered_at = ordered_at
         self.advanced_at = ordered_at
+        self.listed_at = ordered_at
         self.stop_reason = ""
         self.pace = FULL_PACE
 
@@ -87,11 +90,18 @@
         self.runs.append(run)
         return run
 
-    @property
-    def available(self):
-        """Return whether a long-running task is at work in full."""
+    def available(self, now):
+        """
+        Return whether a long-running task is known to be at work in full.
+
+        A run that was not listed for ``LISTING_MAX_AGE_S`` may be on an endpoint that
+        has crashed, so it does not count.
+        """
         return any(
-            run.state == RunState.CONFIRMED and run.percent == 100 for run in self.runs
+            run.state == RunState.CONFIRMED
+            and run.percent == FULL_PACE
+            and now - run.listed_at <= LISTING_MAX_AGE_S
+            for run in self.runs
         )
 
 
--- /dev/null
+++ b/tests/platform/test_boot.py
@@ -0,0 +1,36 @@
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from magnoliapier.exceptions import SettingsError
+from magnoliapier.platform.boot import load_boot_settings
+
+SETTINGS = {
+    "node_name": "n",
+    "ip": "127.0.0.1",
+    "zone": "z",
+    "listen": {"front": "127.0.0.1:1", "ready_address": "127.0.0.1:2"},
+    "internal_ports": [7060, 7075],
+    "platform": {"address": "127.0.0.1:3"},
+    "cloud_api": {"address": "127.0.0.1:4"},
+    "a_new_field": 1,
+}
+
+
+class BootSettingsTests(unittest.TestCase):
+    def load(self, text):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "node.json"
+            path.write_text(text)
+            return load_boot_settings(str(path))
+
+    def test_unknown_fields_are_ignored(self):
+        """Guards against a process that does not start after the platform grows."""
+        self.assertEqual(self.load(json.dumps(SETTINGS)).node_name, "n")
+
+    def test_missing_field_is_named(self):
+        """Guards against a fault in the settings that nobody can find."""
+        settings = {k: v for k, v in SETTINGS.items() if k != "platform"}
+        with self.assertRaisesRegex(SettingsError, "platform"):
+            self.load(json.dumps(settings))
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,83 @@
+import unittest
+
+from aiohttp import web
+
+from magnoliapier.exceptions import (
+    ConflictError,
+    HistoryLostError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from magnoliapier.metrics import Metrics
+from magnoliapier.platform.http import open_session
+from magnoliapier.platform.store import TableStore
+from magnoliapier.service.clock import boottime
+from magnoliapier.state.rows import Expect, Put
+
+PUT = Put("t", "p", "k", b"value")
+
+
+class TableStoreTests(unittest.IsolatedAsyncioTestCase):
+    """The client against a stand-in that answers as the platform's page says."""
+
+    async def asyncSetUp(self):
+        self.answers = []
+        self.requests = []
+        self.runner = web.ServerRunner(web.Server(self.answer))
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, "127.0.0.1", 0)
+        await site.start()
+        port = site._server.sockets[0].getsockname()[1]
+        self.session = open_session()
+        self.store = TableStore(
+            self.session, f"127.0.0.1:{port}", boottime, Metrics()
+        )
+
+    async def asyncTearDown(self):
+        await self.session.close()
+        await self.runner.cleanup()
+
+    async def answer(self, request):
+        self.requests.append((request.method, request.path_qs, await request.text()))
+        status, text = self.answers.pop(0)
+        if status == 0:
+            request.transport.abort()
+        return web.Response(status=status or 200, text=text)
+
+    async def test_values_travel_as_base64(self):
+        """Guards against values that the store or another host cannot read."""
+        self.answers = [
+            (200, '{"ver":5,"now_ms":1}'),
+            (200, '{"rows":[{"table":"t","key":"k","value":"dmFsdWU=","ver":5}],"ver":5}'),
+        ]
+        self.assertEqual(await self.store.commit([], [PUT]), 5)
+        self.assertIn('"dmFsdWU="', self.requests[0][2])
+        changes = await self.store.read("t", "p")
+        self.assertEqual(changes.rows[0].value, b"value")
+
+    async def test_outcomes_are_told_apart(self):
+        """Guards against a write taken for undone that may have been done."""
+        expects = [Expect("t", "p", "k", 0)]
+        row = '{"rows":[{"table":"t","part":"p","key":"k","value":"eA==","ver":3}]}'
+        self.answers = [(503, "{}"), (429, "{}"), (0, ""), (412, row)]
+        for error in (
+            StoreUnavailableError,
+            StoreUnavailableError,
+            StoreOutcomeUnknownError,
+            ConflictError,
+        ):
+            with self.subTest(error), self.assertRaises(error) as caught:
+                await self.store.commit(expects, [PUT])
+        self.assertEqual(caught.exception.rows["k"].version, 3)
+
+    async def test_lost_history_and_foreign_values(self):
+        """Guards against a feed that stops at a gap or at a foreign row."""
+        rows = (
+            '{"rows":[{"table":"t","key":"a","value":"***","ver":1},'
+            '{"table":"t","key":"b","value":"eA==","ver":2}],"ver":2}'
+        )
+        self.answers = [(410, "{}"), (200, rows)]
+        with self.assertRaises(HistoryLostError):
+            await self.store.changes("t", 0, 0.1)
+        changes = await self.store.changes("t", 0, 0.1)
+        self.assertEqual([row.key for row in changes.rows], ["b"])
--- /dev/null
+++ b/tests/platform/test_wire.py
@@ -0,0 +1,58 @@
+import unittest
+
+from magnoliapier.exceptions import MessageError
+from magnoliapier.platform import wire
+
+BEAT = (
+    b'{"service":"a","address":"10.0.0.9:80","zone":"z","state":"%s","labels":'
+    b'["a","r1"],"machine":"m-1","born":7,"capacity":{"cpu":16000,"mem_mb":5,"gpu":0}}'
+)
+
+
+class WireTests(unittest.TestCase):
+    def test_submission(self):
+        """Guards against a step whose fields are dropped on the way in."""
+        data = (
+            b'{"spec":"x","steps":[{"count":4,"cpu":500,"mem_mb":2,"max_per_server":3,'
+            b'"long_running":true,"may_miss":1,"target_ms":40}]}'
+        )
+        item = wire.decode(wire.SubmissionBody, data).submission("a" * 16, "q", 5)
+        step = item.steps[0]
+        self.assertEqual(step.task_count, 4)
+        self.assertEqual(step.resources.cpu_millicores, 500)
+        self.assertEqual(step.max_per_endpoint, 3)
+        self.assertEqual(step.latency_target_ms, 40)
+        self.assertTrue(step.long_running)
+
+    def test_malformed_submissions_are_refused_with_a_reason(self):
+        """Guards against a bad submission that stops a controller later."""
+        for data in (
+            b"{",
+            b'{"spec":"x"}',
+            b'{"spec":"x","steps":[]}',
+            b'{"spec":"x","steps":[{"count":0}]}',
+            b'{"spec":"x","steps":[{"count":1,"after":[0]}]}',
+            b'{"spec":"x","steps":[{"count":1,"cpu":-1}]}',
+            b'{"spec":"x","steps":[{"count":9000000}]}',
+        ):
+            with self.subTest(data), self.assertRaises(MessageError):
+                body = wire.decode(wire.SubmissionBody, data)
+                body.submission("a" * 16, "q", 5)
+
+    def test_endpoint_row(self):
+        """Guards against a draining endpoint taken for a ready one."""
+        record = wire.decode(wire.ServerBody, BEAT % b"draining").record("i-1")
+        self.assertTrue(record.draining)
+        self.assertEqual((record.host, record.rack, record.born_ms), ("m-1", "r1", 7))
+
+    def test_foreign_endpoint_rows_are_refused(self):
+        """Guards against another writer's row that names an endpoint to use."""
+        for data in (b"\xff\xfe", b"{}", b'{"service":1}', BEAT % b"resting"):
+            with self.subTest(data), self.assertRaises(MessageError):
+                wire.decode(wire.ServerBody, data).record("i-1")
+
+    def test_listing_with_and_without_reading(self):
+        """Guards against a listing that is refused because it has four fields."""
+        data = b'{"clock_ms":1,"running":[["t",2,"c",41],["u",1,"",100,35]],"ended":[]}'
+        inspection = wire.decode(wire.LookBody, data).inspection()
+        self.assertEqual([r.reading for r in inspection.running], [0, 35])
--- /dev/null
+++ b/tests/pools/test_demand.py
@@ -0,0 +1,37 @@
+import unittest
+
+from magnoliapier.pools.demand import ArrivalRate, NeedWindow, host_share, hosts_needed
+from magnoliapier.submissions.model import Resources
+
+CAPACITY = Resources(32_000, 128_000)
+
+
+class DemandTests(unittest.TestCase):
+    def test_scarcer_resource_decides(self):
+        """Guards against pools sized by processor while memory is what is short."""
+        self.assertEqual(host_share(Resources(3200, 64_000), CAPACITY), 0.5)
+
+    def test_spread_is_a_lower_bound(self):
+        """Guards against giving away hosts that spread-out tasks need."""
+        self.assertEqual(hosts_needed(0.1, 0.0, 0.0, spread=5), 5)
+
+    def test_turn_of_a_queue_asks_for_hosts_within_half_a_second(self):
+        """
+        Guards against a pool that grows only once work has waited.
+
+        The pattern is a queue's turn: from a twentieth of its mean to five times it.
+        """
+        rate = ArrivalRate()
+        for tick in range(10):
+            rate.add(0.33, now=10 + tick * 0.05)  # 6.6 host-seconds a second
+        needed = hosts_needed(0.4, rate.per_second(10.5), waiting_work=1.0, spread=3)
+        self.assertGreaterEqual(needed, 4)
+
+    def test_need_is_held_for_a_while(self):
+        """Guards against hosts that leave and come back within one lull."""
+        window = NeedWindow(hold_s=2.0)
+        window.observe(8, 0.0)
+        window.observe(3, 1.0)
+        self.assertEqual(window.highest, 8)
+        window.observe(3, 2.5)
+        self.assertEqual(window.highest, 3)
--- /dev/null
+++ b/tests/pools/test_planner.py
@@ -0,0 +1,74 @@
+import unittest
+
+from magnoliapier.pools.hosts import Host, HostState, Wave
+from magnoliapier.pools.planner import FleetPlanner, Maintain, Move
+from magnoliapier.pools.report import PoolReport
+
+STANDBY = "standby"
+
+
+def host(number, service, state=HostState.UP):
+    return Host(f"h{number}", service, state, endpoint_id=f"e{number}")
+
+
+class FleetPlannerTests(unittest.TestCase):
+    def setUp(self):
+        self.planner = FleetPlanner()
+
+    def update(self, hosts, reports=None, waves=(), now=0.0):
+        self.planner.update(hosts, reports or {}, waves, STANDBY, now)
+
+    def test_released_host_goes_to_standby(self):
+        """Guards against paying for hosts that their pool has given up."""
+        self.update([host(1, "a")], {"a": PoolReport({"e1": "h1"})})
+        self.assertEqual(self.planner.orders(), [Move("h1", STANDBY)])
+
+    def test_host_that_is_not_released_stays(self):
+        """Guards against moving a host under running work."""
+        self.update([host(1, "a")], {"a": PoolReport({"e0": "h1"})})
+        self.assertEqual(self.planner.orders(), [])
+
+    def test_wanting_pool_gets_a_host_once(self):
+        """Guards against a second host while the first one is on its way."""
+        hosts = [host(1, STANDBY), host(2, STANDBY)]
+        reports = {"a": PoolReport(wanted=1)}
+        self.update(hosts, reports)
+        order = self.planner.orders()[0]
+        self.assertEqual(order.service, "a")
+        self.planner.ordered(order, 0.0)
+        self.update(hosts, reports, now=0.5)
+        self.assertEqual(self.planner.orders(), [])
+
+    def test_pool_with_fewest_hosts_comes_first(self):
+        """Guards against one organisation taking all spare hosts before another."""
+        reports = {"a": PoolReport(wanted=1, hosts=9), "b": PoolReport(wanted=1, hosts=2)}
+        self.update([host(1, STANDBY)], reports)
+        self.assertEqual(self.planner.orders(), [Move("h1", "b")])
+
+    def test_wave_never_exceeds_its_limit(self):
+        """Guards against more hosts down for a wave than the operator allows."""
+        wave = Wave(1, ("h1", "h2", "h3"), 20, max_down=2)
+        hosts = [host(n, STANDBY) for n in (1, 2, 3)]
+        self.update(hosts, waves=[wave])
+        orders = self.planner.orders()
+        self.assertEqual(len(orders), 2)
+        for order in orders:
+            self.planner.ordered(order, 0.0)
+            self.planner.maintenance_begun(order)
+        self.update(hosts, waves=[wave], now=1.0)
+        self.assertNotIn(Maintain("h3", 1), self.planner.orders())
+
+    def test_wave_is_complete_when_every_host_has_begun(self):
+        """Guards against a wave reported complete with a host left out."""
+        wave = Wave(1, ("h1", "gone"), 20, max_down=2)
+        self.update([host(1, STANDBY)], waves=[wave])
+        self.assertFalse(self.planner.wave_completed(wave))
+        self.planner.maintenance_begun(Maintain("h1", 1))
+        self.assertTrue(self.planner.wave_completed(wave))
+
+    def test_successor_continues_a_wave(self):
+        """Guards against maintaining hosts twice after the holder changed."""
+        wave = Wave(1, ("h1",), 20, max_down=1)
+        self.planner = FleetPlanner({1: ("h1",)})
+        self.update([host(1, STANDBY)], waves=[wave])
+        self.assertEqual(self.planner.orders(), [])
--- a/tests/service/test_shard.py
+++ b/tests/service/test_shard.py
@@ -5,12 +5,7 @@
 from magnoliapier.service.directory import EndpointDirectory
 from magnoliapier.service.entry import AnswerKind, Entry
 from magnoliapier.service.node import ShardDependencies
-from magnoliapier.service.shard import (
-    CANCEL_SUFFIX,
-    ShardController,
-    progress_table,
-    submissions_table,
-)
+from magnoliapier.service.shard import ShardController
 from magnoliapier.state.lease import (
     CONTROL_TABLE,
     LEASE_KEY,
@@ -19,6 +14,12 @@
     encode_lease,
 )
 from magnoliapier.state.rows import Put
+from magnoliapier.state.tables import (
+    CANCEL_SUFFIX,
+    intake_part,
+    progress_table,
+    submissions_table,
+)
 from magnoliapier.submissions.codec import decode_progress, encode
 from magnoliapier.submissions.configuration import Queue
 from magnoliapier.submissions.model import Resources, Step, Submission, SubmissionState
@@ -38,6 +39,12 @@
     return Step(count, Resources(1000, 100, 0), estimated_ms=100, after=after, **fields)
 
 
+def intake_put(item):
+    """Return the put with which an entry accepts a submission."""
+    part = intake_part(SERVICE, item.submission_id)
+    return Put(submissions_table(SERVICE), part, item.submission_id, encode(item))
+
+
 class ShardTestCase(unittest.IsolatedAsyncioTestCase):
     """A shard's controller over an in-memory store and endpoints."""
 
@@ -93,7 +100,7 @@
         return shard
 
     async def submit(self, item):
-        put = Put(submissions_table(SERVICE), SERVICE, item.submission_id, encode(item))
+        put = intake_put(item)
         await self.store.commit([], [put])
 
     async def until(self, condition):
@@ -132,12 +139,7 @@
         await self.start_shard()
         await asyncio.sleep(0.1)
         self.store.fail_next = 10**6
-        put = Put(
-            submissions_table(SERVICE),
-            SERVICE,
-            "b" * 16,
-            encode(submission("b" * 16, short_step())),
-        )
+        put = intake_put(submission("b" * 16, short_step()))
         self.store._apply([], [put], [])
         await asyncio.sleep(0.4)
         self.assertEqual(endpoint.starts, [])
@@ -178,10 +180,9 @@
         shard = await self.start_shard()
         await self.submit(submission("e" * 16, short_step(3, long_running=True)))
         await self.until(lambda: len(endpoint.running) == 3)
+        part = intake_part(SERVICE, "e")
         key = "e" * 16 + CANCEL_SUFFIX
-        await self.store.commit(
-            [], [Put(submissions_table(SERVICE), SERVICE, key, b"")]
-        )
+        await self.store.commit([], [Put(submissions_table(SERVICE), part, key, b"")])
         await self.until(lambda: not endpoint.running)
         await self.until(
             lambda: shard.state_of("e" * 16) == SubmissionState.CANCELLED
@@ -244,7 +245,7 @@
         self.clock.now += 3.1
         self.assertFalse(shard.may_act())
         item = submission("3" * 16, short_step())
-        put = Put(submissions_table(SERVICE), SERVICE, "3" * 16, encode(item))
+        put = intake_put(item)
         self.store._apply([], [put], [])
         await asyncio.sleep(0.3)
         self.assertEqual(endpoint.starts, [])
@@ -281,7 +282,7 @@
         self.assertEqual(self.stored("5" * 16).state, "completed")
 
     async def submit_directly(self, item):
-        put = Put(submissions_table(SERVICE), SERVICE, item.submission_id, encode(item))
+        put = intake_put(item)
         self.store._apply([], [put], [])
 
 
