--- a/magnoliapier/service/leases.py
+++ b/magnoliapier/service/leases.py
@@ -12,6 +12,7 @@
 from magnoliapier.logs import get_logger
 from magnoliapier.state.lease import (
     CONTROL_TABLE,
+    FIRST_TOKEN,
     LEASE_KEY,
     HeldLease,
     LeaseRecord,
@@ -120,7 +121,7 @@
 
     async def _take(self, shard):
         view = self._directory.view(shard)
-        token = view.record.token + 1 if view.record else 1
+        token = view.record.token + 1 if view.record else FIRST_TOKEN
         record = LeaseRecord(
             self._identity.holder, self._identity.process, self._identity.address, token
         )
--- a/magnoliapier/service/node.py
+++ b/magnoliapier/service/node.py
@@ -33,6 +33,7 @@
 
 CONTROL_WAIT_S = 1.0
 CONTROL_GAP_S = 0.6
+HOLDER_CONTROL_GAP_S = 0.25  # other pools' needs decide what a pool gives away
 FLEET_CONTROL_GAP_S = 0.1  # pools that want hosts are waiting
 ENDPOINT_GAP_S = 0.4
 STORE_SILENCE_S = 2.5  # without an answer the host is not ready for callers
@@ -63,7 +64,7 @@
     metrics: object
     queue_named: object
     retired_queue: object
-    hosts_to_empty: object
+    fleet: object
     lease_ms: int
 
 
@@ -118,6 +119,14 @@
         configuration = self._node.configuration
         return configuration.standby_service() if configuration else None
 
+    def hosts_wanted(self, service):
+        """Return whether a pool other than the service's wants hosts."""
+        return any(
+            report.wanted > 0
+            for name, report in self._reports.items()
+            if name != service
+        )
+
     def active(self):
         """Return whether any pool wants or offers hosts, or a wave is asked for."""
         return bool(self._waves) or any(
@@ -184,7 +193,7 @@
             metrics,
             self._queue_named,
             self._retired_queue,
-            lambda: self.fleet.plan.to_maintain,
+            self.fleet,
             settings.endpoint_lease_ms,
         )
         self._fleet_dependencies = FleetDependencies(
@@ -272,6 +281,9 @@
             shard = ShardController(
                 service, lease, self._dependencies, self._shard_lost
             )
+            self._control_watcher.gap_s = min(
+                HOLDER_CONTROL_GAP_S, self._control_watcher.gap_s
+            )
         self._shards[service] = shard
         shard.start()
 
@@ -279,7 +291,7 @@
         if self._shards.get(shard.service) is shard:
             del self._shards[shard.service]
             self._taker.released(shard.service)
-        if shard.service == FLEET_SHARD:
+        if not self._shards:
             self._control_watcher.gap_s = CONTROL_GAP_S
         self._spawn(shard.close())
 
--- a/magnoliapier/service/pool.py
+++ b/magnoliapier/service/pool.py
@@ -16,7 +16,8 @@
 from magnoliapier.pools.report import PoolReport
 from magnoliapier.submissions.progress import RunState
 
-SETTLING_S = 16.0  # after a takeover the recent arrivals are not known
+FIRST_SETTLING_S = 16.0  # before the first burst shows what the pool needs
+SETTLING_S = 3.0  # after a takeover the recent arrivals are not known
 
 log = get_logger(__name__)
 
@@ -29,7 +30,8 @@
     because the fleet controller may act on it at any moment.
     """
 
-    def __init__(self, service, durations):
+    def __init__(self, service, durations, first):
+        self._settling_s = FIRST_SETTLING_S if first else SETTLING_S
         self._service = service
         self._durations = durations
         self._window = NeedWindow()
@@ -62,11 +64,12 @@
         seconds = self._durations.task_ms(progress.queue.name, step) / 1000
         return host_share(step.resources, self._capacity) * seconds
 
-    def update(self, sessions, progresses, to_maintain, now):
+    def update(self, sessions, progresses, to_maintain, others_want, now):
         """
         Mark endpoints as leaving or released; return those to empty for maintenance.
 
         ``sessions`` are those of listed endpoints, ``to_maintain`` names hosts.
+        ``others_want`` tells that another pool wants hosts.
         """
         self._forget_left(sessions)
         staying = []
@@ -84,12 +87,12 @@
         need = self._need(staying, progresses, now)
         if self._taken_at is None:
             self._taken_at = now
-        if now - self._taken_at < SETTLING_S:
-            need = max(need, len(staying))
+        settling = now - self._taken_at < self._settling_s
+        held = len(staying) if settling and not others_want else 0
         self._window.observe(need, now)
         self._wanted = max(0, need - len(staying))
         self._hosts = len(staying)
-        self._release_empty([*emptying, *self._surplus(staying)])
+        self._release_empty([*emptying, *self._surplus(staying, held)])
         return emptying
 
     def _forget_left(self, sessions):
@@ -123,9 +126,9 @@
                 )
         return hosts_needed(lasting, self._arrivals.per_second(now), waiting, spread)
 
-    def _surplus(self, staying):
+    def _surplus(self, staying, held):
         """Return the endpoints to give away: those with the least work."""
-        surplus = len(staying) - self._window.highest
+        surplus = len(staying) - max(held, self._window.highest)
         if surplus <= 0:
             return []
         movable = [s for s in staying if not s.runs_long]
--- a/magnoliapier/service/shard.py
+++ b/magnoliapier/service/shard.py
@@ -31,7 +31,7 @@
 from magnoliapier.service.session import EndpointSession
 from magnoliapier.service.watch import TableWatcher
 from magnoliapier.state.commit import FencedCommitter
-from magnoliapier.state.lease import CONTROL_TABLE
+from magnoliapier.state.lease import CONTROL_TABLE, FIRST_TOKEN
 from magnoliapier.state.rows import MAX_ENTRIES, Put, Remove
 from magnoliapier.state.tables import (
     CANCEL_SUFFIX,
@@ -89,7 +89,7 @@
         self._paced_at = 0.0
         self._stored = {}
         self._durations = DurationModel()
-        self._pool = PoolKeeper(service, self._durations)
+        self._pool = PoolKeeper(service, self._durations, lease.token == FIRST_TOKEN)
         self._reported = None
         self._reported_at = 0.0
         self._finished = {}
@@ -506,7 +506,11 @@
     def _keep_pool(self, now):
         listed = [s for s in self._sessions.values() if s.listed]
         emptying = self._pool.update(
-            listed, self._progresses.values(), self._deps.hosts_to_empty(), now
+            listed,
+            self._progresses.values(),
+            self._deps.fleet.plan.to_maintain,
+            self._deps.fleet.hosts_wanted(self.service),
+            now,
         )
         if not emptying:
             return
--- a/magnoliapier/state/lease.py
+++ b/magnoliapier/state/lease.py
@@ -13,6 +13,7 @@
 
 CONTROL_TABLE = "control"
 LEASE_KEY = "lease"
+FIRST_TOKEN = 1
 LEASE_TTL_S = 2.2
 RENEW_INTERVAL_S = 0.6
 ACTING_MARGIN_S = 0.2  # covers the time between a check and the order it allows
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -29,9 +29,7 @@
         await site.start()
         port = site._server.sockets[0].getsockname()[1]
         self.session = open_session()
-        self.store = TableStore(
-            self.session, f"127.0.0.1:{port}", boottime, Metrics()
-        )
+        self.store = TableStore(self.session, f"127.0.0.1:{port}", boottime, Metrics())
 
     async def asyncTearDown(self):
         await self.session.close()
@@ -48,7 +46,10 @@
         """Guards against values that the store or another host cannot read."""
         self.answers = [
             (200, '{"ver":5,"now_ms":1}'),
-            (200, '{"rows":[{"table":"t","key":"k","value":"dmFsdWU=","ver":5}],"ver":5}'),
+            (
+                200,
+                '{"rows":[{"table":"t","key":"k","value":"dmFsdWU=","ver":5}],"ver":5}',
+            ),
         ]
         self.assertEqual(await self.store.commit([], [PUT]), 5)
         self.assertIn('"dmFsdWU="', self.requests[0][2])
--- a/tests/pools/test_planner.py
+++ b/tests/pools/test_planner.py
@@ -41,7 +41,10 @@
 
     def test_pool_with_fewest_hosts_comes_first(self):
         """Guards against one organisation taking all spare hosts before another."""
-        reports = {"a": PoolReport(wanted=1, hosts=9), "b": PoolReport(wanted=1, hosts=2)}
+        reports = {
+            "a": PoolReport(wanted=1, hosts=9),
+            "b": PoolReport(wanted=1, hosts=2),
+        }
         self.update([host(1, STANDBY)], reports)
         self.assertEqual(self.planner.orders(), [Move("h1", "b")])
 
--- a/tests/service/fakes.py
+++ b/tests/service/fakes.py
@@ -10,6 +10,7 @@
     StoreUnavailableError,
 )
 from magnoliapier.metrics import Metrics
+from magnoliapier.pools.report import FleetPlan
 from magnoliapier.service.orders import (
     Inspection,
     OrderRefusal,
@@ -200,6 +201,15 @@
         return Inspection(endpoint.clock_ms, running, list(endpoint.ended), 1)
 
 
+class FakeFleet:
+    """A fleet that asks for nothing."""
+
+    plan = FleetPlan()
+
+    def hosts_wanted(self, service):
+        return False
+
+
 def metrics():
     """Return fresh metrics."""
     return Metrics()
--- a/tests/service/test_shard.py
+++ b/tests/service/test_shard.py
@@ -23,7 +23,13 @@
 from magnoliapier.submissions.codec import decode_progress, encode
 from magnoliapier.submissions.configuration import Queue
 from magnoliapier.submissions.model import Resources, Step, Submission, SubmissionState
-from tests.service.fakes import FakeClock, FakeEndpoints, FakeStore, metrics
+from tests.service.fakes import (
+    FakeClock,
+    FakeEndpoints,
+    FakeFleet,
+    FakeStore,
+    metrics,
+)
 
 SERVICE = "desk"
 QUEUE = Queue("filings", "desk.example", "/f/", SERVICE, max_attempts=2)
@@ -90,7 +96,7 @@
             metrics(),
             lambda name: QUEUE,
             lambda name, service: QUEUE,
-            lambda: (),
+            FakeFleet(),
             6000,
         )
         self.lost = []
@@ -120,7 +126,9 @@
         """Guards against a step that starts before the ones it follows are done."""
         endpoint = self.add_endpoint("e1")
         shard = await self.start_shard()
-        await self.submit(submission("a" * 16, short_step(2), short_step(1, after=(0,))))
+        await self.submit(
+            submission("a" * 16, short_step(2), short_step(1, after=(0,)))
+        )
         await self.until(lambda: len(endpoint.starts) == 2)
         endpoint.end(f"{'a' * 16}.0.0.0")
         await asyncio.sleep(0.3)
@@ -128,9 +136,7 @@
         endpoint.end(f"{'a' * 16}.0.0.1")
         await self.until(lambda: len(endpoint.starts) == 3)
         endpoint.end(f"{'a' * 16}.0.1.0")
-        await self.until(
-            lambda: shard.state_of("a" * 16) == SubmissionState.COMPLETED
-        )
+        await self.until(lambda: shard.state_of("a" * 16) == SubmissionState.COMPLETED)
         self.assertEqual(self.stored("a" * 16).state, "completed")
 
     async def test_run_is_stored_before_it_is_ordered(self):
@@ -184,9 +190,7 @@
         key = "e" * 16 + CANCEL_SUFFIX
         await self.store.commit([], [Put(submissions_table(SERVICE), part, key, b"")])
         await self.until(lambda: not endpoint.running)
-        await self.until(
-            lambda: shard.state_of("e" * 16) == SubmissionState.CANCELLED
-        )
+        await self.until(lambda: shard.state_of("e" * 16) == SubmissionState.CANCELLED)
 
     async def test_room_is_never_exceeded(self):
         """Guards against more tasks on an endpoint than its resources hold."""
@@ -251,7 +255,7 @@
         self.assertEqual(endpoint.starts, [])
 
     async def test_task_of_a_silent_endpoint_waits_for_its_lease(self):
-        """Guards against a second run while a cut-off endpoint may still run the task."""
+        """Guards against a second run while a cut-off endpoint may still run one."""
         first = self.add_endpoint("e1")
         await self.start_shard()
         await self.submit(submission("4" * 16, short_step()))
