--- a/magnoliapier/commands.py
+++ b/magnoliapier/commands.py
@@ -7,11 +7,13 @@
 import time
 from pathlib import Path
 
+import msgspec
 import typer
 from rich.console import Console
 from rich.table import Table
 
 from magnoliapier.exceptions import MagnoliapierError
+from magnoliapier.history import history
 from magnoliapier.manifest import parse_manifest, read_json
 from magnoliapier.manifest_checks import check_manifest
 from magnoliapier.manifest_diff import diff_manifests
@@ -235,6 +237,34 @@
     finish(connect(server).forget(name), f"Entry host {name} is removed.", as_json)
 
 
+LOG_FILES = typer.Option(..., "--log", help="A host's log; may be repeated.")
+
+
+@app.command("history")
+def show_history(
+    name: str = typer.Argument(..., help="The id of a submission, endpoint or host."),
+    logs: list[Path] = LOG_FILES,
+    json_output: bool = JSON_OUTPUT,
+):
+    """Show what the logs of hosts say of one submission, endpoint or host."""
+    entries = history(name, ((path.name, read_lines(path)) for path in logs))
+    if json_output:
+        print_json([msgspec.to_builtins(entry) for entry in entries])
+        return
+    for entry in entries:
+        fields = " ".join(f"{key}={value}" for key, value in entry.fields.items())
+        mark = "*" if entry.decisive else " "
+        typer.echo(f"{mark} {entry.time} {entry.source} {entry.event} {fields}")
+    if not entries:
+        typer.echo(f"No line mentions {name}; give the logs of more hosts.", err=True)
+
+
+def read_lines(path):
+    """Yield the lines of a log without reading it whole."""
+    with path.open(encoding="utf-8", errors="replace") as lines:
+        yield from lines
+
+
 @app.command()
 def explain(
     kind: str = typer.Argument(..., help="host, wave, job, refusal or planner."),
--- a/magnoliapier/logs.py
+++ b/magnoliapier/logs.py
@@ -1,7 +1,9 @@
 """Logs with one line of key=value pairs for each event, written by logbook."""
 
 import json
+import os
 import sys
+import time
 
 import logbook
 
@@ -71,6 +73,71 @@
     return EventLogger(name.removeprefix("magnoliapier."))
 
 
+class BoundedHandler(logbook.Handler):
+    """
+    Writes lines to a file descriptor without ever waiting for its reader.
+
+    At most ``lines_per_s`` lines are written in a second; further lines, and lines that
+    a full pipe does not take, are dropped. The next line that is written says how many.
+    """
+
+    def __init__(self, descriptor, lines_per_s, level="INFO", clock=time.monotonic):
+        super().__init__(level=level)
+        self._formatter_text = logbook.StringFormatter(LINE_FORMAT)
+        self._descriptor = descriptor
+        self._lines_per_s = lines_per_s
+        self._clock = clock
+        self._second = None
+        self._written = 0
+        self._rest = b""
+        self.dropped = 0
+        os.set_blocking(descriptor, False)
+
+    def emit(self, record):
+        """Write one record, or count it as dropped."""
+        second = int(self._clock())
+        if second != self._second:
+            self._second, self._written = second, 0
+        if self._written >= self._lines_per_s:
+            self.dropped += 1
+            return
+        line = self._formatter_text(record, self)
+        if self.dropped:
+            line += f" lines_dropped={self.dropped}"
+        if self._write(line.encode("utf-8", "replace") + b"\n"):
+            self._written += 1
+            self.dropped = 0
+        else:
+            self.dropped += 1
+
+    def _write(self, data):
+        """Return whether the line was taken; the rest of a cut line goes first."""
+        if self._rest:
+            self._rest = self._rest[self._write_some(self._rest) :]
+            if self._rest:
+                return False
+        self._rest = data[self._write_some(data) :]
+        if len(self._rest) == len(data):
+            self._rest = b""
+            return False
+        return True
+
+    def _write_some(self, data):
+        try:
+            return os.write(self._descriptor, data)
+        except OSError:
+            # The caller counts the line as dropped and says so in a later line.
+            return 0
+
+
+def configure_bounded_logs(lines_per_s, level="INFO"):
+    """Send events to standard output without waiting for its reader."""
+    logbook.set_datetime_format("utc")
+    handler = BoundedHandler(sys.stdout.fileno(), lines_per_s, level)
+    handler.push_application()
+    return handler
+
+
 def configure_logs(level="INFO", stream=None):
     """Send events from ``level`` upwards to ``stream``, standard error by default."""
     handler = logbook.StreamHandler(
--- a/magnoliapier/platform/__main__.py
+++ b/magnoliapier/platform/__main__.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from magnoliapier.exceptions import MagnoliapierError, MessageError
-from magnoliapier.logs import configure_logs, get_logger
+from magnoliapier.logs import configure_bounded_logs, get_logger
 from magnoliapier.metrics import Metrics
 from magnoliapier.platform import wire
 from magnoliapier.platform.boot import load_boot_settings
@@ -25,6 +25,8 @@
 ENDPOINT_LEASE_MS = 5500  # outlasts a takeover; work of a lost endpoint waits as long
 DRAIN_S = 2.6  # two missed probes a second apart, and the requests under way
 DRAIN_STEP_S = 0.05
+LOG_LINES_PER_S = 1500
+KEEP_FINAL_FACTOR = 2  # repeats of a submission may arrive after its state expired
 
 log = get_logger(__name__)
 
@@ -47,6 +49,7 @@
     name: str
     peer_address: str
     endpoint_lease_ms: int
+    keep_final_s: float
     weak: bool
 
 
@@ -88,6 +91,7 @@
             boot.node_name,
             f"{boot.ip}:{boot.internal_ports[0]}",
             min(boot.bounds.hold_max_ms, ENDPOINT_LEASE_MS),
+            boot.bounds.status_s * KEEP_FINAL_FACTOR,
             boot.limits.weak,
         )
         self._node = Node(clients, settings, self._metrics)
@@ -152,7 +156,7 @@
 
 def main():
     """Run the program and return its exit status."""
-    configure_logs("INFO", sys.stdout)
+    configure_bounded_logs(LOG_LINES_PER_S)
     try:
         boot = load_boot_settings()
     except MagnoliapierError as error:
--- a/magnoliapier/platform/ingress.py
+++ b/magnoliapier/platform/ingress.py
@@ -12,6 +12,7 @@
 
 SUBMISSION_ID = re.compile(r"[0-9a-f]{16}\Z")
 KEEPALIVE_S = 20.0
+METRICS_PORT = 9464  # the same as in deploy/system.toml
 STATUS_OF_KIND = {
     AnswerKind.REFUSED: 503,
     AnswerKind.UNKNOWN: 504,
@@ -51,6 +52,8 @@
     async def start(self):
         """Listen on both addresses."""
         await self._serve(self._listen.ready_address, self._answer_ready)
+        address, _, _ = self._listen.ready_address.rpartition(":")
+        await self._serve(f"{address}:{METRICS_PORT}", self._answer_metrics)
         await self._serve(self._listen.front, self._answer)
 
     async def _serve(self, address, handler):
@@ -75,6 +78,9 @@
     async def _answer_ready(self, request):
         return web.Response(status=200 if self._node.ready else 503)
 
+    async def _answer_metrics(self, request):
+        return web.Response(text=self._metrics.render())
+
     async def _answer(self, request):
         self._in_flight += 1
         try:
--- a/magnoliapier/service/node.py
+++ b/magnoliapier/service/node.py
@@ -66,6 +66,7 @@
     retired_queue: object
     fleet: object
     lease_ms: int
+    keep_final_s: float
 
 
 class FleetDependencies(msgspec.Struct):
@@ -195,6 +196,7 @@
             self._retired_queue,
             self.fleet,
             settings.endpoint_lease_ms,
+            settings.keep_final_s,
         )
         self._fleet_dependencies = FleetDependencies(
             clients.store,
--- a/magnoliapier/service/shard.py
+++ b/magnoliapier/service/shard.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections import deque
 
 from magnoliapier.exceptions import (
     FencedError,
@@ -93,6 +94,7 @@
         self._reported = None
         self._reported_at = 0.0
         self._finished = {}
+        self._kept = deque()
         self._cleaned_at = deps.boottime()
         self._lost = False
 
@@ -460,7 +462,10 @@
         """Replace finished submissions by tombstones; repeats may still arrive."""
         table = submissions_table(self.service)
         for part in list(self._finished):
-            progresses = self._finished.pop(part)[:CLEANUP_SUBMISSIONS]
+            progresses = self._finished.pop(part)
+            if len(progresses) > CLEANUP_SUBMISSIONS:
+                self._finished[part] = progresses[CLEANUP_SUBMISSIONS:]
+                del progresses[CLEANUP_SUBMISSIONS:]
             puts = [Put(table, part, p.submission_id, TOMBSTONE) for p in progresses]
             removes = [
                 Remove(table, part, p.submission_id + CANCEL_SUFFIX)
@@ -471,6 +476,28 @@
                 await self._store.commit([], puts, removes)
             except PlatformError as error:
                 log.info("clean_up_failed", part=part, error=error)
+            else:
+                self._kept.extend(progresses)
+        await self._forget_old()
+
+    async def _forget_old(self):
+        """Remove the rows of submissions that finished long ago."""
+        oldest_ms = unix_ms() - int(self._deps.keep_final_s * 1000)
+        while self._kept and self._kept[0].finished_ms < oldest_ms:
+            submission_id = self._kept[0].submission_id
+            part = intake_part(self.service, submission_id)
+            table = submissions_table(self.service)
+            progress_row = Remove(
+                progress_table(self.service), self.service, submission_id
+            )
+            try:
+                await self._store.commit([], [], [progress_row])
+                await self._store.commit([], [], [Remove(table, part, submission_id)])
+            except PlatformError as error:
+                log.info("forget_failed", id=submission_id, error=error)
+                return
+            self._kept.popleft()
+            self._final_states.pop(submission_id, None)
 
     async def _cycle(self):
         await self._wake.wait()
@@ -603,6 +630,13 @@
         for submission_id in ids:
             for session, live in self._waiting_starts.pop(submission_id, ()):
                 if live.run.state == RunState.ORDERED:
+                    log.info(
+                        "run_ordered",
+                        task=live.task.name,
+                        run=live.run.number,
+                        endpoint=session.endpoint_id,
+                        token=self.lease.token,
+                    )
                     session.order_start(live)
                 elif live.run in live.task.runs:
                     self.run_gone(session, live, "not_sent")
--- a/tests/service/test_shard.py
+++ b/tests/service/test_shard.py
@@ -98,6 +98,7 @@
             lambda name, service: QUEUE,
             FakeFleet(),
             6000,
+            240.0,
         )
         self.lost = []
         shard = ShardController(SERVICE, lease, dependencies, self.lost.append)
--- /dev/null
+++ b/tests/test_history.py
@@ -0,0 +1,32 @@
+import unittest
+
+from magnoliapier.history import history, parse_line
+
+ID = "9cdc25f25566cd49"
+FIRST = [
+    f"time=2026-04-23T02:13:25Z level=INFO module=service.entry event=accepted id={ID}",
+    "time=2026-04-23T02:13:25Z level=INFO module=service.entry event=accepted id=other",
+    "a line of another program",
+]
+SECOND = [
+    "time=2026-04-23T02:13:29Z level=INFO module=service.shard event=finished "
+    f'id={ID} state=failed cause="no room"',
+    "time=2026-04-23T02:13:26Z level=INFO module=service.shard event=run_ended "
+    f"task={ID}.0.1.2 run=1 reason=failed",
+]
+
+
+class HistoryTests(unittest.TestCase):
+    def test_lines_of_several_hosts_in_order(self):
+        """Guards against a submission's story that misses another host's lines."""
+        entries = history(ID, [("a", FIRST), ("b", SECOND)])
+        self.assertEqual(
+            [(e.source, e.event) for e in entries],
+            [("a", "accepted"), ("b", "run_ended"), ("b", "finished")],
+        )
+        self.assertTrue(entries[-1].decisive)
+
+    def test_quoted_values(self):
+        """Guards against causes that are cut at their first space."""
+        entry = parse_line(SECOND[0], "b")
+        self.assertEqual(entry.fields["cause"], "no room")
