--- a/magnoliapier/commands.py
+++ b/magnoliapier/commands.py
@@ -13,7 +13,7 @@
 from rich.table import Table
 
 from magnoliapier.exceptions import MagnoliapierError
-from magnoliapier.history import history
+from magnoliapier.log_search import search_logs
 from magnoliapier.manifest import parse_manifest, read_json
 from magnoliapier.manifest_checks import check_manifest
 from magnoliapier.manifest_diff import diff_manifests
@@ -237,17 +237,17 @@
     finish(connect(server).forget(name), f"Entry host {name} is removed.", as_json)
 
 
-LOG_FILES = typer.Option(..., "--log", help="A host's log; may be repeated.")
+LOG_FILES = typer.Option(..., "--file", help="A host's log; may be repeated.")
 
 
-@app.command("history")
-def show_history(
+@app.command("logs")
+def show_logs(
     name: str = typer.Argument(..., help="The id of a submission, endpoint or host."),
     logs: list[Path] = LOG_FILES,
     json_output: bool = JSON_OUTPUT,
 ):
     """Show what the logs of hosts say of one submission, endpoint or host."""
-    entries = history(name, ((path.name, read_lines(path)) for path in logs))
+    entries = search_logs(name, ((path.name, read_lines(path)) for path in logs))
     if json_output:
         print_json([msgspec.to_builtins(entry) for entry in entries])
         return
--- a/magnoliapier/history.py
+++ b/magnoliapier/log_search.py
@@ -47,7 +47,7 @@
                 yield entry
 
 
-def history(name, logs):
+def search_logs(name, logs):
     """
     Return all entries that mention ``name``, ordered by time.
 
--- a/tests/test_history.py
+++ b/tests/test_log_search.py
@@ -1,6 +1,6 @@
 import unittest
 
-from magnoliapier.history import history, parse_line
+from magnoliapier.log_search import parse_line, search_logs
 
 ID = "9cdc25f25566cd49"
 FIRST = [
@@ -16,10 +16,10 @@
 ]
 
 
-class HistoryTests(unittest.TestCase):
+class LogSearchTests(unittest.TestCase):
     def test_lines_of_several_hosts_in_order(self):
         """Guards against a submission's story that misses another host's lines."""
-        entries = history(ID, [("a", FIRST), ("b", SECOND)])
+        entries = search_logs(ID, [("a", FIRST), ("b", SECOND)])
         self.assertEqual(
             [(e.source, e.event) for e in entries],
             [("a", "accepted"), ("b", "run_ended"), ("b", "finished")],
