--- /dev/null
+++ b/tests/placement/test_scheduler.py
@@ -0,0 +1,102 @@
+import unittest
+
+from magnoliapier.placement.endpoint import EndpointRecord, Room
+from magnoliapier.placement.health import EndpointHealth
+from magnoliapier.placement.scheduler import Scheduler
+from magnoliapier.submissions.configuration import Queue
+from magnoliapier.submissions.model import Resources, Step, Submission
+from magnoliapier.submissions.progress import Progress
+
+QUEUE = Queue("q", "h", "/q/", "desk")
+CAPACITY = Resources(4000, 4000, 0)
+
+
+class FakeSession:
+    """What the scheduler needs of an endpoint's session."""
+
+    def __init__(self, endpoint_id, labels=("a", "r1"), usable=True):
+        self.record = EndpointRecord(
+            endpoint_id, "desk", "x:1", "dc", False, CAPACITY, labels
+        )
+        self.endpoint_id = endpoint_id
+        self.room = Room(CAPACITY)
+        self.health = EndpointHealth()
+        self.live = {}
+        self._usable = usable
+
+    def usable(self, now):
+        return self._usable
+
+    def reserve(self, live):
+        self.live[(str(live.task.name), live.run.number)] = live
+        self.room.take(live.step)
+
+    def drop(self, live):
+        del self.live[(str(live.task.name), live.run.number)]
+        self.room.give_back(live.step)
+
+
+def make_progress(*steps):
+    item = Submission("a" * 16, "q", "s", steps, accepted_ms=0)
+    progress = Progress(item, QUEUE)
+    progress.open_occurrences(0)
+    return progress
+
+
+def step(count, **fields):
+    return Step(count, Resources(1000, 100), **fields)
+
+
+class SchedulerTests(unittest.TestCase):
+    def place(self, progress, *sessions):
+        return Scheduler(sessions, 0.0).place([progress])
+
+    def test_fullest_endpoint_is_chosen(self):
+        """Guards against work spread so that no host can be given away."""
+        sessions = FakeSession("e1"), FakeSession("e2")
+        sessions[1].room.cpu_millicores = 2000
+        starts = self.place(make_progress(step(2)), *sessions)
+        self.assertEqual({s.endpoint_id for s, _ in starts}, {"e2"})
+
+    def test_required_label(self):
+        """Guards against a task on an endpoint without the label it needs."""
+        sessions = FakeSession("e1"), FakeSession("e2", ("a", "r1", "fast"))
+        starts = self.place(make_progress(step(1, required_label="fast")), *sessions)
+        self.assertEqual([s.endpoint_id for s, _ in starts], ["e2"])
+
+    def test_at_most_so_many_on_an_endpoint(self):
+        """Guards against a crash that takes more of a step than its owner allows."""
+        starts = self.place(
+            make_progress(step(3, max_per_endpoint=1)), FakeSession("e1")
+        )
+        self.assertEqual(len(starts), 1)
+
+    def test_endpoint_that_failed_the_task_is_the_last_choice(self):
+        """Guards against attempts used up on one bad endpoint."""
+        progress = make_progress(step(1))
+        task = next(progress.startable_tasks())
+        task.failed_on.add("e1")
+        starts = self.place(progress, FakeSession("e1"), FakeSession("e2"))
+        self.assertEqual(starts[0][0].endpoint_id, "e2")
+
+    def test_data_rack_is_preferred(self):
+        """Guards against tasks far from their data while there is room near it."""
+        sessions = FakeSession("e1"), FakeSession("e2", ("a", "r2"))
+        starts = self.place(make_progress(step(1, data_rack="r2")), *sessions)
+        self.assertEqual(starts[0][0].endpoint_id, "e2")
+
+    def test_gang_starts_whole_or_not_at_all(self):
+        """Guards against members of a gang that wait for others in vain."""
+        progress = make_progress(step(6, gang=True))
+        first = FakeSession("e1")
+        self.assertEqual(self.place(progress, first), [])
+        self.assertEqual(first.room.cpu_millicores, 4000)
+        starts = self.place(progress, first, FakeSession("e2"))
+        self.assertEqual(len(starts), 6)
+        self.assertEqual({live.run.number for _, live in starts}, {1})
+
+    def test_unusable_endpoints_get_nothing(self):
+        """Guards against new work on an endpoint that drains or does not answer."""
+        self.assertEqual(
+            self.place(make_progress(step(1)), FakeSession("e1", usable=False)), []
+        )
