Read the newest configuration after a feed without an answer

Large answers now last while their bytes keep coming, and the operator's table is read anew after silence. A host that the store turns away asks for shards twice a second.

--- a/magnoliapier/platform/__main__.py
+++ b/magnoliapier/platform/__main__.py
@@ -101,6 +101,7 @@
             wire.OPERATOR_TABLE,
             self._apply_operator_rows,
             wait_s=OPERATOR_WAIT_S,
+            latest_only=True,
         )
 
     async def run(self):
--- a/magnoliapier/platform/http.py
+++ b/magnoliapier/platform/http.py
@@ -7,6 +7,7 @@
 CONNECTIONS_PER_ADDRESS = 24
 KEEPALIVE_S = 14.0
 CONNECT_TIMEOUT_S = 0.5
+LARGE_ANSWER_S = 15.0
 USER_TIMEOUT_MS = 4000  # unacknowledged bytes break a silent connection
 
 
@@ -36,6 +37,13 @@
     )
 
 
+def progress_timeout(silence_s):
+    """Return limits for a large answer: it may last while its bytes keep coming."""
+    return aiohttp.ClientTimeout(
+        total=LARGE_ANSWER_S, sock_connect=CONNECT_TIMEOUT_S, sock_read=silence_s
+    )
+
+
 def call_timeout(total_s):
     """Return aiohttp's time limits for a call of ``total_s`` seconds."""
     return aiohttp.ClientTimeout(
--- a/magnoliapier/platform/store.py
+++ b/magnoliapier/platform/store.py
@@ -15,13 +15,13 @@
 )
 from magnoliapier.logs import get_logger
 from magnoliapier.platform import wire
-from magnoliapier.platform.http import call_timeout
+from magnoliapier.platform.http import call_timeout, progress_timeout
 from magnoliapier.state.patience import Patience
 from magnoliapier.state.rows import Changes, Row
 
 PAGE_ROWS = 500
 FEED_GRACE_S = 0.6  # beyond the wait that was asked for
-READ_TIMEOUT_S = 2.0  # a page of rows takes a while on a slow link
+READ_SILENCE_S = 1.0  # without a byte; a page takes a while on a slow link
 NOTHING_DONE = (429, 503)
 HISTORY_LOST = 410
 CONFLICT = 412
@@ -85,7 +85,7 @@
         if end:
             query["target"] = end
         url = URL(f"{self._base}/rows-get").with_query(query)
-        status, data = await self._call("GET", url, timeout_s=READ_TIMEOUT_S)
+        status, data = await self._call("GET", url, silence_s=READ_SILENCE_S)
         if status != 200:
             raise self._failure(status, data)
         return wire.decode(wire.RowsAnswer, data)
@@ -99,7 +99,7 @@
             if parts:
                 query["after"] = parts[-1]
             url = URL(f"{self._base}/rows-parts").with_query(query)
-            status, data = await self._call("GET", url, timeout_s=READ_TIMEOUT_S)
+            status, data = await self._call("GET", url, silence_s=READ_SILENCE_S)
             if status != 200:
                 raise self._failure(status, data)
             answer = wire.decode(wire.PartsAnswer, data)
@@ -116,7 +116,7 @@
             "wait_ms": str(int(wait_s * 1000)),
         }
         url = URL(f"{self._base}/rows-feed").with_query(query)
-        status, data = await self._call("GET", url, timeout_s=wait_s + FEED_GRACE_S)
+        status, data = await self._call("GET", url, silence_s=wait_s + FEED_GRACE_S)
         if status == HISTORY_LOST:
             raise HistoryLostError("Read the table anew; its history is gone.")
         if status != 200:
@@ -125,14 +125,17 @@
         rows = [row for row in map(decode_row, answer.rows) if row]
         return Changes(rows, answer.ver)
 
-    async def _call(self, method, url, data=None, timeout_s=None):
+    async def _call(self, method, url, data=None, silence_s=None):
         """Return status and body; raise a StoreUnavailableError or unknown outcome."""
-        adaptive = timeout_s is None
-        limit_s = self._patience.timeout_s if adaptive else timeout_s
+        adaptive = silence_s is None
+        if adaptive:
+            limits = call_timeout(self._patience.timeout_s)
+        else:
+            limits = progress_timeout(silence_s)
         sent_at = self._clock()
         try:
             async with self._session.request(
-                method, url, data=data, timeout=call_timeout(limit_s)
+                method, url, data=data, timeout=limits
             ) as response:
                 body = await response.read()
                 status = response.status
--- a/magnoliapier/pools/demand.py
+++ b/magnoliapier/pools/demand.py
@@ -9,7 +9,7 @@
 from collections import deque
 
 PACKING = 0.85  # of a host that tasks of mixed sizes can fill
-SURPLUS_HOLD_S = 2.0  # giving a host away and getting it back costs as much
+SURPLUS_HOLD_S = 1.3  # giving a host away and getting it back costs as much
 ARRIVAL_WINDOW_S = 1.2
 CATCH_UP_S = 2.0  # in which work that has waited should be begun
 USUAL_WAIT_S = 0.5  # of arrivals; work that waits as usual is not counted twice
--- a/magnoliapier/service/leases.py
+++ b/magnoliapier/service/leases.py
@@ -27,7 +27,8 @@
 DELAY_PER_HELD_SHARD_S = 0.25  # lets hosts with fewer shards go first
 MAX_JITTER_S = 0.1
 WEAK_HOST_DELAY_S = 0.7  # lets hosts with more processor and bandwidth go first
-ATTEMPTS = 4
+ATTEMPTS = 4  # under one condition, to learn the outcome of an unanswered write
+REFUSED_DELAY_S = 0.5  # while the store turns this host away
 
 log = get_logger(__name__)
 
@@ -97,10 +98,14 @@
 
     async def _run(self):
         while True:
+            delay_s = CHECK_INTERVAL_S
             for shard in self._wanted():
-                if shard not in self._held and self._due(shard):
-                    await self._take(shard)
-            await asyncio.sleep(CHECK_INTERVAL_S)
+                if shard in self._held or not self._due(shard):
+                    continue
+                if not await self._take(shard):
+                    delay_s = REFUSED_DELAY_S
+                    break
+            await asyncio.sleep(delay_s)
 
     def _due(self, shard):
         view = self._directory.view(shard)
@@ -120,28 +125,34 @@
         return len(self._held) * DELAY_PER_HELD_SHARD_S + jitter + weakness
 
     async def _take(self, shard):
+        """Try to take a shard; return whether the store answered."""
         view = self._directory.view(shard)
         token = view.record.token + 1 if view.record else FIRST_TOKEN
         record = LeaseRecord(
             self._identity.holder, self._identity.process, self._identity.address, token
         )
         sent_at = self._clock()
-        version = await self._write(shard, record, view.version)
+        try:
+            version = await self._write(shard, record, view.version)
+        except (StoreUnavailableError, StoreOutcomeUnknownError) as error:
+            log.info("take_failed", shard=shard, error=error)
+            return False
         self._free_since.pop(shard, None)
         if version is None:
-            return
+            return True
         lease = HeldLease(record)
         lease.renewed(version, sent_at)
         view.observe(record, version, self._clock())
         self._held.add(shard)
         log.info("shard_taken", shard=shard, token=token)
         self._on_taken(shard, lease)
+        return True
 
     async def _write(self, shard, record, expected):
         """Return the version of the written lease, or None if another was faster."""
         expect = Expect(CONTROL_TABLE, shard, LEASE_KEY, expected)
         put = Put(CONTROL_TABLE, shard, LEASE_KEY, encode_lease(record))
-        for _ in range(ATTEMPTS):
+        for attempt in range(1, ATTEMPTS + 1):
             try:
                 return await self._store.commit([expect], [put])
             except ConflictError as error:
@@ -150,9 +161,9 @@
                     return row.version
                 log.info("shard_taken_by_other", shard=shard)
                 return None
-            except (StoreUnavailableError, StoreOutcomeUnknownError) as error:
-                log.info("take_retried", shard=shard, error=error)
-        return None
+            except StoreOutcomeUnknownError:
+                if attempt == ATTEMPTS:
+                    raise
 
 
 async def release(store, shard, lease):
--- a/magnoliapier/service/watch.py
+++ b/magnoliapier/service/watch.py
@@ -2,7 +2,11 @@
 
 import asyncio
 
-from magnoliapier.exceptions import HistoryLostError, PlatformError
+from magnoliapier.exceptions import (
+    HistoryLostError,
+    MagnoliapierError,
+    StoreOutcomeUnknownError,
+)
 from magnoliapier.logs import get_logger
 
 RETRY_DELAY_S = 0.2
@@ -16,16 +20,28 @@
 
     ``on_rows(rows, complete)`` is called with all rows after each whole reading and
     with the changed ones otherwise. ``parts`` is None for all parts of the table.
-    ``gap_s`` is slept between two calls, so that changes arrive in groups.
+    ``gap_s`` is slept between two calls, so that changes arrive in groups. With
+    ``latest_only`` a call without an answer is followed by a whole reading: the newest
+    values of a few large rows are read sooner than all of their changes.
     """
 
-    def __init__(self, store, table, on_rows, parts=("",), wait_s=1.0, gap_s=0.0):
+    def __init__(
+        self,
+        store,
+        table,
+        on_rows,
+        parts=("",),
+        wait_s=1.0,
+        gap_s=0.0,
+        latest_only=False,
+    ):
         self._store = store
         self._table = table
         self._parts = parts
         self._on_rows = on_rows
         self._wait_s = wait_s
         self.gap_s = gap_s
+        self._latest_only = latest_only
         self._available = True
         self._task = None
         self.complete = asyncio.Event()
@@ -51,8 +67,10 @@
             except HistoryLostError:
                 log.info("history_lost", table=self._table, version=version)
                 version = None
-            except PlatformError as error:
+            except MagnoliapierError as error:
                 self._mark_lost(error)
+                if self._latest_only and isinstance(error, StoreOutcomeUnknownError):
+                    version = None
                 await asyncio.sleep(RETRY_DELAY_S)
             else:
                 await asyncio.sleep(self.gap_s)
--- /dev/null
+++ b/tests/service/test_watch.py
@@ -0,0 +1,51 @@
+import asyncio
+import unittest
+
+from magnoliapier.exceptions import MessageError, StoreOutcomeUnknownError
+from magnoliapier.service.watch import TableWatcher
+from magnoliapier.state.rows import Put
+from tests.service.fakes import FakeStore
+
+
+class WatchTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.store = FakeStore()
+        self.seen = []
+        self.failures = []
+
+        async def changes(table, after, wait_s):
+            if self.failures:
+                raise self.failures.pop(0)
+            return await FakeStore.changes(self.store, table, after, wait_s)
+
+        self.store.changes = changes
+
+    async def follow(self, **options):
+        watcher = TableWatcher(self.store, "op", self.take, **options)
+        watcher.start()
+        await watcher.complete.wait()
+        self.addAsyncCleanup(watcher.close)
+
+    def take(self, rows, complete):
+        self.seen.append((complete, [row.value for row in rows]))
+
+    async def test_feed_without_answer_is_followed_by_a_whole_reading(self):
+        """
+        Guards against a configuration that stays old on a slow link.
+
+        The pattern is a storm of large configurations: all of its changes take longer
+        than a call may last, the newest one does not.
+        """
+        await self.follow(latest_only=True)
+        self.failures = [StoreOutcomeUnknownError("silent")]
+        await self.store.commit([], [Put("op", "", "config", b"new")])
+        await asyncio.sleep(0.5)
+        self.assertIn((True, [b"new"]), self.seen)
+
+    async def test_unreadable_answer_does_not_end_the_watch(self):
+        """Guards against a watch that ends for good at one bad answer."""
+        await self.follow()
+        self.failures = [MessageError("cut short")]
+        await self.store.commit([], [Put("op", "", "config", b"new")])
+        await asyncio.sleep(0.5)
+        self.assertIn((False, [b"new"]), self.seen)
