--- a/magnoliapier/platform/boot.py
+++ b/magnoliapier/platform/boot.py
@@ -24,17 +24,7 @@
     """Figures of the platform's rules that decisions depend on."""
 
     hold_max_ms: int = 6000  # longest lease of an endpoint
-    stop_grace_ms: int = 200
-    grace_s: float = 6  # between SIGTERM and SIGKILL
-    notice_ms: int = 4500
-    harm_ms: int = 4000
-    checkpoint_s: float = 2
-    far_factor: float = 1.5
-    move_s: float = 1.5
-    upkeep_s: float = 2
-    lease_ms: int = 3000  # between orders of two holders for one host
     status_s: float = 120  # how long a final state is kept
-    gang_timeout_ms: int = 3000
 
 
 class StoreSettings(msgspec.Struct):
@@ -68,15 +58,12 @@
 
     node_name: str
     ip: str
-    zone: str
     listen: Listen
     internal_ports: tuple[int, int]
     platform: StoreSettings
     cloud_api: MachinesSettings
     bounds: Bounds = Bounds()
     limits: Limits = Limits()
-    advice: str = ""
-    heartbeat_ms: int = 1500
 
 
 def load_boot_settings(path=None):
--- a/magnoliapier/platform/ingress.py
+++ b/magnoliapier/platform/ingress.py
@@ -125,10 +125,7 @@
         except MessageError as error:
             log.info("malformed_submission", id=submission_id, error=error)
             return error_response(400, str(error))
-        answer = await self._node.entry.submit(queue, submission)
-        if answer.kind == AnswerKind.REFUSED and answer.reason != "store":
-            return error_response(429, answer.reason, answer.retry_after_s)
-        return self._translate(answer)
+        return self._translate(await self._node.entry.submit(queue, submission))
 
     def _translate(self, answer, pending=False):
         if answer.kind == AnswerKind.OK:
--- a/magnoliapier/platform/wire.py
+++ b/magnoliapier/platform/wire.py
@@ -14,7 +14,6 @@
 from magnoliapier.submissions.configuration import Configuration, Queue, Service
 from magnoliapier.submissions.model import Resources, Step, Submission
 
-DEADLINE_HEADER = "X-Magnoliapier-Deadline-Ms"
 ENDPOINT_HEADER = "X-Magnoliapier-Target-Instance"
 HOLDER_HEADER = "X-Magnoliapier-Lease-Holder"
 TOKEN_HEADER = "X-Magnoliapier-Fencing-Token"
@@ -28,8 +27,6 @@
 MAX_SPEC_BYTES = 4000
 MAX_TASKS = 20_000  # of one submission, steps and occurrences together
 
-Milliseconds = int
-
 
 class CapacityBody(msgspec.Struct, frozen=True):
     """Resources of a host."""
@@ -377,20 +374,6 @@
         )
 
 
-class AdviceBody(msgspec.Struct):
-    """Ask which endpoints may run a step."""
-
-    step: str
-    workers: tuple[str, ...]
-
-
-class AdviceAnswer(msgspec.Struct):
-    """Endpoints that may run a step, each with its ticket."""
-
-    good: tuple[tuple[str, str], ...]
-    valid_ms: int = 0
-
-
 class RowVersion(msgspec.Struct):
     """A condition of a transaction."""
 
--- a/magnoliapier/pools/report.py
+++ b/magnoliapier/pools/report.py
@@ -20,7 +20,6 @@
     released: dict[str, str] = {}
     wanted: int = 0
     hosts: int = 0
-    backlog_s: float = 0.0
 
 
 class FleetPlan(msgspec.Struct, array_like=True):
--- /dev/null
+++ b/magnoliapier/service/cleanup.py
@@ -0,0 +1,91 @@
+"""Shrinks and removes the rows of finished submissions."""
+
+from collections import deque
+
+from magnoliapier.exceptions import PlatformError
+from magnoliapier.logs import get_logger
+from magnoliapier.state.rows import MAX_ENTRIES, Put, Remove
+from magnoliapier.state.tables import (
+    CANCEL_SUFFIX,
+    intake_part,
+    progress_table,
+    submissions_table,
+)
+
+INTERVAL_S = 10.0
+SUBMISSIONS_AT_ONCE = MAX_ENTRIES // 2  # of one part, two rows each
+TOMBSTONE = b""  # in place of a finished submission, so that a repeat is recognised
+
+log = get_logger(__name__)
+
+
+class FinishedRows:
+    """
+    The rows of a shard's finished submissions.
+
+    A finished submission is replaced by a tombstone at the next cleanup, and forgotten
+    ``keep_s`` seconds after it finished. Times of submissions are Unix milliseconds.
+    """
+
+    def __init__(self, store, service, keep_s, now):
+        self._store = store
+        self._service = service
+        self._keep_ms = int(keep_s * 1000)
+        self._cleaned_at = now
+        self._waiting = {}
+        self._kept = deque()
+
+    def add(self, progress):
+        """Take note of a finished submission."""
+        part = intake_part(self._service, progress.submission_id)
+        self._waiting.setdefault(part, []).append(progress)
+
+    def due(self, now):
+        """Return whether a cleanup is due at a steady time."""
+        return now - self._cleaned_at >= INTERVAL_S
+
+    async def clean(self, now, now_ms):
+        """Write tombstones; return the ids of submissions that are forgotten."""
+        self._cleaned_at = now
+        for part in list(self._waiting):
+            await self._write_tombstones(part)
+        return await self._forget(now_ms - self._keep_ms)
+
+    async def _write_tombstones(self, part):
+        progresses = self._waiting.pop(part)
+        rest = progresses[SUBMISSIONS_AT_ONCE:]
+        if rest:
+            self._waiting[part] = rest
+        progresses = progresses[:SUBMISSIONS_AT_ONCE]
+        table = submissions_table(self._service)
+        puts = [Put(table, part, p.submission_id, TOMBSTONE) for p in progresses]
+        removes = [
+            Remove(table, part, p.submission_id + CANCEL_SUFFIX)
+            for p in progresses
+            if p.cancelled
+        ]
+        try:
+            await self._store.commit([], puts, removes)
+        except PlatformError as error:
+            log.info("tombstones_failed", part=part, error=error)
+        else:
+            self._kept.extend(progresses)
+
+    async def _forget(self, oldest_ms):
+        forgotten = []
+        while self._kept and self._kept[0].finished_ms < oldest_ms:
+            submission_id = self._kept[0].submission_id
+            progress = Remove(
+                progress_table(self._service), self._service, submission_id
+            )
+            part = intake_part(self._service, submission_id)
+            tombstone = Remove(submissions_table(self._service), part, submission_id)
+            try:
+                await self._store.commit([], [], [progress])
+                await self._store.commit([], [], [tombstone])
+            except PlatformError as error:
+                log.info("forget_failed", id=submission_id, error=error)
+                break
+            self._kept.popleft()
+            forgotten.append(submission_id)
+        return forgotten
--- a/magnoliapier/service/entry.py
+++ b/magnoliapier/service/entry.py
@@ -56,22 +56,18 @@
     """
     Answers callers on one host.
 
-    ``admission`` says whether a service can still take a submission; ``peers`` asks the
-    holder of a shard.
+    ``peers`` asks the holder of a shard. A long queue is no reason to refuse: new work
+    goes before work that is late already, so it is not delayed by it.
     """
 
-    def __init__(self, store, peers, admission, clock, metrics):
+    def __init__(self, store, peers, clock, metrics):
         self._store = store
         self._peers = peers
-        self._admission = admission
         self._clock = clock
         self._metrics = metrics
 
     async def submit(self, queue, submission):
         """Store a submission and return an Answer."""
-        refusal = self._admission.refusal(queue, submission)
-        if refusal is not None:
-            return self._refuse(submission, refusal.reason, refusal.retry_after_s)
         key = submission.submission_id
         table = submissions_table(queue.service)
         part = intake_part(queue.service, key)
--- a/magnoliapier/service/node.py
+++ b/magnoliapier/service/node.py
@@ -7,7 +7,6 @@
 
 from magnoliapier.exceptions import MessageError
 from magnoliapier.logs import get_logger
-from magnoliapier.placement.admission import Admission
 from magnoliapier.pools.report import (
     PLAN_KEY,
     REPORT_KEY,
@@ -147,7 +146,6 @@
         self.metrics = metrics
         self.configuration = None
         self.leases = LeaseDirectory(boottime)
-        self.admission = Admission()
         self.fleet = FleetView(self)
         self.stopping = False
         self._store = clients.store
@@ -159,9 +157,7 @@
             settings.name, uuid.uuid4().hex, settings.peer_address, settings.weak
         )
         self._peers = Peers(clients.http, self.leases, self._shards.get)
-        self.entry = Entry(
-            clients.store, self._peers, self.admission, boottime, metrics
-        )
+        self.entry = Entry(clients.store, self._peers, boottime, metrics)
         self._peer_server = PeerServer(settings.peer_address, self._shards.get)
         self._directory = EndpointDirectory(clients.decode_endpoint, boottime)
         self._endpoint_watcher = TableWatcher(
--- a/magnoliapier/service/pool.py
+++ b/magnoliapier/service/pool.py
@@ -46,9 +46,9 @@
         """Take over what an earlier holder has released."""
         self.released = dict(report.released)
 
-    def report(self, backlog_s):
+    def report(self):
         """Return the report to store."""
-        return PoolReport(dict(self.released), self._wanted, self._hosts, backlog_s)
+        return PoolReport(dict(self.released), self._wanted, self._hosts)
 
     def arrived(self, progress, now):
         """Take note of a new submission."""
--- a/magnoliapier/service/shard.py
+++ b/magnoliapier/service/shard.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-from collections import deque
 
 from magnoliapier.exceptions import (
     FencedError,
@@ -27,31 +26,33 @@
     decode_report,
     encode as encode_report,
 )
+from magnoliapier.service.cleanup import TOMBSTONE, FinishedRows
 from magnoliapier.service.clock import unix_ms
 from magnoliapier.service.pool import PoolKeeper, evacuations
 from magnoliapier.service.session import EndpointSession
 from magnoliapier.service.watch import TableWatcher
 from magnoliapier.state.commit import FencedCommitter
 from magnoliapier.state.lease import CONTROL_TABLE, FIRST_TOKEN
-from magnoliapier.state.rows import MAX_ENTRIES, Put, Remove
+from magnoliapier.state.rows import MAX_ENTRIES, Put
 from magnoliapier.state.tables import (
     CANCEL_SUFFIX,
-    intake_part,
     intake_parts,
     progress_table,
     submissions_table,
 )
 from magnoliapier.submissions.codec import decode_progress, decode_submission, encode
-from magnoliapier.submissions.model import EndReason, SubmissionState, TaskName
+from magnoliapier.submissions.model import (
+    FINAL_STATES,
+    EndReason,
+    SubmissionState,
+    TaskName,
+)
 from magnoliapier.submissions.progress import LiveRun, Progress, RunState
 
 TICK_S = 0.15
 INTAKE_WAIT_S = 1.0
 INTAKE_GAP_S = 0.03
 BATCH_SUBMISSIONS = MAX_ENTRIES - 4  # a row each, beside the lease and the report
-CLEANUP_INTERVAL_S = 10.0
-CLEANUP_SUBMISSIONS = MAX_ENTRIES // 2  # of one part, two rows each
-TOMBSTONE = b""  # in place of a finished submission, so that a repeat is recognised
 COMMIT_RETRY_S = 0.06
 LOAD_RETRY_S = 0.2
 PACE_INTERVAL_S = 0.4
@@ -93,9 +94,9 @@
         self._pool = PoolKeeper(service, self._durations, lease.token == FIRST_TOKEN)
         self._reported = None
         self._reported_at = 0.0
-        self._finished = {}
-        self._kept = deque()
-        self._cleaned_at = deps.boottime()
+        self._finished = FinishedRows(
+            deps.store, service, deps.keep_final_s, deps.boottime()
+        )
         self._lost = False
 
     def start(self):
@@ -314,7 +315,7 @@
                 log.warning("unreadable_progress", id=row.key, error=error)
         self._stored = progress_of
         for key, progress in progress_of.items():
-            if not progress.tasks and progress.state in _FINAL:
+            if not progress.tasks and progress.state in FINAL_STATES:
                 self._final_states[key] = SubmissionState(progress.state)
         self._intake = TableWatcher(
             self._store,
@@ -454,49 +455,11 @@
         while not self._lost:
             await asyncio.sleep(TICK_S)
             self._wake.set()
-            if self._clock() - self._cleaned_at >= CLEANUP_INTERVAL_S:
-                self._cleaned_at = self._clock()
+            if self._finished.due(self._clock()):
                 await self._clean_up()
 
     async def _clean_up(self):
-        """Replace finished submissions by tombstones; repeats may still arrive."""
-        table = submissions_table(self.service)
-        for part in list(self._finished):
-            progresses = self._finished.pop(part)
-            if len(progresses) > CLEANUP_SUBMISSIONS:
-                self._finished[part] = progresses[CLEANUP_SUBMISSIONS:]
-                del progresses[CLEANUP_SUBMISSIONS:]
-            puts = [Put(table, part, p.submission_id, TOMBSTONE) for p in progresses]
-            removes = [
-                Remove(table, part, p.submission_id + CANCEL_SUFFIX)
-                for p in progresses
-                if p.cancelled
-            ]
-            try:
-                await self._store.commit([], puts, removes)
-            except PlatformError as error:
-                log.info("clean_up_failed", part=part, error=error)
-            else:
-                self._kept.extend(progresses)
-        await self._forget_old()
-
-    async def _forget_old(self):
-        """Remove the rows of submissions that finished long ago."""
-        oldest_ms = unix_ms() - int(self._deps.keep_final_s * 1000)
-        while self._kept and self._kept[0].finished_ms < oldest_ms:
-            submission_id = self._kept[0].submission_id
-            part = intake_part(self.service, submission_id)
-            table = submissions_table(self.service)
-            progress_row = Remove(
-                progress_table(self.service), self.service, submission_id
-            )
-            try:
-                await self._store.commit([], [], [progress_row])
-                await self._store.commit([], [], [Remove(table, part, submission_id)])
-            except PlatformError as error:
-                log.info("forget_failed", id=submission_id, error=error)
-                return
-            self._kept.popleft()
+        for submission_id in await self._finished.clean(self._clock(), unix_ms()):
             self._final_states.pop(submission_id, None)
 
     async def _cycle(self):
@@ -548,7 +511,7 @@
 
     def _report_put(self, now):
         """Return the put of a changed report, at most one each interval."""
-        report = self._pool.report(0.0)
+        report = self._pool.report()
         if report == self._reported or now - self._reported_at < REPORT_INTERVAL_S:
             return []
         self._reported, self._reported_at = report, now
@@ -647,16 +610,10 @@
             progress = self._progresses.get(submission_id)
             if progress is not None and not progress.has_live_runs:
                 del self._progresses[submission_id]
-                part = intake_part(self.service, submission_id)
-                self._finished.setdefault(part, []).append(progress)
+                self._finished.add(progress)
                 log.info(
                     "finished",
                     id=submission_id,
                     state=state,
                     took_ms=progress.finished_ms - progress.submission.accepted_ms,
                 )
-
-
-_FINAL = frozenset(
-    {SubmissionState.COMPLETED, SubmissionState.FAILED, SubmissionState.CANCELLED}
-)
--- a/tests/service/test_shard.py
+++ b/tests/service/test_shard.py
@@ -299,16 +299,10 @@
         async def pending(self, service, queue_name):
             return None
 
-    class OpenAdmission:
-        def refusal(self, queue, submission):
-            return None
-
     async def asyncSetUp(self):
         self.store = FakeStore()
         self.clock = FakeClock()
-        self.entry = Entry(
-            self.store, self.NoPeers(), self.OpenAdmission(), self.clock, metrics()
-        )
+        self.entry = Entry(self.store, self.NoPeers(), self.clock, metrics())
         self.item = submission("6" * 16, short_step())
 
     async def test_repeated_submission_is_stored_once(self):
