--- a/magnoliapier/service/clock.py
+++ b/magnoliapier/service/clock.py
@@ -49,7 +49,3 @@
         """Return a value that the endpoint's clock has surely reached at ``now``."""
         elapsed_ms = max(0.0, now - self._received_at) * 1000
         return int(self._reading_ms + elapsed_ms * SLOWEST_CLOCK_RATE)
-
-    def estimate_ms(self, now):
-        """Return the likely reading at ``now``."""
-        return int(self._reading_ms + max(0.0, now - self._received_at) * 1000)
--- a/magnoliapier/service/directory.py
+++ b/magnoliapier/service/directory.py
@@ -24,11 +24,9 @@
         self._clock = clock
         self._records = {}
         self._missing_since = {}
-        self.version = 0
 
     def apply(self, rows, complete):
         """Apply changed rows, or all rows if ``complete``."""
-        self.version += 1
         if complete:
             present = {row.key for row in rows}
             for endpoint_id in self._records.keys() - present:
--- a/magnoliapier/service/fleet.py
+++ b/magnoliapier/service/fleet.py
@@ -17,6 +17,7 @@
 from magnoliapier.logs import get_logger
 from magnoliapier.pools.planner import FleetPlanner, Maintain
 from magnoliapier.pools.report import PLAN_KEY, FleetPlan, decode_plan, encode
+from magnoliapier.service.background import cancel_tasks
 from magnoliapier.service.leases import FLEET_SHARD
 from magnoliapier.state.commit import FencedCommitter
 from magnoliapier.state.lease import CONTROL_TABLE
@@ -64,9 +65,7 @@
 
     async def close(self):
         """Stop acting."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await cancel_tasks(self._task)
 
     def may_act(self):
         """Return whether orders are allowed now."""
--- a/magnoliapier/service/leases.py
+++ b/magnoliapier/service/leases.py
@@ -10,6 +10,7 @@
     StoreUnavailableError,
 )
 from magnoliapier.logs import get_logger
+from magnoliapier.service.background import cancel_tasks
 from magnoliapier.state.lease import (
     CONTROL_TABLE,
     FIRST_TOKEN,
@@ -88,9 +89,7 @@
 
     async def close(self):
         """Stop taking shards."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await cancel_tasks(self._task)
 
     def released(self, shard):
         """Take note that this host does not hold a shard any more."""
--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -13,6 +13,7 @@
 from magnoliapier.logs import get_logger
 from magnoliapier.placement.endpoint import Room
 from magnoliapier.placement.health import EndpointHealth
+from magnoliapier.service.background import cancel_tasks
 from magnoliapier.service.clock import SLOWEST_CLOCK_RATE, EndpointClock
 from magnoliapier.service.orders import OrderRefusal, StartOrder
 from magnoliapier.submissions.progress import RunState
@@ -106,10 +107,7 @@
 
     async def close(self):
         """Stop all calls."""
-        tasks = [task for task in (self._task, *self._orders) if task is not None]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await cancel_tasks(self._task, *self._orders)
 
     def adopt(self, live):
         """Take over a run that an earlier holder recorded."""
--- a/magnoliapier/service/shard.py
+++ b/magnoliapier/service/shard.py
@@ -26,6 +26,7 @@
     decode_report,
     encode as encode_report,
 )
+from magnoliapier.service.background import cancel_tasks
 from magnoliapier.service.cleanup import TOMBSTONE, FinishedRows
 from magnoliapier.service.clock import unix_ms
 from magnoliapier.service.pool import PoolKeeper, evacuations
@@ -105,9 +106,7 @@
 
     async def close(self):
         """Stop acting; what is stored stays for the next holder."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await cancel_tasks(*self._tasks)
         if self._intake is not None:
             await self._intake.close()
         for session in list(self._sessions.values()):
--- a/magnoliapier/service/watch.py
+++ b/magnoliapier/service/watch.py
@@ -8,6 +8,7 @@
     StoreOutcomeUnknownError,
 )
 from magnoliapier.logs import get_logger
+from magnoliapier.service.background import cancel_tasks
 
 RETRY_DELAY_S = 0.2
 
@@ -52,9 +53,7 @@
 
     async def close(self):
         """Stop following."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await cancel_tasks(self._task)
 
     async def _run(self):
         version = None
