Give up work of hosts that are listed as down, and ask for hosts sooner in a turn

All hosts read all endpoints' rows 2.5 times a second, also those without a shard.

Change: the fleet's holder publishes endpoints whose hosts went down, and shards give up their settled runs at once; a young burst counts only its own time; holders follow the endpoints every 0.15 s and the others every 2 s, with a refresh before a shard is loaded; the list intervals follow the shards that are held.

--- a/magnoliapier/pools/demand.py
+++ b/magnoliapier/pools/demand.py
@@ -11,6 +11,9 @@
 PACKING = 0.85  # of a host that tasks of mixed sizes can fill
 SURPLUS_HOLD_S = 1.3  # giving a host away and getting it back costs as much
 ARRIVAL_WINDOW_S = 1.2
+SHORTEST_WINDOW_S = 0.4
+BURST_ARRIVALS = 4  # fewer in a shorter window may be chance
+BURST_GAP_S = 0.3  # between two arrivals of a burst
 CATCH_UP_S = 2.0  # in which work that has waited should be begun
 USUAL_WAIT_S = 0.5  # of arrivals; work that waits as usual is not counted twice
 
@@ -34,7 +37,10 @@
 
 class ArrivalRate:
     """
-    Host-seconds of work that arrive per second, over the last ``ARRIVAL_WINDOW_S``.
+    Host-seconds of work that arrive per second, over the last ``window_s``.
+
+    While a burst is younger than the window, only its own time counts: a mean over the
+    lull before it would ask for too few hosts when they are needed most.
 
     Example::
 
@@ -46,16 +52,31 @@
     def __init__(self, window_s=ARRIVAL_WINDOW_S):
         self._window_s = window_s
         self._arrivals = deque()
+        self._burst_began = 0.0
+        self._burst_arrivals = 0
 
     def add(self, host_seconds, now):
         """Take note of arriving work."""
+        if not self._arrivals or now - self._arrivals[-1][0] > BURST_GAP_S:
+            self._burst_began = now
+            self._burst_arrivals = 0
+        self._burst_arrivals += 1
         self._arrivals.append((now, host_seconds))
 
     def per_second(self, now):
         """Return the present rate."""
         while self._arrivals and now - self._arrivals[0][0] > self._window_s:
             self._arrivals.popleft()
-        return sum(work for _, work in self._arrivals) / self._window_s
+        window_s = self._window(now)
+        since = now - window_s
+        return sum(work for at, work in self._arrivals if at >= since) / window_s
+
+    def _window(self, now):
+        """Return the seconds to average over."""
+        age_s = now - self._burst_began
+        if self._burst_arrivals < BURST_ARRIVALS or age_s >= self._window_s:
+            return self._window_s
+        return max(SHORTEST_WINDOW_S, age_s)
 
 
 def hosts_needed(lasting_share, arrival_rate, waiting_work, spread):
--- a/magnoliapier/pools/planner.py
+++ b/magnoliapier/pools/planner.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from magnoliapier.pools.hosts import HostState
+from magnoliapier.pools.lives import EndpointLives
 
 ORDER_TIMEOUT_S = 6.0  # after which an order is taken to have had no effect
 EMPTYING_PER_POOL = 2  # hosts of one pool that are emptied at once
@@ -47,6 +48,7 @@
         self.maintained = {
             wave: set(hosts) for wave, hosts in (maintained or {}).items()
         }
+        self._lives = EndpointLives()
         self._pending = {}
         self._hosts = {}
         self._reports = {}
@@ -55,6 +57,7 @@
 
     def update(self, hosts, reports, waves, standby, now):
         """Take in what is known now, and settle orders that have taken effect."""
+        self._lives.update(hosts, self._pending, now)
         self._hosts = {host.name: host for host in hosts}
         self._reports = reports
         self._waves = waves
@@ -91,6 +94,11 @@
         """Return whether any order has not taken effect yet."""
         return bool(self._pending)
 
+    @property
+    def ended(self):
+        """Return the endpoints whose hosts went down lately without an order."""
+        return self._lives.ended
+
     def due_hosts(self, wave):
         """Return the listed hosts of a wave whose maintenance has not begun."""
         done = self.maintained.get(wave.number, ())
--- a/magnoliapier/pools/report.py
+++ b/magnoliapier/pools/report.py
@@ -24,14 +24,16 @@
 
 class FleetPlan(msgspec.Struct, array_like=True):
     """
-    What the fleet controller wants, and what it has done.
+    What the fleet controller wants, what it has done, and what it has seen.
 
     ``to_maintain`` holds hosts that their pools should empty now. ``maintained`` maps
-    the number of a wave to the hosts whose maintenance has begun.
+    the number of a wave to the hosts whose maintenance has begun. ``ended`` holds the
+    endpoints whose hosts went down lately.
     """
 
     to_maintain: tuple[str, ...] = ()
     maintained: dict[int, tuple[str, ...]] = {}
+    ended: tuple[str, ...] = ()
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/magnoliapier/service/fleet.py
+++ b/magnoliapier/service/fleet.py
@@ -23,9 +23,9 @@
 from magnoliapier.state.lease import CONTROL_TABLE
 from magnoliapier.state.rows import Put
 
-TICK_S = 0.2
+TICK_S = 0.1
 BUSY_LIST_INTERVAL_S = 0.4
-IDLE_LIST_INTERVAL_S = 3.0
+IDLE_LIST_INTERVAL_S = 1.0
 RETRY_DELAY_S = 0.2
 CONCURRENT_ORDERS = 16  # a quarter of what the platform accepts in a second
 
@@ -110,6 +110,7 @@
             self._view.standby(),
             now,
         )
+        await self._commit_plan()
         orders = self._planner.orders()
         for start in range(0, len(orders), CONCURRENT_ORDERS):
             if not self.lease.may_order_slowly(self._clock()):
@@ -153,13 +154,19 @@
                 wave: tuple(sorted(hosts))
                 for wave, hosts in self._planner.maintained.items()
             },
+            self._planner.ended,
         )
         puts = []
         if plan != self._plan:
             puts.append(Put(CONTROL_TABLE, FLEET_SHARD, PLAN_KEY, encode(plan)))
+            self._log_ended(plan)
         await self._committer.commit(puts)
         self._plan = plan
 
+    def _log_ended(self, plan):
+        for endpoint_id in set(plan.ended) - set(self._plan.ended):
+            log.warning("host_down", endpoint=endpoint_id)
+
     async def _write_wave_states(self):
         for wave in self._view.waves():
             completed = self._planner.wave_completed(wave)
--- a/magnoliapier/service/node.py
+++ b/magnoliapier/service/node.py
@@ -34,7 +34,8 @@
 CONTROL_GAP_S = 0.6
 HOLDER_CONTROL_GAP_S = 0.25  # other pools' needs decide what a pool gives away
 FLEET_CONTROL_GAP_S = 0.1  # pools that want hosts are waiting
-ENDPOINT_GAP_S = 0.4
+ENDPOINT_GAP_S = 2.0  # a host without a shard starts nothing on endpoints
+HOLDER_ENDPOINT_GAP_S = 0.15  # endpoints of hosts that were moved are wanted at once
 STORE_SILENCE_S = 2.5  # without an answer the host is not ready for callers
 
 log = get_logger(__name__)
@@ -59,6 +60,7 @@
     store: object
     endpoint_client: object
     directory: EndpointDirectory
+    refresh_endpoints: object
     boottime: object
     metrics: object
     queue_named: object
@@ -85,6 +87,7 @@
         self._node = node
         self._reports = {}
         self._waves = {}
+        self._ended_since = {}
         self.plan = FleetPlan()
 
     def apply(self, rows, complete):
@@ -96,10 +99,22 @@
                 if row.key == REPORT_KEY:
                     self._reports[row.part] = decode_report(row.value)
                 elif row.key == PLAN_KEY:
-                    self.plan = decode_plan(row.value)
+                    self._apply_plan(decode_plan(row.value))
             except MessageError as error:
                 log.warning("unreadable_control_row", key=row.key, error=error)
 
+    def _apply_plan(self, plan):
+        self.plan = plan
+        now = boottime()
+        self._ended_since = {
+            endpoint_id: self._ended_since.get(endpoint_id, now)
+            for endpoint_id in plan.ended
+        }
+
+    def ended_since(self):
+        """Return when this host learned that endpoints have ended, by id."""
+        return self._ended_since
+
     def apply_wave(self, wave):
         """Take note of a wave that the operator asks for."""
         if wave.number not in self._waves:
@@ -186,6 +201,7 @@
             clients.store,
             clients.endpoint_client,
             self._directory,
+            self._endpoint_watcher.refresh,
             boottime,
             metrics,
             self._queue_named,
@@ -274,23 +290,31 @@
             shard = FleetController(
                 lease, self._fleet_dependencies, self.fleet, self._shard_lost
             )
-            self._control_watcher.gap_s = FLEET_CONTROL_GAP_S
         else:
             shard = ShardController(
                 service, lease, self._dependencies, self._shard_lost
             )
-            self._control_watcher.gap_s = min(
-                HOLDER_CONTROL_GAP_S, self._control_watcher.gap_s
-            )
         self._shards[service] = shard
+        self._set_intervals()
         shard.start()
 
+    def _set_intervals(self):
+        """Follow tables as closely as the shards held here need."""
+        if FLEET_SHARD in self._shards:
+            self._control_watcher.gap_s = FLEET_CONTROL_GAP_S
+        elif self._shards:
+            self._control_watcher.gap_s = HOLDER_CONTROL_GAP_S
+        else:
+            self._control_watcher.gap_s = CONTROL_GAP_S
+        holds_service = any(shard != FLEET_SHARD for shard in self._shards)
+        gap_s = HOLDER_ENDPOINT_GAP_S if holds_service else ENDPOINT_GAP_S
+        self._endpoint_watcher.gap_s = gap_s
+
     def _shard_lost(self, shard):
         if self._shards.get(shard.service) is shard:
             del self._shards[shard.service]
             self._taker.released(shard.service)
-        if not self._shards:
-            self._control_watcher.gap_s = CONTROL_GAP_S
+            self._set_intervals()
         self._spawn(shard.close())
 
     def _apply_control(self, rows, complete):
--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -48,6 +48,7 @@
         self.blocked_until = 0.0
         self.released = False
         self.leaving = False
+        self._answered_at = None
         self._client = client
         self._owner = owner
         self._token = token
@@ -133,6 +134,20 @@
         self._committed = max(self._committed, end_number)
         self._wake.set()
 
+    def host_down(self, since):
+        """
+        Give up settled runs because the host is listed as down since a steady time.
+
+        An endpoint that has answered later has restarted under its id. A start that is
+        still under way may yet begin on such a one, so it waits for its stop.
+        """
+        if self._answered_at is not None and self._answered_at >= since:
+            return
+        self._mark_failing("host_down")
+        for live in list(self.live.values()):
+            if live.settled_at is not None:
+                self._owner.run_gone(self, live, "host_down")
+
     def order_start(self, live):
         """Send the start of a reserved run."""
         self._spawn(self._start(live))
@@ -306,6 +321,7 @@
         )
         now = self._clock()
         self._acknowledged = max(self._acknowledged, acknowledged)
+        self._answered_at = now
         self._reachable()
         if self._born_ms and inspection.born_ms not in (0, self._born_ms):
             self._reborn(inspection.born_ms)
--- a/magnoliapier/service/shard.py
+++ b/magnoliapier/service/shard.py
@@ -304,6 +304,7 @@
             await self._cycle()
 
     async def _load(self):
+        await self._deps.refresh_endpoints()
         await self._load_report()
         stored = await self._store.read(progress_table(self.service), self.service)
         progress_of = {}
@@ -469,6 +470,7 @@
         self._open_occurrences()
         self._control_pace(now)
         if self.may_act():
+            self._give_up_ended()
             self._restart_stalled(now)
             self._keep_pool(now)
             self._schedule(now)
@@ -480,6 +482,13 @@
             if progress.submission.repeat_count and progress.open_occurrences(now_ms):
                 self._dirty.add(progress.submission_id)
 
+    def _give_up_ended(self):
+        """Give up what ran on endpoints whose hosts went down."""
+        for endpoint_id, since in self._deps.fleet.ended_since().items():
+            session = self._sessions.get(endpoint_id)
+            if session is not None:
+                session.host_down(since)
+
     def _restart_stalled(self, now):
         """Stop short tasks that stand still, so that they start elsewhere."""
         for session in self._sessions.values():
--- a/magnoliapier/service/watch.py
+++ b/magnoliapier/service/watch.py
@@ -1,6 +1,7 @@
 """Follows the changes of one table."""
 
 import asyncio
+import contextlib
 
 from magnoliapier.exceptions import (
     HistoryLostError,
@@ -45,6 +46,8 @@
         self._latest_only = latest_only
         self._available = True
         self._task = None
+        self._hurry = asyncio.Event()
+        self._refreshes = []
         self.complete = asyncio.Event()
 
     def start(self):
@@ -55,14 +58,23 @@
         """Stop following."""
         await cancel_tasks(self._task)
 
+    async def refresh(self):
+        """Wait until all changes that the store has applied by now are known."""
+        refreshed = asyncio.get_running_loop().create_future()
+        self._refreshes.append(refreshed)
+        self._hurry.set()
+        await refreshed
+
     async def _run(self):
         version = None
         while True:
+            asked = len(self._refreshes)
             try:
                 if version is None:
                     version = await self._read()
                 version = await self._follow(version)
                 self._mark_available()
+                self._answer_refreshes(asked)
             except HistoryLostError:
                 log.info("history_lost", table=self._table, version=version)
                 version = None
@@ -72,7 +84,19 @@
                     version = None
                 await asyncio.sleep(RETRY_DELAY_S)
             else:
-                await asyncio.sleep(self.gap_s)
+                await self._pause()
+
+    def _answer_refreshes(self, count):
+        for refreshed in self._refreshes[:count]:
+            if not refreshed.done():
+                refreshed.set_result(None)
+        del self._refreshes[:count]
+
+    async def _pause(self):
+        if not self._refreshes:
+            self._hurry.clear()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._hurry.wait(), self.gap_s)
 
     async def _read(self):
         rows = []
--- a/tests/pools/test_demand.py
+++ b/tests/pools/test_demand.py
@@ -27,6 +27,24 @@
         needed = hosts_needed(0.4, rate.per_second(10.5), waiting_work=1.0, spread=3)
         self.assertGreaterEqual(needed, 4)
 
+    def test_young_burst_is_not_averaged_with_the_lull_before(self):
+        """
+        Guards against half of the hosts for the first second of a queue's turn.
+
+        The pattern is a turn that begins at 10 s after a lull, 20 submissions a second.
+        """
+        rate = ArrivalRate()
+        for tick in range(10):
+            rate.add(5.0, now=10 + tick * 0.05)
+        self.assertGreaterEqual(rate.per_second(10.5), 80.0)
+
+    def test_single_submissions_make_no_burst(self):
+        """Guards against hosts that are moved back and forth for a chance cluster."""
+        rate = ArrivalRate()
+        for now in (10.0, 10.1, 10.2):
+            rate.add(1.2, now)
+        self.assertAlmostEqual(rate.per_second(10.2), 3.0)
+
     def test_need_is_held_for_a_while(self):
         """Guards against hosts that leave and come back within one lull."""
         window = NeedWindow(hold_s=2.0)
--- a/tests/service/fakes.py
+++ b/tests/service/fakes.py
@@ -206,6 +206,12 @@
 
     plan = FleetPlan()
 
+    def __init__(self):
+        self.ended = {}
+
+    def ended_since(self):
+        return self.ended
+
     def hosts_wanted(self, service):
         return False
 
--- a/tests/service/test_shard.py
+++ b/tests/service/test_shard.py
@@ -59,6 +59,7 @@
         self.clock = FakeClock()
         self.endpoints = FakeEndpoints()
         self.directory = EndpointDirectory(None, self.clock)
+        self.fleet = FakeFleet()
         self.shards = []
         self.token = 0
 
@@ -80,6 +81,9 @@
         self.directory._records[endpoint_id] = record
         return self.endpoints.add(endpoint_id)
 
+    async def refresh_endpoints(self):
+        """The directory of these tests is always fresh."""
+
     async def start_shard(self):
         """Take the shard's lease under the next token and start a controller."""
         self.token += 1
@@ -92,11 +96,12 @@
             self.store,
             self.endpoints,
             self.directory,
+            self.refresh_endpoints,
             self.clock,
             metrics(),
             lambda name: QUEUE,
             lambda name, service: QUEUE,
-            FakeFleet(),
+            self.fleet,
             6000,
             240.0,
         )
@@ -271,6 +276,34 @@
             await asyncio.sleep(0.2)
         await self.until(lambda: second.starts)
 
+    async def test_task_of_a_host_that_is_down_starts_elsewhere_at_once(self):
+        """
+        Guards against crashed work that waits seconds for a lease.
+
+        The pattern is a rack that goes dark in the middle of a queue's turn.
+        """
+        first = self.add_endpoint("e1")
+        await self.start_shard()
+        await self.submit(submission("5" * 16, short_step()))
+        await self.until(lambda: first.running)
+        second = self.add_endpoint("e2")
+        await asyncio.sleep(0.2)
+        first.silent = True
+        self.clock.now += 1
+        self.fleet.ended = {"e1": self.clock.now}
+        await self.until(lambda: second.running)
+
+    async def test_endpoint_that_answered_since_is_not_given_up(self):
+        """Guards against a second run after an endpoint restarted under its id."""
+        first = self.add_endpoint("e1")
+        await self.start_shard()
+        await self.submit(submission("6" * 16, short_step()))
+        await self.until(lambda: first.running)
+        second = self.add_endpoint("e2")
+        self.fleet.ended = {"e1": self.clock.now - 1}
+        await asyncio.sleep(0.3)
+        self.assertEqual(second.running, {})
+
     async def test_late_commit_does_not_bring_back_older_progress(self):
         """Guards against a delayed write that is applied after a newer one."""
         endpoint = self.add_endpoint("e1")
--- a/tests/service/test_watch.py
+++ b/tests/service/test_watch.py
@@ -22,6 +22,7 @@
 
     async def follow(self, **options):
         watcher = TableWatcher(self.store, "op", self.take, **options)
+        self.watcher = watcher
         watcher.start()
         await watcher.complete.wait()
         self.addAsyncCleanup(watcher.close)
@@ -49,3 +50,11 @@
         await self.store.commit([], [Put("op", "", "config", b"new")])
         await asyncio.sleep(0.5)
         self.assertIn((False, [b"new"]), self.seen)
+
+    async def test_refresh_does_not_wait_for_the_gap(self):
+        """Guards against a new holder that places work on endpoints long gone."""
+        await self.follow(gap_s=60.0)
+        await asyncio.sleep(0.2)
+        await self.store.commit([], [Put("op", "", "config", b"new")])
+        await asyncio.wait_for(self.watcher.refresh(), 1.0)
+        self.assertIn((False, [b"new"]), self.seen)
