--- a/tests/service/fakes.py
+++ b/tests/service/fakes.py
@@ -110,6 +110,7 @@
 
     async def changes(self, table, after, wait_s):
         for _ in range(20):
+            version = self.version
             rows = [
                 row
                 for (t, _, _), row in self.rows.items()
@@ -117,9 +118,9 @@
             ]
             if rows:
                 rows.sort(key=lambda row: row.version)
-                return Changes(rows, self.version)
+                return Changes(rows, version)
             await asyncio.sleep(0.002)
-        return Changes([], max(after, self.version))
+        return Changes([], max(after, version))
 
 
 class FakeEndpoint:
