Split the shard's controller into tables, intake, run events and the cycle

The tables and what is asked of them are in shard_tables, taking in of submissions in intake, what sessions report in run_events; the controller keeps the cycle and the commits. No behaviour changes.

--- /dev/null
+++ b/magnoliapier/service/intake.py
@@ -0,0 +1,131 @@
+"""Takes submissions and cancellations from the store into a shard's tables."""
+
+from magnoliapier.exceptions import MessageError
+from magnoliapier.logs import get_logger
+from magnoliapier.service.cleanup import TOMBSTONE
+from magnoliapier.service.clock import unix_ms
+from magnoliapier.service.watch import TableWatcher
+from magnoliapier.state.tables import (
+    CANCEL_SUFFIX,
+    intake_parts,
+    progress_table,
+    submissions_table,
+)
+from magnoliapier.submissions.codec import decode_progress, decode_submission
+from magnoliapier.submissions.model import FINAL_STATES, SubmissionState
+from magnoliapier.submissions.progress import Progress
+
+INTAKE_WAIT_S = 1.0
+INTAKE_GAP_S = 0.03
+
+log = get_logger(__name__)
+
+
+class Intake:
+    """
+    Follows the rows that entries write, on top of the progress stored so far.
+
+    ``on_arrival(progress)`` is called with each submission that is taken in.
+    """
+
+    def __init__(self, service, tables, deps, on_arrival):
+        self._service = service
+        self._tables = tables
+        self._deps = deps
+        self._on_arrival = on_arrival
+        self._stored = {}
+        self._watcher = None
+
+    @property
+    def complete(self):
+        """Return whether the stored submissions have been read."""
+        return self._watcher is not None and self._watcher.complete.is_set()
+
+    async def load(self):
+        """Read the stored progress, then all submissions, and follow them."""
+        self._stored = await self._read_progress()
+        for key, progress in self._stored.items():
+            if not progress.tasks and progress.state in FINAL_STATES:
+                self._tables.final_states[key] = SubmissionState(progress.state)
+        self._watcher = TableWatcher(
+            self._deps.store,
+            submissions_table(self._service),
+            self._take_in,
+            parts=intake_parts(self._service),
+            wait_s=INTAKE_WAIT_S,
+            gap_s=INTAKE_GAP_S,
+        )
+        self._watcher.start()
+        await self._watcher.complete.wait()
+        self._stored = {}
+
+    async def close(self):
+        """Stop following."""
+        if self._watcher is not None:
+            await self._watcher.close()
+
+    async def _read_progress(self):
+        stored = await self._deps.store.read(
+            progress_table(self._service), self._service
+        )
+        progress_of = {}
+        for row in stored.rows:
+            try:
+                progress_of[row.key] = decode_progress(row.value)
+            except MessageError as error:
+                log.warning("unreadable_progress", id=row.key, error=error)
+        return progress_of
+
+    def _take_in(self, rows, complete):
+        cancels = []
+        tables = self._tables
+        for row in rows:
+            if row.removed or (row.value == TOMBSTONE and "/" not in row.key):
+                continue
+            if row.key.endswith(CANCEL_SUFFIX):
+                cancels.append(row.key.removesuffix(CANCEL_SUFFIX))
+            elif (
+                row.key not in tables.progresses and row.key not in tables.final_states
+            ):
+                self._take_in_submission(row)
+        for submission_id in cancels:
+            self._cancel(submission_id)
+        tables.wake.set()
+
+    def _take_in_submission(self, row):
+        try:
+            submission = decode_submission(row.value)
+        except MessageError as error:
+            log.warning("unreadable_submission", id=row.key, error=error)
+            return
+        queue = self._deps.queue_named(submission.queue)
+        if queue is None:
+            queue = self._deps.retired_queue(submission.queue, self._service)
+        progress = Progress(submission, queue)
+        stored = self._stored.get(row.key)
+        if stored is not None:
+            progress.restore(stored, unix_ms(), self._deps.boottime())
+        progress.open_occurrences(unix_ms())
+        self._tables.progresses[row.key] = progress
+        self._on_arrival(progress)
+        self._deps.metrics.count("submissions_total", queue=submission.queue)
+        log.info(
+            "taken_in",
+            id=row.key,
+            queue=submission.queue,
+            tasks=sum(1 for _ in progress.tasks()),
+            age_ms=unix_ms() - submission.accepted_ms,
+        )
+
+    def _cancel(self, submission_id):
+        progress = self._tables.progresses.get(submission_id)
+        if progress is None or progress.cancelled:
+            return
+        if progress.state.is_final:
+            return
+        progress.cancelled = True
+        log.info("cancelled", id=submission_id)
+        for task in list(progress.live_tasks()):
+            for run in list(task.runs):
+                self._tables.stop_run(task, run, "cancelled")
+        self._tables.mark(progress)
--- a/magnoliapier/service/peers.py
+++ b/magnoliapier/service/peers.py
@@ -59,12 +59,12 @@
         if shard is None or not shard.loaded or not shard.may_act():
             return web.Response(status=503)
         if kind == "state":
-            state = shard.state_of(name)
+            state = shard.tables.state_of(name)
             if state is None:
                 return web.Response(status=404)
             return web.Response(body=msgspec.json.encode(StateAnswer(state)))
         return web.Response(
-            body=msgspec.json.encode(PendingAnswer(shard.pending(name)))
+            body=msgspec.json.encode(PendingAnswer(shard.tables.pending(name)))
         )
 
 
@@ -80,7 +80,7 @@
         """Return a submission's state, or None if the holder does not tell."""
         shard = self._local(service)
         if shard is not None:
-            return shard.state_of(submission_id)
+            return shard.tables.state_of(submission_id)
         answer = await self._ask(service, "state", submission_id, StateAnswer)
         return answer.state if answer else None
 
@@ -88,7 +88,7 @@
         """Return a queue's pending submissions, or None if the holder does not tell."""
         shard = self._local(service)
         if shard is not None:
-            return shard.pending(queue_name)
+            return shard.tables.pending(queue_name)
         answer = await self._ask(service, "pending", queue_name, PendingAnswer)
         return answer.pending if answer else None
 
--- /dev/null
+++ b/magnoliapier/service/run_events.py
@@ -0,0 +1,148 @@
+"""What endpoints tell of runs, applied to a shard's tables."""
+
+from magnoliapier.logs import get_logger
+from magnoliapier.submissions.model import EndReason, TaskName
+from magnoliapier.submissions.progress import RunState
+
+LASTING_RETRY_S = 0.3
+FAILED_RETRY_S = 0.05
+
+log = get_logger(__name__)
+
+
+class RunEvents:
+    """
+    The side of a shard's controller that endpoint sessions talk to.
+
+    ``may_act()`` says whether orders are allowed now; ``on_gone(session)`` is called
+    with the session of an endpoint that has left and runs nothing.
+    """
+
+    def __init__(self, service, tables, durations, deps, may_act, on_gone):
+        self.may_act = may_act
+        self.endpoint_gone = on_gone
+        self._service = service
+        self._tables = tables
+        self._durations = durations
+        self._clock = deps.boottime
+        self._metrics = deps.metrics
+
+    def fenced(self, session):
+        """Take note that an endpoint has seen a later holder."""
+        log.warning("fenced", shard=self._service, endpoint=session.endpoint_id)
+        self._metrics.count("fenced_total", shard=self._service)
+
+    def count_refusal(self, reason):
+        """Count a refused start order."""
+        self._metrics.count("start_refusals_total", reason=str(reason))
+
+    def session_opened(self, session):
+        """Begin to use an endpoint."""
+        log.info("endpoint_opened", endpoint=session.endpoint_id, shard=self._service)
+        self._tables.wake.set()
+
+    def run_reading(self, session, live, reading, now):
+        """Apply what an endpoint lists of a running task."""
+        run = live.run
+        if reading.checkpoint:
+            live.task.checkpoint = reading.checkpoint
+        if reading.percent != run.percent or run.state == RunState.ORDERED:
+            run.advanced_at = now
+        run.listed_at = now
+        run.percent = reading.percent
+        run.reading = reading.reading
+        if run.state == RunState.ORDERED:
+            run.state = RunState.CONFIRMED
+            live.settled_at = live.settled_at or now
+        if not live.progress.started:
+            live.progress.started = True
+            self._tables.mark(live.progress)
+        unwanted = live.progress.cancelled or live.progress.failed or live.task.done
+        if unwanted:
+            session.order_stop(live, "not_wanted")
+
+    def run_ended(self, session, end):
+        """Apply an end that an endpoint lists for the first time."""
+        live = session.live.get((end.task, end.run))
+        if live is None:
+            self._unexpected_end(session, end)
+            return
+        session.drop(live)
+        self._metrics.count("ends_total", reason=end.reason)
+        progress = live.progress
+        self._learn(session, live, end.reason)
+        used = progress.record_end(
+            live.task, live.run, EndReason(end.reason), end.checkpoint
+        )
+        progress.started = True
+        if used:
+            live.task.not_before = self._clock() + (
+                LASTING_RETRY_S if live.step.long_running else FAILED_RETRY_S
+            )
+        log.info(
+            "run_ended",
+            task=end.task,
+            run=end.run,
+            endpoint=session.endpoint_id,
+            reason=end.reason,
+            attempts=live.task.failures,
+        )
+        if used or live.task.done:
+            self._tables.stop_unwanted(progress, live.task)
+        self._tables.mark(progress)
+
+    def _learn(self, session, live, reason):
+        """Note how long a task took, or that it failed, for later placements."""
+        now = self._clock()
+        if reason == EndReason.FAILED:
+            session.health.task_failed(live.progress.submission_id, now)
+        if reason != EndReason.DONE or live.task.last_run > 1:
+            return
+        queue = live.progress.queue.name
+        duration_ms = (now - live.run.ordered_at) * 1000
+        expected_ms = self._durations.task_ms(queue, live.step)
+        session.health.task_done(duration_ms, expected_ms)
+        self._durations.observe(queue, duration_ms)
+
+    def _unexpected_end(self, session, end):
+        """Accept a late ``done`` of a run that was given up."""
+        try:
+            name = TaskName.parse(end.task)
+        except ValueError:
+            log.warning("foreign_end", task=end.task, endpoint=session.endpoint_id)
+            return
+        progress = self._tables.progresses.get(name.submission_id)
+        task = progress.task_named(name) if progress else None
+        if task is None or task.done or end.reason != EndReason.DONE:
+            return
+        if task.step.long_running:
+            return
+        log.info("late_end", task=end.task, run=end.run, reason=end.reason)
+        task.done = True
+        self._tables.stop_unwanted(progress, task)
+        self._tables.mark(progress)
+
+    def run_gone(self, session, live, reason):
+        """Make a task startable again whose run is surely not on its endpoint."""
+        session.drop(live)
+        if live.run in live.task.runs:
+            live.task.runs.remove(live.run)
+        self._metrics.count("runs_gone_total", reason=reason)
+        log.info(
+            "run_gone",
+            task=live.task.name,
+            run=live.run.number,
+            endpoint=session.endpoint_id,
+            reason=reason,
+        )
+        self._tables.mark(live.progress)
+
+    def unknown_run(self, session, reading):
+        """Stop a run that is listed but not recorded."""
+        log.warning(
+            "unknown_run",
+            task=reading.task,
+            run=reading.run,
+            endpoint=session.endpoint_id,
+        )
+        session.stop_unknown(reading)
--- /dev/null
+++ b/magnoliapier/service/shard_tables.py
@@ -0,0 +1,62 @@
+"""The tables of one shard: its submissions and the sessions of its endpoints."""
+
+import asyncio
+
+from magnoliapier.submissions.model import SubmissionState
+
+
+class ShardTables:
+    """
+    What the parts of a shard's controller share.
+
+    ``progresses`` and ``final_states`` are by submission id, ``sessions`` by endpoint
+    id. ``dirty`` names the submissions whose progress has to be stored; ``wake`` is set
+    when the controller has something to do.
+    """
+
+    def __init__(self):
+        self.progresses = {}
+        self.final_states = {}
+        self.sessions = {}
+        self.dirty = set()
+        self.wake = asyncio.Event()
+
+    def state_of(self, submission_id):
+        """Return the stored state of a submission, or None if it is not known."""
+        final = self.final_states.get(submission_id)
+        if final is not None:
+            return final
+        progress = self.progresses.get(submission_id)
+        if progress is None:
+            return None
+        state = progress.state
+        return SubmissionState.RUNNING if state.is_final else state
+
+    def pending(self, queue_name):
+        """Return how many submissions of a queue have not begun."""
+        return sum(
+            1
+            for progress in self.progresses.values()
+            if progress.submission.queue == queue_name
+            and not progress.started
+            and not progress.cancelled
+        )
+
+    def mark(self, progress):
+        """Have a submission's progress stored."""
+        self.dirty.add(progress.submission_id)
+        self.wake.set()
+
+    def stop_run(self, task, run, reason):
+        """Stop a live run of a task."""
+        session = self.sessions.get(run.endpoint_id)
+        live = session.live.get((str(task.name), run.number)) if session else None
+        if live is not None:
+            session.order_stop(live, reason)
+
+    def stop_unwanted(self, progress, task):
+        """Stop runs that are needless now that a task is done or all has failed."""
+        tasks = progress.tasks() if progress.failed else (task,)
+        for other in tasks:
+            for run in list(other.runs):
+                self.stop_run(other, run, "not_wanted")
--- a/tests/service/test_shard.py
+++ b/tests/service/test_shard.py
@@ -142,7 +142,9 @@
         endpoint.end(f"{'a' * 16}.0.0.1")
         await self.until(lambda: len(endpoint.starts) == 3)
         endpoint.end(f"{'a' * 16}.0.1.0")
-        await self.until(lambda: shard.state_of("a" * 16) == SubmissionState.COMPLETED)
+        await self.until(
+            lambda: shard.tables.state_of("a" * 16) == SubmissionState.COMPLETED
+        )
         self.assertEqual(self.stored("a" * 16).state, "completed")
 
     async def test_run_is_stored_before_it_is_ordered(self):
@@ -181,9 +183,11 @@
         for attempt in (1, 2):
             await self.until(lambda n=attempt: len(endpoint.starts) == n)
             endpoint.end(f"{'d' * 16}.0.0.0", "failed")
-            await self.until(lambda: not shard._sessions["e1"].live)
+            await self.until(lambda: not shard.tables.sessions["e1"].live)
             self.clock.now += 1
-        await self.until(lambda: shard.state_of("d" * 16) == SubmissionState.FAILED)
+        await self.until(
+            lambda: shard.tables.state_of("d" * 16) == SubmissionState.FAILED
+        )
         self.assertEqual(len(endpoint.starts), 2)
 
     async def test_cancelled_submission_is_stopped(self):
@@ -196,7 +200,9 @@
         key = "e" * 16 + CANCEL_SUFFIX
         await self.store.commit([], [Put(submissions_table(SERVICE), part, key, b"")])
         await self.until(lambda: not endpoint.running)
-        await self.until(lambda: shard.state_of("e" * 16) == SubmissionState.CANCELLED)
+        await self.until(
+            lambda: shard.tables.state_of("e" * 16) == SubmissionState.CANCELLED
+        )
 
     async def test_room_is_never_exceeded(self):
         """Guards against more tasks on an endpoint than its resources hold."""
@@ -241,9 +247,9 @@
         await asyncio.sleep(0.1)
         await self.start_shard()
         former = self.shards[0]
-        former._dirty.add("none")
+        former.tables.dirty.add("none")
         self.clock.now += 1
-        former._wake.set()
+        former.tables.wake.set()
         await self.until(lambda: former._lost)
 
     async def test_no_order_after_the_lease(self):
