Keep a queue's terms with its submissions, and measure latencies on the platform path

Cause: after a takeover a submission whose queue the configuration had dropped was held to one attempt, because only the former holder remembered the queue. Latency histograms were missing on the platform path.

Change: the terms (priority, attempts, stretch, target) are stored with the submission and used once the queue is gone; answers, queue waits, submissions and commits are recorded as histograms, queue depth and pool sizes as gauges.

--- a/magnoliapier/platform/ingress.py
+++ b/magnoliapier/platform/ingress.py
@@ -1,6 +1,7 @@
 """Callers' HTTP requests, translated to questions to the entry and back."""
 
 import re
+import time
 
 from aiohttp import web
 
@@ -11,6 +12,7 @@
 from magnoliapier.service.entry import AnswerKind
 
 SUBMISSION_ID = re.compile(r"[0-9a-f]{16}\Z")
+METHODS = ("POST", "GET", "DELETE")
 KEEPALIVE_S = 20.0
 METRICS_PORT = 9464  # the same as in deploy/system.toml
 STATUS_OF_KIND = {
@@ -83,15 +85,16 @@
 
     async def _answer(self, request):
         self._in_flight += 1
+        began = time.monotonic()
         try:
             response = await self._route(request)
         finally:
             self._in_flight -= 1
         if self._node.stopping:
             response.force_close()
-        self._metrics.count(
-            "answers_total", method=request.method, status=str(response.status)
-        )
+        method = request.method if request.method in METHODS else "other"
+        self._metrics.count("answers_total", method=method, status=str(response.status))
+        self._metrics.observe("answer_seconds", time.monotonic() - began, method=method)
         return response
 
     async def _route(self, request):
--- a/magnoliapier/platform/store.py
+++ b/magnoliapier/platform/store.py
@@ -157,6 +157,8 @@
         if status not in NOTHING_DONE:
             self.last_answer_at = now
         self._metrics.count("store_calls_total", outcome=str(status))
+        if method == "POST":
+            self._metrics.observe("store_commit_seconds", now - sent_at)
         return status, body
 
     def _failure(self, status, data):
--- a/magnoliapier/service/entry.py
+++ b/magnoliapier/service/entry.py
@@ -69,6 +69,7 @@
     async def submit(self, queue, submission):
         """Store a submission and return an Answer."""
         key = submission.submission_id
+        submission.terms = queue.terms
         table = submissions_table(queue.service)
         part = intake_part(queue.service, key)
         expects = [Expect(table, part, key, ABSENT)]
--- a/magnoliapier/service/intake.py
+++ b/magnoliapier/service/intake.py
@@ -12,6 +12,7 @@
     submissions_table,
 )
 from magnoliapier.submissions.codec import decode_progress, decode_submission
+from magnoliapier.submissions.configuration import Queue
 from magnoliapier.submissions.model import FINAL_STATES, SubmissionState
 from magnoliapier.submissions.progress import Progress
 
@@ -100,7 +101,7 @@
             return
         queue = self._deps.queue_named(submission.queue)
         if queue is None:
-            queue = self._deps.retired_queue(submission.queue, self._service)
+            queue = Queue.retired(submission, self._service)
         progress = Progress(submission, queue)
         stored = self._stored.get(row.key)
         if stored is not None:
--- a/magnoliapier/service/node.py
+++ b/magnoliapier/service/node.py
@@ -14,7 +14,7 @@
     decode_plan,
     decode_report,
 )
-from magnoliapier.service.clock import boottime
+from magnoliapier.service.clock import boottime, unix_ms
 from magnoliapier.service.directory import EndpointDirectory
 from magnoliapier.service.entry import Entry
 from magnoliapier.service.fleet import FleetController
@@ -28,7 +28,6 @@
 from magnoliapier.service.shard import ShardController
 from magnoliapier.service.watch import TableWatcher
 from magnoliapier.state.lease import CONTROL_TABLE
-from magnoliapier.submissions.configuration import Queue
 
 CONTROL_WAIT_S = 1.0
 CONTROL_GAP_S = 0.6
@@ -64,7 +63,6 @@
     boottime: object
     metrics: object
     queue_named: object
-    retired_queue: object
     fleet: object
     lease_ms: int
     keep_final_s: float
@@ -166,7 +164,6 @@
         self._store = clients.store
         self._settings = settings
         self._shards = {}
-        self._old_queues = {}
         self._background = set()
         self._identity = Identity(
             settings.name, uuid.uuid4().hex, settings.peer_address, settings.weak
@@ -205,7 +202,6 @@
             boottime,
             metrics,
             self._queue_named,
-            self._retired_queue,
             self.fleet,
             settings.endpoint_lease_ms,
             settings.keep_final_s,
@@ -260,10 +256,9 @@
         current = self.configuration
         if current is not None and configuration.version <= current.version:
             return
-        if current is not None:
-            self._old_queues.update({queue.name: queue for queue in current.queues})
         self.configuration = configuration
         self.metrics.gauge("configuration_version", configuration.version)
+        self.metrics.gauge("configured_at_seconds", unix_ms() / 1000)
         log.info(
             "configured",
             version=configuration.version,
@@ -275,10 +270,6 @@
             return None
         return self.configuration.queue_named(name)
 
-    def _retired_queue(self, name, service):
-        """Return a queue that the configuration has dropped."""
-        return self._old_queues.get(name) or Queue(name, "", "", service)
-
     def _wanted_shards(self):
         if self.configuration is None:
             return []
@@ -295,6 +286,7 @@
                 service, lease, self._dependencies, self._shard_lost
             )
         self._shards[service] = shard
+        self.metrics.count("shards_taken_total", shard=service)
         self._set_intervals()
         shard.start()
 
--- a/magnoliapier/service/run_events.py
+++ b/magnoliapier/service/run_events.py
@@ -1,6 +1,7 @@
 """What endpoints tell of runs, applied to a shard's tables."""
 
 from magnoliapier.logs import get_logger
+from magnoliapier.service.clock import unix_ms
 from magnoliapier.submissions.model import EndReason, TaskName
 from magnoliapier.submissions.progress import RunState
 
@@ -55,12 +56,22 @@
             run.state = RunState.CONFIRMED
             live.settled_at = live.settled_at or now
         if not live.progress.started:
-            live.progress.started = True
-            self._tables.mark(live.progress)
+            self._begin(live.progress)
         unwanted = live.progress.cancelled or live.progress.failed or live.task.done
         if unwanted:
             session.order_stop(live, "not_wanted")
 
+    def _begin(self, progress):
+        """Take note that the first task of a submission runs or has run."""
+        progress.started = True
+        self._tables.mark(progress)
+        submission = progress.submission
+        if not submission.repeat_count:
+            waited_s = (unix_ms() - submission.accepted_ms) / 1000
+            self._metrics.observe(
+                "queue_wait_seconds", waited_s, queue=submission.queue
+            )
+
     def run_ended(self, session, end):
         """Apply an end that an endpoint lists for the first time."""
         live = session.live.get((end.task, end.run))
@@ -74,7 +85,8 @@
         used = progress.record_end(
             live.task, live.run, EndReason(end.reason), end.checkpoint
         )
-        progress.started = True
+        if not progress.started:
+            self._begin(progress)
         if used:
             live.task.not_before = self._clock() + (
                 LASTING_RETRY_S if live.step.long_running else FAILED_RETRY_S
--- a/magnoliapier/service/shard.py
+++ b/magnoliapier/service/shard.py
@@ -46,6 +46,7 @@
 LOAD_RETRY_S = 0.2
 PACE_INTERVAL_S = 0.4
 REPORT_INTERVAL_S = 0.12
+GAUGE_INTERVAL_S = 1.0
 
 log = get_logger(__name__)
 
@@ -70,6 +71,7 @@
         self._waiting_starts = {}
         self._tasks = []
         self._paced_at = 0.0
+        self._measured_at = 0.0
         self._durations = DurationModel()
         self._pool = PoolKeeper(service, self._durations, lease.token == FIRST_TOKEN)
         self._reported = None
@@ -220,9 +222,29 @@
         while not self._lost:
             await asyncio.sleep(TICK_S)
             self.tables.wake.set()
+            self._measure()
             if self._finished.due(self._clock()):
                 await self._clean_up()
 
+    def _measure(self):
+        """Set the gauges of the shard, once each interval."""
+        now = self._clock()
+        if now - self._measured_at < GAUGE_INTERVAL_S:
+            return
+        self._measured_at = now
+        progresses = self.tables.progresses.values()
+        waiting = sum(not progress.started for progress in progresses)
+        report = self._pool.report()
+        values = {
+            "submissions_open": len(progresses),
+            "submissions_waiting": waiting,
+            "hosts_in_pool": report.hosts,
+            "hosts_wanted": report.wanted,
+            "hosts_released": len(report.released),
+        }
+        for name, value in values.items():
+            self._metrics.gauge(name, value, service=self.service)
+
     async def _clean_up(self):
         for submission_id in await self._finished.clean(self._clock(), unix_ms()):
             self.tables.final_states.pop(submission_id, None)
@@ -385,9 +407,12 @@
             if progress is not None and not progress.has_live_runs:
                 del self.tables.progresses[submission_id]
                 self._finished.add(progress)
-                log.info(
-                    "finished",
-                    id=submission_id,
-                    state=state,
-                    took_ms=progress.finished_ms - progress.submission.accepted_ms,
-                )
+                self._note_finished(progress, state)
+
+    def _note_finished(self, progress, state):
+        submission = progress.submission
+        took_ms = progress.finished_ms - submission.accepted_ms
+        self._metrics.observe(
+            "submission_seconds", took_ms / 1000, queue=submission.queue, state=state
+        )
+        log.info("finished", id=submission.submission_id, state=state, took_ms=took_ms)
--- a/magnoliapier/submissions/configuration.py
+++ b/magnoliapier/submissions/configuration.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from magnoliapier.submissions.model import QueueTerms
+
 
 class Queue(msgspec.Struct, frozen=True):
     """
@@ -23,6 +25,28 @@
     timeout_ms: int = 0
     advised: bool = False
 
+    @property
+    def terms(self):
+        """Return what a submission keeps of the queue."""
+        return QueueTerms(
+            self.priority, self.max_attempts, self.stretch, self.target_ms
+        )
+
+    @classmethod
+    def retired(cls, submission, service):
+        """Return the queue of a submission that the configuration has dropped."""
+        terms = submission.terms
+        return cls(
+            submission.queue,
+            host="",
+            path_prefix="",
+            service=service,
+            priority=terms.priority,
+            max_attempts=terms.max_attempts,
+            stretch=terms.stretch,
+            target_ms=terms.target_ms,
+        )
+
 
 class Service(msgspec.Struct, frozen=True):
     """A pool of hosts. The hosts of a standby pool are off and cost nothing."""
--- a/magnoliapier/submissions/model.py
+++ b/magnoliapier/submissions/model.py
@@ -73,13 +73,23 @@
     may_miss: int = 0
 
 
+class QueueTerms(msgspec.Struct, frozen=True, array_like=True):
+    """What a queue promises of its submissions, as it was when they were accepted."""
+
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    target_ms: int = 0
+
+
 class Submission(msgspec.Struct, omit_defaults=True):
     """
     One accepted submission.
 
     ``accepted_ms`` and ``start_at_ms`` are Unix milliseconds. With
     ``repeat_count`` above zero the steps run that many times, ``interval_ms``
-    apart from ``start_at_ms`` on.
+    apart from ``start_at_ms`` on. ``terms`` hold once the configuration has dropped
+    the queue.
     """
 
     submission_id: str
@@ -90,6 +100,7 @@
     repeat_count: int = NO_REPEAT
     start_at_ms: int = 0
     interval_ms: int = 0
+    terms: QueueTerms = QueueTerms()
 
     @property
     def occurrence_count(self):
--- a/tests/service/test_shard.py
+++ b/tests/service/test_shard.py
@@ -22,7 +22,13 @@
 )
 from magnoliapier.submissions.codec import decode_progress, encode
 from magnoliapier.submissions.configuration import Queue
-from magnoliapier.submissions.model import Resources, Step, Submission, SubmissionState
+from magnoliapier.submissions.model import (
+    QueueTerms,
+    Resources,
+    Step,
+    Submission,
+    SubmissionState,
+)
 from tests.service.fakes import (
     FakeClock,
     FakeEndpoints,
@@ -60,6 +66,7 @@
         self.endpoints = FakeEndpoints()
         self.directory = EndpointDirectory(None, self.clock)
         self.fleet = FakeFleet()
+        self.queue = QUEUE
         self.shards = []
         self.token = 0
 
@@ -99,8 +106,7 @@
             self.refresh_endpoints,
             self.clock,
             metrics(),
-            lambda name: QUEUE,
-            lambda name, service: QUEUE,
+            lambda name: self.queue,
             self.fleet,
             6000,
             240.0,
@@ -190,6 +196,21 @@
         )
         self.assertEqual(len(endpoint.starts), 2)
 
+    async def test_dropped_queue_keeps_its_terms_after_a_takeover(self):
+        """Guards against one attempt only because the configuration dropped a queue."""
+        self.queue = None
+        endpoint = self.add_endpoint("e1")
+        shard = await self.start_shard()
+        item = submission("7" * 16, short_step())
+        item.terms = QueueTerms(max_attempts=2)
+        await self.submit(item)
+        task = f"{'7' * 16}.0.0.0"
+        await self.until(lambda: endpoint.running)
+        endpoint.end(task, "failed")
+        await self.until(lambda: not shard.tables.sessions["e1"].live)
+        self.clock.now += 1
+        await self.until(lambda: len(endpoint.starts) == 2)
+
     async def test_cancelled_submission_is_stopped(self):
         """Guards against work that goes on after its cancellation was confirmed."""
         endpoint = self.add_endpoint("e1")
