Refuse submissions at once while the store is silent

Change: a host that has had no answer for 0.3 s asks the store with a small read before it sends a submission. No answer to a read is a certain refusal, given at once while the silence lasts, with Retry-After 1; the host is not ready for new callers meanwhile. The new tests failed before the change.

--- a/magnoliapier/service/entry.py
+++ b/magnoliapier/service/entry.py
@@ -26,7 +26,7 @@
 from magnoliapier.submissions.codec import decode_progress, encode
 from magnoliapier.submissions.model import SubmissionState
 
-STORE_RETRY_AFTER_S = 2
+STORE_RETRY_AFTER_S = 1  # another host may reach the store
 SUBMIT_BUDGET_S = 1.6  # callers of the shortest deadline can still ask elsewhere
 
 log = get_logger(__name__)
@@ -56,18 +56,22 @@
     """
     Answers callers on one host.
 
-    ``peers`` asks the holder of a shard. A long queue is no reason to refuse: new work
-    goes before work that is late already, so it is not delayed by it.
+    ``peers`` asks the holder of a shard, ``probe`` whether the store answers. A long
+    queue is no reason to refuse: new work goes before work that is late already, so it
+    is not delayed by it.
     """
 
-    def __init__(self, store, peers, clock, metrics):
+    def __init__(self, store, peers, probe, clock, metrics):
         self._store = store
         self._peers = peers
+        self._probe = probe
         self._clock = clock
         self._metrics = metrics
 
     async def submit(self, queue, submission):
         """Store a submission and return an Answer."""
+        if not await self._probe.answers():
+            return self._refuse(submission, "store_silent", STORE_RETRY_AFTER_S)
         key = submission.submission_id
         submission.terms = queue.terms
         table = submissions_table(queue.service)
@@ -83,6 +87,7 @@
                 log.info("known_submission", id=key, queue=queue.name)
                 return Answer(AnswerKind.OK)
             except StoreOutcomeUnknownError:
+                self._probe.unanswered()
                 uncertain = True
             except StoreUnavailableError as error:
                 if not uncertain:
--- a/magnoliapier/service/node.py
+++ b/magnoliapier/service/node.py
@@ -26,6 +26,7 @@
 )
 from magnoliapier.service.peers import Peers, PeerServer
 from magnoliapier.service.shard import ShardController
+from magnoliapier.service.store_probe import StoreProbe
 from magnoliapier.service.watch import TableWatcher
 from magnoliapier.state.lease import CONTROL_TABLE
 
@@ -169,7 +170,8 @@
             settings.name, uuid.uuid4().hex, settings.peer_address, settings.weak
         )
         self._peers = Peers(clients.http, self.leases, self._shards.get)
-        self.entry = Entry(clients.store, self._peers, boottime, metrics)
+        self._probe = StoreProbe(clients.store, boottime)
+        self.entry = Entry(clients.store, self._peers, self._probe, boottime, metrics)
         self._peer_server = PeerServer(settings.peer_address, self._shards.get)
         self._directory = EndpointDirectory(clients.decode_endpoint, boottime)
         self._endpoint_watcher = TableWatcher(
@@ -237,6 +239,7 @@
         self._shards.clear()
         await self._endpoint_watcher.close()
         await self._control_watcher.close()
+        await self._probe.close()
         await self._peer_server.close()
 
     @property
@@ -246,6 +249,7 @@
         return (
             self.configuration is not None
             and not self.stopping
+            and not self._probe.silent
             and self._control_watcher.complete.is_set()
             and answered is not None
             and boottime() - answered < STORE_SILENCE_S
--- /dev/null
+++ b/tests/service/test_entry.py
@@ -0,0 +1,120 @@
+import asyncio
+import unittest
+
+from magnoliapier.service.entry import AnswerKind, Entry
+from magnoliapier.service.store_probe import StoreProbe
+from magnoliapier.submissions.model import SubmissionState
+from tests.service.fakes import FakeClock, FakeStore, metrics
+from tests.service.test_shard import QUEUE, short_step, submission
+
+
+class EntryTestCase(unittest.IsolatedAsyncioTestCase):
+    class NoPeers:
+        async def state(self, service, submission_id):
+            return None
+
+        async def pending(self, service, queue_name):
+            return None
+
+    async def asyncSetUp(self):
+        self.store = FakeStore()
+        self.clock = FakeClock()
+        self.probe = StoreProbe(self.store, self.clock)
+        self.addAsyncCleanup(self.probe.close)
+        self.entry = Entry(
+            self.store, self.NoPeers(), self.probe, self.clock, metrics()
+        )
+        self.item = submission("6" * 16, short_step())
+
+
+class EntryTests(EntryTestCase):
+    async def test_repeated_submission_is_stored_once(self):
+        """Guards against a retried submission that becomes a second one."""
+        for _ in range(2):
+            answer = await self.entry.submit(QUEUE, self.item)
+            self.assertEqual(answer.kind, AnswerKind.OK)
+        self.assertEqual(len(self.store.commits), 1)
+
+    async def test_lost_answer_is_resolved(self):
+        """Guards against an unknown outcome where asking again tells it."""
+        self.store.lose_next = 1
+        answer = await self.entry.submit(QUEUE, self.item)
+        self.assertEqual(answer.kind, AnswerKind.OK)
+
+    async def test_refusal_is_given_only_if_nothing_was_done(self):
+        """Guards against a false «not accepted» after a write without an answer."""
+        self.store.fail_next = 1
+        answer = await self.entry.submit(QUEUE, self.item)
+        self.assertEqual(answer.kind, AnswerKind.REFUSED)
+        self.store.delay_next = 1
+        self.store.fail_next = 0
+        self.clock.now += 1
+
+        async def fail(expects, puts, removes=()):
+            self.clock.now += 1
+            self.store.commit = self.down
+            return await FakeStore.commit(self.store, expects, puts, removes)
+
+        self.store.commit = fail
+        answer = await self.entry.submit(QUEUE, self.item)
+        self.assertEqual(answer.kind, AnswerKind.UNKNOWN)
+
+    async def down(self, expects, puts, removes=()):
+        self.clock.now += 1
+        self.store.fail_next = 1
+        return await FakeStore.commit(self.store, expects, puts, removes)
+
+    async def test_state_and_cancel_of_unknown_submission(self):
+        """Guards against a state that is told of a submission nobody made."""
+        self.assertEqual(
+            (await self.entry.state(QUEUE, "7" * 16)).kind, AnswerKind.ABSENT
+        )
+        self.assertEqual(
+            (await self.entry.cancel(QUEUE, "7" * 16)).kind, AnswerKind.ABSENT
+        )
+
+    async def test_state_without_a_holder_is_read_from_the_store(self):
+        """Guards against an accepted submission that is denied while no host leads."""
+        await self.entry.submit(QUEUE, self.item)
+        answer = await self.entry.state(QUEUE, self.item.submission_id)
+        self.assertEqual(answer.state, SubmissionState.QUEUED)
+
+
+class SilentStoreTests(EntryTestCase):
+    """The pattern is a store that falls silent while callers keep submitting."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.silent = True
+
+        async def read(*args):
+            while self.silent:
+                await asyncio.sleep(0.01)
+            return await FakeStore.read(self.store, *args)
+
+        self.read = read
+
+    async def test_refused_at_once_and_accepted_after_its_return(self):
+        """
+        Guards against an unknown outcome where a true refusal is possible.
+
+        A caller that is refused may come again; one that was told nothing may not.
+        """
+        self.store.read = self.read
+        answer = await self.entry.submit(QUEUE, self.item)
+        self.assertEqual(answer.kind, AnswerKind.REFUSED)
+        self.assertTrue(self.probe.silent)
+        answer = await asyncio.wait_for(self.entry.submit(QUEUE, self.item), 0.05)
+        self.assertEqual(answer.reason, "store_silent")
+        self.assertEqual(self.store.commits, [])
+        self.silent = False
+        await asyncio.sleep(0.6)
+        answer = await self.entry.submit(QUEUE, self.item)
+        self.assertEqual(answer.kind, AnswerKind.OK)
+
+    async def test_no_question_while_the_store_answers(self):
+        """Guards against a price for each submission to a store that is well."""
+        self.store.read = self.read
+        self.store.last_answer_at = self.clock.now - 0.1
+        answer = await self.entry.submit(QUEUE, self.item)
+        self.assertEqual(answer.kind, AnswerKind.OK)
--- a/tests/service/test_shard.py
+++ b/tests/service/test_shard.py
@@ -3,7 +3,6 @@
 
 from magnoliapier.placement.endpoint import EndpointRecord
 from magnoliapier.service.directory import EndpointDirectory
-from magnoliapier.service.entry import AnswerKind, Entry
 from magnoliapier.service.node import ShardDependencies
 from magnoliapier.service.shard import ShardController
 from magnoliapier.state.lease import (
@@ -349,69 +348,3 @@
     async def submit_directly(self, item):
         put = intake_put(item)
         self.store._apply([], [put], [])
-
-
-class EntryTests(unittest.IsolatedAsyncioTestCase):
-    class NoPeers:
-        async def state(self, service, submission_id):
-            return None
-
-        async def pending(self, service, queue_name):
-            return None
-
-    async def asyncSetUp(self):
-        self.store = FakeStore()
-        self.clock = FakeClock()
-        self.entry = Entry(self.store, self.NoPeers(), self.clock, metrics())
-        self.item = submission("6" * 16, short_step())
-
-    async def test_repeated_submission_is_stored_once(self):
-        """Guards against a retried submission that becomes a second one."""
-        for _ in range(2):
-            answer = await self.entry.submit(QUEUE, self.item)
-            self.assertEqual(answer.kind, AnswerKind.OK)
-        self.assertEqual(len(self.store.commits), 1)
-
-    async def test_lost_answer_is_resolved(self):
-        """Guards against an unknown outcome where asking again tells it."""
-        self.store.lose_next = 1
-        answer = await self.entry.submit(QUEUE, self.item)
-        self.assertEqual(answer.kind, AnswerKind.OK)
-
-    async def test_refusal_is_given_only_if_nothing_was_done(self):
-        """Guards against a false «not accepted» after a write without an answer."""
-        self.store.fail_next = 1
-        answer = await self.entry.submit(QUEUE, self.item)
-        self.assertEqual(answer.kind, AnswerKind.REFUSED)
-        self.store.delay_next = 1
-        self.store.fail_next = 0
-        self.clock.now += 1
-
-        async def fail(expects, puts, removes=()):
-            self.clock.now += 1
-            self.store.commit = self.down
-            return await FakeStore.commit(self.store, expects, puts, removes)
-
-        self.store.commit = fail
-        answer = await self.entry.submit(QUEUE, self.item)
-        self.assertEqual(answer.kind, AnswerKind.UNKNOWN)
-
-    async def down(self, expects, puts, removes=()):
-        self.clock.now += 1
-        self.store.fail_next = 1
-        return await FakeStore.commit(self.store, expects, puts, removes)
-
-    async def test_state_and_cancel_of_unknown_submission(self):
-        """Guards against a state that is told of a submission nobody made."""
-        self.assertEqual(
-            (await self.entry.state(QUEUE, "7" * 16)).kind, AnswerKind.ABSENT
-        )
-        self.assertEqual(
-            (await self.entry.cancel(QUEUE, "7" * 16)).kind, AnswerKind.ABSENT
-        )
-
-    async def test_state_without_a_holder_is_read_from_the_store(self):
-        """Guards against an accepted submission that is denied while no host leads."""
-        await self.entry.submit(QUEUE, self.item)
-        answer = await self.entry.state(QUEUE, self.item.submission_id)
-        self.assertEqual(answer.state, SubmissionState.QUEUED)
