--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 	$(RUN) -W error::ResourceWarning -m unittest discover -s tests -t .
 
 model: $(VENV)/.installed
-	$(RUN) -m magnoliapier.modelcheck --output build/model.json
+	$(RUN) -m magnoliapier.specifications.modelcheck --output build/model.json
 
 replay: $(VENV)/.installed
 	$(RUN) -m magnoliapier.replay --all recordings
--- a/magnoliapier/spec_claims.py
+++ b/magnoliapier/specifications/claims.py
@@ -26,7 +26,7 @@
 from typing import NamedTuple
 
 from magnoliapier.registry import Registry
-from magnoliapier.specification import Specification, specifications
+from magnoliapier.specifications.specification import Specification, specifications
 
 NEW, INSERTING, CLAIMED, SENT, ENDED = range(5)
 NO_REPLY, NOT_RUN, UNKNOWN, ANSWER, RESTARTED = range(5)
--- a/magnoliapier/spec_lease.py
+++ b/magnoliapier/specifications/lease.py
@@ -19,7 +19,7 @@
 from typing import NamedTuple
 
 from magnoliapier.registry import Registry
-from magnoliapier.specification import Specification, specifications
+from magnoliapier.specifications.specification import Specification, specifications
 
 IDLE, TAKING, HOLDING, RENEWING = range(4)
 TAKE, RENEW, WRITE = "take", "renew", "write"
--- a/magnoliapier/spec_manifest.py
+++ b/magnoliapier/specifications/manifest.py
@@ -34,7 +34,7 @@
 from typing import NamedTuple
 
 from magnoliapier.registry import Registry
-from magnoliapier.specification import Specification, specifications
+from magnoliapier.specifications.specification import Specification, specifications
 
 IDLE, WAITING, ACCEPTED, REFUSED = range(4)
 NOTHING = -1
--- a/magnoliapier/modelcheck.py
+++ b/magnoliapier/specifications/modelcheck.py
@@ -1,7 +1,7 @@
 """
 Explores the protocol specifications in full and writes a summary.
 
-Run as ``python -m magnoliapier.modelcheck --output build/model.json``. The exit
+Run as ``python -m magnoliapier.specifications.modelcheck --output FILE``. The exit
 status is 1 if an invariant fails, a witness is unreachable, an exploration is cut
 off, or a seeded mistake is not found.
 """
@@ -16,14 +16,14 @@
 import typer
 from minicheck import Protocol, check_safety
 
-from magnoliapier.specification import specifications
+from magnoliapier.specifications.specification import specifications
 
 SPECIFICATION_MODULES = (
-    "spec_ownership",
-    "spec_manifest",
-    "spec_claims",
-    "spec_lease",
-    "spec_shard",
+    "ownership",
+    "manifest",
+    "claims",
+    "lease",
+    "shard",
 )
 
 # A runaway specification is stopped here; the largest one stays well below.
@@ -179,7 +179,7 @@
 def load_specifications():
     """Import the specification modules, which register themselves."""
     for module in SPECIFICATION_MODULES:
-        importlib.import_module(f"magnoliapier.{module}")
+        importlib.import_module(f"magnoliapier.specifications.{module}")
     return specifications.names()
 
 
--- a/magnoliapier/spec_ownership.py
+++ b/magnoliapier/specifications/ownership.py
@@ -32,7 +32,7 @@
 from typing import NamedTuple
 
 from magnoliapier.registry import Registry
-from magnoliapier.specification import Specification, specifications
+from magnoliapier.specifications.specification import Specification, specifications
 
 DRAIN, ASSIGN, CANCEL = "D", "A", "C"
 IDLE, CHECKED, OLD_CHECK, SENT = range(4)
--- a/magnoliapier/spec_shard.py
+++ b/magnoliapier/specifications/shard.py
@@ -25,7 +25,7 @@
 from typing import NamedTuple
 
 from magnoliapier.registry import Registry
-from magnoliapier.specification import Specification, specifications
+from magnoliapier.specifications.specification import Specification, specifications
 
 NOWHERE = -1
 NOBODY = -1
--- a/tests/test_modelcheck.py
+++ b/tests/specifications/test_modelcheck.py
@@ -1,9 +1,9 @@
 import unittest
 from typing import NamedTuple
 
-from magnoliapier import modelcheck
 from magnoliapier.registry import Registry
-from magnoliapier.specification import Specification, specifications
+from magnoliapier.specifications import modelcheck
+from magnoliapier.specifications.specification import Specification, specifications
 
 
 class Count(NamedTuple):
--- a/tests/test_stateful_fleet_log.py
+++ b/tests/test_stateful_fleet_log.py
@@ -27,7 +27,7 @@
 
     Guards against an accepted commit that is lost or written twice, a refused one
     that takes effect, and a follower whose state goes back or differs from the log
-    (rules M1 to M3 of spec_manifest).
+    (rules M1 to M3 of specifications.manifest).
     """
 
     def __init__(self):
--- a/tests/test_stateful_leases.py
+++ b/tests/test_stateful_leases.py
@@ -24,7 +24,7 @@
     Two planners with pauses, restarts, lost answers and late writes.
 
     Guards against a planner that writes after its lease was taken over, and against
-    two planners that hold the lease at one moment (rules of spec_lease).
+    two planners that hold the lease at one moment (rules of specifications.lease).
     """
 
     def __init__(self):
@@ -106,7 +106,7 @@
 
 class LateWriteTests(unittest.TestCase):
     def test_late_write_of_replaced_planner_is_refused(self):
-        """Guards against the mistake writes_without_fence of spec_lease."""
+        """Guards against the mistake writes_without_fence of specifications.lease."""
         machine = LeaseMachine()
         machine.take_over(0)
         machine.plan([WRITE_LATE])
--- a/tests/test_stateful_ownership.py
+++ b/tests/test_stateful_ownership.py
@@ -125,7 +125,8 @@
     Three entry hosts in two data centres, and one host that is moved.
 
     Guards against a request sent for a pool that the host does not belong to, and
-    against a move that interrupts a request (rules R1 to R5 of spec_ownership).
+    against a move that interrupts a request (rules R1 to R5 of
+    specifications.ownership).
     """
 
     def __init__(self):
