Let holders keep their shards over a store outage, and spread shards over hosts

Change: a lease that expired while the store was away may be renewed for 1 s before it is taken; a refresh ends a call that waits; the delay for a further shard counts from the last taking; a host that holds several shards offers one to others.

--- a/magnoliapier/service/leases.py
+++ b/magnoliapier/service/leases.py
@@ -26,10 +26,12 @@
 FLEET_SHARD = "fleet"
 CHECK_INTERVAL_S = 0.1
 DELAY_PER_HELD_SHARD_S = 0.25  # lets hosts with fewer shards go first
+OFFERED_DELAY_S = 1.5  # before a shard that this host has offered is taken back
 MAX_JITTER_S = 0.1
 WEAK_HOST_DELAY_S = 0.7  # lets hosts with more processor and bandwidth go first
 ATTEMPTS = 4  # under one condition, to learn the outcome of an unanswered write
 REFUSED_DELAY_S = 0.5  # while the store turns this host away
+REGAINED_GRACE_S = 1.0  # after the store was away, for holders to renew their leases
 
 log = get_logger(__name__)
 
@@ -68,18 +70,24 @@
     """
     Takes shards that nobody holds.
 
-    ``wanted()`` returns the names of all shards; ``on_taken(shard, lease)`` is called
-    with each HeldLease.
+    ``wanted()`` returns the names of all shards; ``regained_at()`` tells when the store
+    answered again after it was away, or None; ``on_taken(shard, lease)`` is called with
+    each HeldLease.
     """
 
-    def __init__(self, store, directory, identity, clock, wanted, on_taken):
+    def __init__(
+        self, store, directory, identity, clock, wanted, regained_at, on_taken
+    ):
         self._store = store
         self._directory = directory
         self._identity = identity
         self._clock = clock
         self._wanted = wanted
+        self._regained_at = regained_at
         self._on_taken = on_taken
         self._free_since = {}
+        self._offered_until = {}
+        self._taken_at = None
         self._held = set()
         self._task = None
 
@@ -95,6 +103,11 @@
         """Take note that this host does not hold a shard any more."""
         self._held.discard(shard)
 
+    def offer(self, shard):
+        """Leave a shard that was held here to other hosts for a while."""
+        self._held.discard(shard)
+        self._offered_until[shard] = self._clock() + OFFERED_DELAY_S
+
     async def _run(self):
         while True:
             delay_s = CHECK_INTERVAL_S
@@ -109,14 +122,25 @@
     def _due(self, shard):
         view = self._directory.view(shard)
         now = self._clock()
+        if now < self._offered_until.get(shard, now):
+            return False
         if view.left_by_predecessor(self._identity.holder, self._identity.process):
             return True
         if view.version != ABSENT and not view.expired(now):
             self._free_since.pop(shard, None)
             return False
+        if view.record is not None and view.record.holder and self._in_grace(now):
+            return False
         free_since = self._free_since.setdefault(shard, now)
+        if self._held and self._taken_at is not None:
+            free_since = max(free_since, self._taken_at)
         return now - free_since >= self._delay(shard)
 
+    def _in_grace(self, now):
+        """Return whether a lease may have expired only because the store was away."""
+        regained_at = self._regained_at()
+        return regained_at is not None and now - regained_at < REGAINED_GRACE_S
+
     def _delay(self, shard):
         seed = f"{self._identity.holder}/{shard}".encode()
         jitter = zlib.crc32(seed) % 1000 / 1000 * MAX_JITTER_S
@@ -143,6 +167,7 @@
         lease.renewed(version, sent_at)
         view.observe(record, version, self._clock())
         self._held.add(shard)
+        self._taken_at = self._clock()
         log.info("shard_taken", shard=shard, token=token)
         self._on_taken(shard, lease)
         return True
--- a/magnoliapier/service/node.py
+++ b/magnoliapier/service/node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import uuid
+from collections import Counter
 
 import msgspec
 
@@ -36,6 +37,8 @@
 FLEET_CONTROL_GAP_S = 0.1  # pools that want hosts are waiting
 ENDPOINT_GAP_S = 2.0  # a host without a shard starts nothing on endpoints
 HOLDER_ENDPOINT_GAP_S = 0.15  # endpoints of hosts that were moved are wanted at once
+BALANCE_INTERVAL_S = 4.0  # between two offers of a shard to hosts with fewer
+OFFERS_OF_A_SHARD = 1  # a shard that came back has found no better host
 STORE_SILENCE_S = 2.5  # without an answer the host is not ready for callers
 
 log = get_logger(__name__)
@@ -194,6 +197,7 @@
             self._identity,
             boottime,
             self._wanted_shards,
+            lambda: self._control_watcher.regained_at,
             self._shard_taken,
         )
         self._dependencies = ShardDependencies(
@@ -227,6 +231,30 @@
         self._endpoint_watcher.start()
         await self._endpoint_watcher.complete.wait()
         self._taker.start()
+        self._spawn(self._balance())
+
+    async def _balance(self):
+        """Offer a shard to other hosts while this one holds several."""
+        offers = Counter()
+        while not self.stopping:
+            await asyncio.sleep(BALANCE_INTERVAL_S)
+            shards = [s for s in self._shards if s != FLEET_SHARD]
+            offered = [s for s in shards if offers[s] < OFFERS_OF_A_SHARD]
+            if len(shards) > 1 and offered:
+                offers[offered[-1]] += 1
+                await self._offer(offered[-1])
+
+    async def _offer(self, service):
+        """Hand a shard over to whichever host takes it first."""
+        shard = self._shards[service]
+        if not shard.loaded or not shard.may_act():
+            return
+        log.info("shard_offered", shard=service)
+        del self._shards[service]
+        self._set_intervals()
+        await shard.close()
+        await release(self._store, service, shard.lease)
+        self._taker.offer(service)
 
     async def close(self):
         """Hand over the shards and stop all parts."""
--- a/magnoliapier/service/watch.py
+++ b/magnoliapier/service/watch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from asyncio import FIRST_COMPLETED
 
 from magnoliapier.exceptions import (
     HistoryLostError,
@@ -10,6 +11,7 @@
 )
 from magnoliapier.logs import get_logger
 from magnoliapier.service.background import cancel_tasks
+from magnoliapier.service.clock import boottime
 
 RETRY_DELAY_S = 0.2
 
@@ -48,6 +50,7 @@
         self._task = None
         self._hurry = asyncio.Event()
         self._refreshes = []
+        self.regained_at = None
         self.complete = asyncio.Event()
 
     def start(self):
@@ -68,13 +71,12 @@
     async def _run(self):
         version = None
         while True:
+            self._hurry.clear()
             asked = len(self._refreshes)
             try:
                 if version is None:
                     version = await self._read()
-                version = await self._follow(version)
-                self._mark_available()
-                self._answer_refreshes(asked)
+                followed = await self._follow(version, 0.0 if asked else self._wait_s)
             except HistoryLostError:
                 log.info("history_lost", table=self._table, version=version)
                 version = None
@@ -84,6 +86,11 @@
                     version = None
                 await asyncio.sleep(RETRY_DELAY_S)
             else:
+                if followed is None:
+                    continue
+                version = followed
+                self._mark_available()
+                self._answer_refreshes(asked)
                 await self._pause()
 
     def _answer_refreshes(self, count):
@@ -93,8 +100,6 @@
         del self._refreshes[:count]
 
     async def _pause(self):
-        if not self._refreshes:
-            self._hurry.clear()
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self._hurry.wait(), self.gap_s)
 
@@ -113,8 +118,24 @@
         self.complete.set()
         return min(versions)
 
-    async def _follow(self, version):
-        changes = await self._store.changes(self._table, version, self._wait_s)
+    async def _follow(self, version, wait_s):
+        """
+        Apply changes and return the version to go on from.
+
+        Returns None if a refresh was asked for meanwhile: a call that was sent to a
+        silent store would last longer than a new one.
+        """
+        following = asyncio.create_task(
+            self._store.changes(self._table, version, wait_s)
+        )
+        hurried = asyncio.create_task(self._hurry.wait())
+        try:
+            await asyncio.wait({following, hurried}, return_when=FIRST_COMPLETED)
+            if not following.done():
+                return None
+            changes = following.result()
+        finally:
+            await cancel_tasks(following, hurried)
         if changes.rows:
             self._on_rows(changes.rows, False)
         return max(version, changes.version)
@@ -122,6 +143,7 @@
     def _mark_available(self):
         if not self._available:
             log.info("dependency_regained", table=self._table)
+            self.regained_at = boottime()
         self._available = True
 
     def _mark_lost(self, error):
