Take no lease while the store cannot be read

Change: a lease that expired is taken only once the table has been readable for 1 s; single refused calls do not count as an outage.

--- a/magnoliapier/service/leases.py
+++ b/magnoliapier/service/leases.py
@@ -70,20 +70,20 @@
     """
     Takes shards that nobody holds.
 
-    ``wanted()`` returns the names of all shards; ``regained_at()`` tells when the store
-    answered again after it was away, or None; ``on_taken(shard, lease)`` is called with
-    each HeldLease.
+    ``wanted()`` returns the names of all shards; ``steady_since()`` tells since when
+    the store answers, or None while it does not; ``on_taken(shard, lease)`` is called
+    with each HeldLease.
     """
 
     def __init__(
-        self, store, directory, identity, clock, wanted, regained_at, on_taken
+        self, store, directory, identity, clock, wanted, steady_since, on_taken
     ):
         self._store = store
         self._directory = directory
         self._identity = identity
         self._clock = clock
         self._wanted = wanted
-        self._regained_at = regained_at
+        self._steady_since = steady_since
         self._on_taken = on_taken
         self._free_since = {}
         self._offered_until = {}
@@ -138,8 +138,8 @@
 
     def _in_grace(self, now):
         """Return whether a lease may have expired only because the store was away."""
-        regained_at = self._regained_at()
-        return regained_at is not None and now - regained_at < REGAINED_GRACE_S
+        steady_since = self._steady_since()
+        return steady_since is None or now - steady_since < REGAINED_GRACE_S
 
     def _delay(self, shard):
         seed = f"{self._identity.holder}/{shard}".encode()
--- a/magnoliapier/service/node.py
+++ b/magnoliapier/service/node.py
@@ -197,7 +197,7 @@
             self._identity,
             boottime,
             self._wanted_shards,
-            lambda: self._control_watcher.regained_at,
+            lambda: self._control_watcher.steady_since,
             self._shard_taken,
         )
         self._dependencies = ShardDependencies(
--- a/magnoliapier/service/watch.py
+++ b/magnoliapier/service/watch.py
@@ -14,6 +14,7 @@
 from magnoliapier.service.clock import boottime
 
 RETRY_DELAY_S = 0.2
+SHORT_LOSS_S = 0.5  # single refused calls; no lease expires meanwhile
 
 log = get_logger(__name__)
 
@@ -46,13 +47,18 @@
         self._wait_s = wait_s
         self.gap_s = gap_s
         self._latest_only = latest_only
-        self._available = True
+        self._lost_at = None
+        self._steady_since = 0.0
         self._task = None
         self._hurry = asyncio.Event()
         self._refreshes = []
-        self.regained_at = None
         self.complete = asyncio.Event()
 
+    @property
+    def steady_since(self):
+        """Return since when the table can be read, or None while it cannot."""
+        return self._steady_since if self._lost_at is None else None
+
     def start(self):
         """Begin to follow the table."""
         self._task = asyncio.create_task(self._run())
@@ -141,12 +147,15 @@
         return max(version, changes.version)
 
     def _mark_available(self):
-        if not self._available:
-            log.info("dependency_regained", table=self._table)
-            self.regained_at = boottime()
-        self._available = True
+        if self._lost_at is None:
+            return
+        log.info("dependency_regained", table=self._table)
+        now = boottime()
+        if now - self._lost_at >= SHORT_LOSS_S:
+            self._steady_since = now
+        self._lost_at = None
 
     def _mark_lost(self, error):
-        if self._available:
+        if self._lost_at is None:
             log.warning("dependency_lost", table=self._table, error=error)
-        self._available = False
+            self._lost_at = boottime()
--- a/tests/service/test_leases.py
+++ b/tests/service/test_leases.py
@@ -40,7 +40,7 @@
         )
         changes = await self.store.read(CONTROL_TABLE, SHARD)
         self.directory.apply(changes.rows, True)
-        self.regained_at = None
+        self.steady_since = 0.0
         self.taken = []
         self.shards = [SHARD]
         self.taker = LeaseTaker(
@@ -49,7 +49,7 @@
             Identity("me", "p", "127.0.0.1:2"),
             self.clock,
             lambda: self.shards,
-            lambda: self.regained_at,
+            lambda: self.steady_since,
             lambda shard, lease: self.taken.append(shard),
         )
         self.taker.start()
@@ -74,9 +74,12 @@
         The pattern is a store that is silent for longer than a lease: a takeover throws
         away what the holders know, and the work waits until all of it is read again.
         """
-        self.regained_at = self.clock.now + LEASE_TTL_S
+        self.steady_since = None
         await self.later(LEASE_TTL_S)
         self.assertEqual(self.taken, [])
+        self.steady_since = self.clock.now
+        await self.later(0.1)
+        self.assertEqual(self.taken, [])
         await self.later(REGAINED_GRACE_S)
         self.assertEqual(self.taken, [SHARD])
 
--- a/tests/service/test_watch.py
+++ b/tests/service/test_watch.py
@@ -58,3 +58,20 @@
         await self.store.commit([], [Put("op", "", "config", b"new")])
         await asyncio.wait_for(self.watcher.refresh(), 1.0)
         self.assertIn((False, [b"new"]), self.seen)
+
+    async def test_steady_only_after_an_outage_has_ended(self):
+        """Guards against leases that are taken because nobody could renew them."""
+        await self.follow()
+        self.assertEqual(self.watcher.steady_since, 0.0)
+        self.failures = [StoreOutcomeUnknownError("silent")]
+        await self.until(lambda: self.watcher.steady_since is None)
+        await self.until(lambda: self.watcher.steady_since == 0.0)
+        self.failures = [StoreOutcomeUnknownError("silent")] * 4
+        await self.until(lambda: self.watcher.steady_since not in (None, 0.0))
+
+    async def until(self, condition):
+        for _ in range(400):
+            if condition():
+                return
+            await asyncio.sleep(0.005)
+        self.fail("condition not met in time")
