--- a/magnoliapier/pools/planner.py
+++ b/magnoliapier/pools/planner.py
@@ -8,8 +8,8 @@
 
 import msgspec
 
+from magnoliapier.pools.crashes import CrashDetector
 from magnoliapier.pools.hosts import HostState
-from magnoliapier.pools.lives import EndpointLives
 
 ORDER_TIMEOUT_S = 6.0  # after which an order is taken to have had no effect
 EMPTYING_PER_POOL = 2  # hosts of one pool that are emptied at once
@@ -48,7 +48,7 @@
         self.maintained = {
             wave: set(hosts) for wave, hosts in (maintained or {}).items()
         }
-        self._lives = EndpointLives()
+        self._crashes = CrashDetector()
         self._pending = {}
         self._hosts = {}
         self._reports = {}
@@ -57,7 +57,7 @@
 
     def update(self, hosts, reports, waves, standby, now):
         """Take in what is known now, and settle orders that have taken effect."""
-        self._lives.update(hosts, self._pending, now)
+        self._crashes.update(hosts, self._pending, now)
         self._hosts = {host.name: host for host in hosts}
         self._reports = reports
         self._waves = waves
@@ -95,9 +95,9 @@
         return bool(self._pending)
 
     @property
-    def ended(self):
+    def crashed(self):
         """Return the endpoints whose hosts went down lately without an order."""
-        return self._lives.ended
+        return self._crashes.crashed
 
     def due_hosts(self, wave):
         """Return the listed hosts of a wave whose maintenance has not begun."""
--- a/magnoliapier/pools/report.py
+++ b/magnoliapier/pools/report.py
@@ -27,13 +27,13 @@
     What the fleet controller wants, what it has done, and what it has seen.
 
     ``to_maintain`` holds hosts that their pools should empty now. ``maintained`` maps
-    the number of a wave to the hosts whose maintenance has begun. ``ended`` holds the
+    the number of a wave to the hosts whose maintenance has begun. ``crashed`` holds the
     endpoints whose hosts went down lately.
     """
 
     to_maintain: tuple[str, ...] = ()
     maintained: dict[int, tuple[str, ...]] = {}
-    ended: tuple[str, ...] = ()
+    crashed: tuple[str, ...] = ()
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/magnoliapier/service/fleet.py
+++ b/magnoliapier/service/fleet.py
@@ -154,17 +154,17 @@
                 wave: tuple(sorted(hosts))
                 for wave, hosts in self._planner.maintained.items()
             },
-            self._planner.ended,
+            self._planner.crashed,
         )
         puts = []
         if plan != self._plan:
             puts.append(Put(CONTROL_TABLE, FLEET_SHARD, PLAN_KEY, encode(plan)))
-            self._log_ended(plan)
+            self._log_crashed(plan)
         await self._committer.commit(puts)
         self._plan = plan
 
-    def _log_ended(self, plan):
-        for endpoint_id in set(plan.ended) - set(self._plan.ended):
+    def _log_crashed(self, plan):
+        for endpoint_id in set(plan.crashed) - set(self._plan.crashed):
             log.warning("host_down", endpoint=endpoint_id)
 
     async def _write_wave_states(self):
--- a/magnoliapier/service/node.py
+++ b/magnoliapier/service/node.py
@@ -89,7 +89,7 @@
         self._node = node
         self._reports = {}
         self._waves = {}
-        self._ended_since = {}
+        self._crashed_since = {}
         self.plan = FleetPlan()
 
     def apply(self, rows, complete):
@@ -108,14 +108,14 @@
     def _apply_plan(self, plan):
         self.plan = plan
         now = boottime()
-        self._ended_since = {
-            endpoint_id: self._ended_since.get(endpoint_id, now)
-            for endpoint_id in plan.ended
+        self._crashed_since = {
+            endpoint_id: self._crashed_since.get(endpoint_id, now)
+            for endpoint_id in plan.crashed
         }
 
-    def ended_since(self):
-        """Return when this host learned that endpoints have ended, by id."""
-        return self._ended_since
+    def crashed_since(self):
+        """Return when this host learned that endpoints have crashed, by id."""
+        return self._crashed_since
 
     def apply_wave(self, wave):
         """Take note of a wave that the operator asks for."""
--- a/magnoliapier/service/shard.py
+++ b/magnoliapier/service/shard.py
@@ -209,9 +209,9 @@
             log.info("endpoint_gone", endpoint=session.endpoint_id)
             self._tasks.append(asyncio.create_task(session.close()))
 
-    def _give_up_ended(self):
+    def _give_up_crashed(self):
         """Give up what ran on endpoints whose hosts went down."""
-        for endpoint_id, since in self._deps.fleet.ended_since().items():
+        for endpoint_id, since in self._deps.fleet.crashed_since().items():
             session = self.tables.sessions.get(endpoint_id)
             if session is not None:
                 session.host_down(since)
@@ -257,7 +257,7 @@
         self._open_occurrences()
         self._control_pace(now)
         if self.may_act():
-            self._give_up_ended()
+            self._give_up_crashed()
             self._restart_stalled(now)
             self._keep_pool(now)
             self._schedule(now)
--- a/magnoliapier/specifications/shard.py
+++ b/magnoliapier/specifications/shard.py
@@ -99,8 +99,8 @@
     """
     The rows, both hosts, both endpoints, late commits and orders under way.
 
-    ``noted`` is set by the first acknowledgement of a ``done`` end, ``repeated`` by a
-    start after it.
+    ``acknowledged`` is set by the first acknowledgement of a ``done`` end, ``repeated``
+    by a start after it.
     """
 
     row: Row = Row()
@@ -109,7 +109,7 @@
     late: tuple = ()
     orders: tuple = ()
     ended: bool = False
-    noted: bool = False
+    acknowledged: bool = False
     repeated: bool = False
     lapses: int = 0
 
@@ -136,17 +136,22 @@
         """Return the safety properties."""
         return {
             "one_run_at_a_time": one_run,
-            "noted_end_is_stored": lambda state: not state.noted or state.row.done,
+            "acknowledged_end_is_stored": lambda state: (
+                not state.acknowledged or state.row.done
+            ),
             "stored_end_happened": lambda state: not state.row.done or state.ended,
-            "no_start_after_noted_end": lambda state: not state.repeated,
+            "no_start_after_acknowledged_end": lambda state: not state.repeated,
         }
 
     def witnesses(self):
         """Return what must be reachable."""
         return {
-            "noted_by_a_successor": lambda state: state.noted and state.row.token > 1,
-            "ended_under_a_successor": lambda state: state.ended
-            and state.row.token > 1,
+            "acknowledged_by_a_successor": lambda state: (
+                state.acknowledged and state.row.token > 1
+            ),
+            "ended_under_a_successor": lambda state: (
+                state.ended and state.row.token > 1
+            ),
         }
 
     def raised_token(self, row):
@@ -303,7 +308,7 @@
         endpoint = endpoint._replace(token=max(endpoint.token, order.token))
         if order.run > endpoint.barred and endpoint.running != order.run:
             endpoint = endpoint._replace(running=order.run)
-            rest = rest._replace(repeated=rest.repeated or rest.noted)
+            rest = rest._replace(repeated=rest.repeated or rest.acknowledged)
         after = put_endpoint(rest, order.place, endpoint)
         yield "a start begins, its answer is lost", after
         for index, holder in enumerate(state.holders):
@@ -326,8 +331,8 @@
             yield f"h{index} learns the end", put_holder(state, index, done)
         elif endpoint.done_run and self.may_acknowledge(holder):
             after = put_endpoint(state, place, endpoint._replace(done_run=0))
-            noted = state.noted or not endpoint.lapsed
-            yield f"h{index} acknowledges", after._replace(noted=noted)
+            acknowledged = state.acknowledged or not endpoint.lapsed
+            yield f"h{index} acknowledges", after._replace(acknowledged=acknowledged)
         if holder.place != place or holder.unsent:
             return
         if endpoint.running != holder.last_run and not endpoint.done_run:
--- a/tests/service/fakes.py
+++ b/tests/service/fakes.py
@@ -208,10 +208,10 @@
     plan = FleetPlan()
 
     def __init__(self):
-        self.ended = {}
+        self.crashed = {}
 
-    def ended_since(self):
-        return self.ended
+    def crashed_since(self):
+        return self.crashed
 
     def hosts_wanted(self, service):
         return False
--- a/tests/service/test_shard.py
+++ b/tests/service/test_shard.py
@@ -316,7 +316,7 @@
         await asyncio.sleep(0.2)
         first.silent = True
         self.clock.now += 1
-        self.fleet.ended = {"e1": self.clock.now}
+        self.fleet.crashed = {"e1": self.clock.now}
         await self.until(lambda: second.running)
 
     async def test_endpoint_that_answered_since_is_not_given_up(self):
@@ -326,7 +326,7 @@
         await self.submit(submission("6" * 16, short_step()))
         await self.until(lambda: first.running)
         second = self.add_endpoint("e2")
-        self.fleet.ended = {"e1": self.clock.now - 1}
+        self.fleet.crashed = {"e1": self.clock.now - 1}
         await asyncio.sleep(0.3)
         self.assertEqual(second.running, {})
 
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -7,7 +7,7 @@
 import typer
 
 from tests.soak.seeds import CI_SEEDS, REGRESSION_SEEDS
-from tests.soak.world import World
+from tests.soak.soak_run import SoakRun
 
 DEFAULT_SECONDS = 15.0
 DEFAULT_NODES = 3
@@ -36,7 +36,7 @@
         yield f"  faults: {'; '.join(result.faults)}"
         yield f"  logs: {result.directory}"
     for violation in result.violations[:20]:
-        yield f"  {violation.at:6.2f} s  {violation.promise}: {violation.detail}"
+        yield f"  {violation.at:6.2f} s  {violation.invariant}: {violation.detail}"
 
 
 def main(
@@ -44,10 +44,10 @@
     seconds: Annotated[float, typer.Option(help="of faults")] = DEFAULT_SECONDS,
     nodes: Annotated[int, typer.Option(help="processes")] = DEFAULT_NODES,
 ):
-    """Run the soak of each seed; fail if any promise was broken."""
+    """Run the soak of each seed; fail if any invariant was broken."""
     broken = []
     for seed in parse_seeds(seeds):
-        result = asyncio.run(World(seed, nodes).run(seconds))
+        result = asyncio.run(SoakRun(seed, nodes).run(seconds))
         for line in describe(result):
             print(line, flush=True)
         if result.violations:
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -268,5 +268,5 @@
         """Forget ends; one that outlasted the lease may have been given up before."""
         for end in self._ended:
             if end.number <= number and end.at > self._lapsed_at:
-                self._ledger.noted(end.name, end.reason, end.at)
+                self._ledger.acknowledged(end.name, end.reason, end.at)
         self._ended = [end for end in self._ended if end.number > number]
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -30,9 +30,9 @@
 
 
 @fault
-async def kill(world, rng, seconds):
+async def kill(soak, rng, seconds):
     """Kill a process and start it again."""
-    node = rng.choice(world.nodes)
+    node = rng.choice(soak.nodes)
     node.disturb()
     node.kill()
     await asyncio.sleep(min(seconds, 2.0))
@@ -42,33 +42,33 @@
 
 
 @fault
-async def kill_all(world, rng, seconds):
+async def kill_all(soak, rng, seconds):
     """Kill all processes at once and start them again."""
-    for node in world.nodes:
+    for node in soak.nodes:
         node.disturb()
         node.kill()
     await asyncio.sleep(min(seconds, 1.0))
-    for node in world.nodes:
+    for node in soak.nodes:
         if not node.running:
             node.launch()
         node.disturb()
 
 
 @fault
-async def stop_gracefully(world, rng, seconds):
+async def stop_gracefully(soak, rng, seconds):
     """Stop a process as planned and start it again."""
-    node = rng.choice(world.nodes)
+    node = rng.choice(soak.nodes)
     if not await node.stop() and node.only_stopped_gracefully:
-        world.ledger.report("a planned stop ends in time", node.name)
+        soak.ledger.report("a planned stop ends in time", node.name)
     await asyncio.sleep(0.3)
     if not node.running:
         node.launch()
 
 
 @fault
-async def roll(world, rng, seconds):
+async def roll(soak, rng, seconds):
     """Restart all processes as planned, one after the other."""
-    for node in world.nodes:
+    for node in soak.nodes:
         await node.stop()
         if not node.running:
             node.launch()
@@ -76,9 +76,9 @@
 
 
 @fault
-async def pause(world, rng, seconds):
+async def pause(soak, rng, seconds):
     """Pause a process, and let it go on with what it believed."""
-    node = rng.choice(world.nodes)
+    node = rng.choice(soak.nodes)
     node.disturb()
     node.signal(signal.SIGSTOP)
     try:
@@ -89,80 +89,80 @@
 
 
 @fault
-async def cut_store_link(world, rng, seconds):
+async def cut_store_link(soak, rng, seconds):
     """Disturb the link between one node and the store."""
-    node = rng.choice(world.nodes)
+    node = rng.choice(soak.nodes)
     node.disturb()
     await _break([node.store_link], rng.choice(LINK_FAULTS), seconds)
     node.disturb()
 
 
 @fault
-async def cut_machines_link(world, rng, seconds):
+async def cut_machines_link(soak, rng, seconds):
     """Disturb the link between all nodes and the interface for machines."""
-    links = [node.machines_link for node in world.nodes]
+    links = [node.machines_link for node in soak.nodes]
     await _break(links, rng.choice(LINK_FAULTS), seconds)
 
 
 @fault
-async def cut_endpoints(world, rng, seconds):
+async def cut_endpoints(soak, rng, seconds):
     """Disturb the links to some endpoints, which run on."""
-    endpoints = rng.sample(world.endpoints(), 3)
+    endpoints = rng.sample(soak.endpoints(), 3)
     proxies = [endpoint.proxy for endpoint in endpoints]
     await _break(proxies, rng.choice(LINK_FAULTS), seconds)
 
 
 @fault
-async def store_down(world, rng, seconds):
+async def store_down(soak, rng, seconds):
     """Let the store refuse everything."""
-    world.disturb_all()
-    world.store.faults.down = True
+    soak.disturb_all()
+    soak.store.faults.down = True
     await asyncio.sleep(seconds)
-    world.store.faults.down = False
-    world.disturb_all()
+    soak.store.faults.down = False
+    soak.disturb_all()
 
 
 @fault
-async def store_loses_answers(world, rng, seconds):
+async def store_loses_answers(soak, rng, seconds):
     """Let the store lose answers, and apply some transactions late."""
-    world.disturb_all()
-    world.store.faults.lost_share = rng.uniform(0.1, 0.4)
-    world.store.faults.late_share = rng.choice([0.0, 0.15])
+    soak.disturb_all()
+    soak.store.faults.lost_share = rng.uniform(0.1, 0.4)
+    soak.store.faults.late_share = rng.choice([0.0, 0.15])
     await asyncio.sleep(seconds)
-    world.store.faults.lost_share = world.store.faults.late_share = 0.0
-    world.disturb_all()
+    soak.store.faults.lost_share = soak.store.faults.late_share = 0.0
+    soak.disturb_all()
 
 
 @fault
-async def store_slow(world, rng, seconds):
+async def store_slow(soak, rng, seconds):
     """Let the store answer slowly."""
-    world.disturb_all()
+    soak.disturb_all()
     usual = 0.002
-    world.store.faults.delay_s = rng.uniform(0.1, 0.25)
+    soak.store.faults.delay_s = rng.uniform(0.1, 0.25)
     await asyncio.sleep(seconds)
-    world.store.faults.delay_s = usual
-    world.disturb_all()
+    soak.store.faults.delay_s = usual
+    soak.disturb_all()
 
 
 @fault
-async def store_forgets_history(world, rng, seconds):
+async def store_forgets_history(soak, rng, seconds):
     """Let the store forget its history several times."""
     for _ in range(3):
-        world.store.forget_history()
+        soak.store.forget_history()
         await asyncio.sleep(0.5)
 
 
 @fault
-async def crash_endpoints(world, rng, seconds):
+async def crash_endpoints(soak, rng, seconds):
     """Crash some endpoints; others come up on their hosts later."""
-    names = rng.sample(sorted(world.machines.hosts), 2)
-    await asyncio.gather(*(world.machines.crash(name) for name in names))
+    names = rng.sample(sorted(soak.machines.hosts), 2)
+    await asyncio.gather(*(soak.machines.crash(name) for name in names))
 
 
 @fault
-async def late_orders(world, rng, seconds):
+async def late_orders(soak, rng, seconds):
     """Let endpoints leave orders unanswered and carry them out late."""
-    endpoints = world.endpoints()
+    endpoints = soak.endpoints()
     for endpoint in endpoints:
         endpoint.faults.late_share = 0.15
     await asyncio.sleep(seconds)
@@ -171,37 +171,37 @@
 
 
 @fault
-async def drain_endpoint(world, rng, seconds):
+async def drain_endpoint(soak, rng, seconds):
     """Let an endpoint say that it drains, for a while."""
-    endpoint = rng.choice(world.endpoints())
+    endpoint = rng.choice(soak.endpoints())
     endpoint.draining = True
     await asyncio.sleep(seconds)
     endpoint.draining = False
 
 
 @fault
-async def wave(world, rng, seconds):
+async def wave(soak, rng, seconds):
     """Ask for the maintenance of some hosts, one at a time."""
-    if world.waves:
+    if soak.waves:
         return
-    hosts = rng.sample(sorted(world.machines.hosts), 3)
-    world.waves.append(hosts)
+    hosts = rng.sample(sorted(soak.machines.hosts), 3)
+    soak.waves.append(hosts)
     body = {"wave": 1, "machines": hosts, "duration_s": 20.0, "maximum": 1}
     value = base64.b64encode(msgspec.json.encode(body)).decode()
-    world.store.put("op", "", "wave/1", value)
+    soak.store.put("op", "", "wave/1", value)
 
 
 @fault
-async def configure(world, rng, seconds):
+async def configure(soak, rng, seconds):
     """Change the configuration a few times in quick succession."""
     for _ in range(3):
-        world.configure([ADDED_ROUTE | {"service": "alpha"}])
+        soak.configure([ADDED_ROUTE | {"service": "alpha"}])
         await asyncio.sleep(0.3)
-        world.configure([])
+        soak.configure([])
 
 
 @fault
-async def reload(world, rng, seconds):
+async def reload(soak, rng, seconds):
     """Tell all processes that their settings file has changed."""
-    for node in world.nodes:
+    for node in soak.nodes:
         node.signal(signal.SIGHUP)
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -1,4 +1,4 @@
-"""What callers and endpoints saw, and the promises that it must keep."""
+"""What callers and endpoints saw, and the invariants that it must keep."""
 
 import time
 
@@ -6,9 +6,9 @@
 
 
 class Violation(msgspec.Struct, frozen=True):
-    """A broken promise."""
+    """A broken invariant."""
 
-    promise: str
+    invariant: str
     detail: str
     at: float
 
@@ -36,7 +36,7 @@
     running: dict = {}
     failed: int = 0
     done_at: list = []
-    done_noted: bool = False
+    done_acknowledged: bool = False
     starts: list = []
 
 
@@ -58,10 +58,10 @@
         self._tasks = {}
         self._began_at = time.monotonic()
 
-    def report(self, promise, detail):
-        """Record a broken promise."""
+    def report(self, invariant, detail):
+        """Record a broken invariant."""
         at = round(time.monotonic() - self._began_at, 2)
-        self.violations.append(Violation(promise, detail, at))
+        self.violations.append(Violation(invariant, detail, at))
 
     def count(self, name):
         """Count an event for the summary."""
@@ -92,7 +92,7 @@
         if task.running:
             others = sorted(task.running)
             self.report("one run at a time", f"{name} run {run} beside {others}")
-        if task.done_noted:
+        if task.done_acknowledged:
             self.report("a done task is not repeated", f"{name} run {run}")
         lasting = submission.steps[int(step)].get("long_running")
         if task.failed >= submission.max_attempts and not lasting:
@@ -133,14 +133,16 @@
         elif reason == "failed":
             task.failed += 1
 
-    def noted(self, name, reason, ended_at):
+    def acknowledged(self, name, reason, ended_at):
         """Record that an end was acknowledged to its endpoint."""
         if reason != "done":
             return
         task = self._task(name)
-        task.done_noted = True
+        task.done_acknowledged = True
         if any(at > ended_at for at in task.starts):
-            self.report("a done task is not repeated", f"{name}, noted afterwards")
+            self.report(
+                "a done task is not repeated", f"{name}, acknowledged afterwards"
+            )
 
     def gone(self, endpoint):
         """Record that an endpoint crashed with all that it ran."""
--- a/tests/soak/machines.py
+++ b/tests/soak/machines.py
@@ -21,7 +21,7 @@
     pool: str
     state: str = "up"
     endpoint: object = None
-    lives: int = 0
+    boots: int = 0
     token: int = 0
     maintained: bool = False
 
@@ -63,8 +63,8 @@
         return [host.endpoint for host in hosts if host.endpoint is not None]
 
     async def _start_endpoint(self, host):
-        host.lives += 1
-        endpoint_id = f"{host.name}-{host.lives}"
+        host.boots += 1
+        endpoint_id = f"{host.name}-{host.boots}"
         host.endpoint = EndpointStandIn(
             endpoint_id, host.name, host.pool, self._rng, self._store, self._ledger
         )
--- a/tests/soak/seeds.py
+++ b/tests/soak/seeds.py
@@ -1,4 +1,4 @@
-"""Seeds that are run again: a few in CI, and each one that ever broke a promise."""
+"""Seeds that are run again: a few in CI, and each one that ever broke an invariant."""
 
 CI_SEEDS = (1, 2)
 
--- a/tests/soak/world.py
+++ b/tests/soak/soak_run.py
@@ -54,13 +54,13 @@
     directory: str
 
 
-class World:
+class SoakRun:
     """
     Everything that one seed runs.
 
     Example::
 
-        result = asyncio.run(World(seed=7, nodes=3, directory=path).run(15.0))
+        result = asyncio.run(SoakRun(seed=7, nodes=3, directory=path).run(15.0))
         assert not result.violations
     """
 
--- a/tests/soak/test_ledger.py
+++ b/tests/soak/test_ledger.py
@@ -8,15 +8,15 @@
 
 
 class LedgerTests(unittest.TestCase):
-    """Each promise that is broken must be seen, or the soak proves nothing."""
+    """Each invariant that is broken must be seen, or the soak proves nothing."""
 
     def setUp(self):
         self.ledger = Ledger()
         self.submission = Submitted(ID, STEPS, max_attempts=2, accepted=True)
         self.ledger.submitted(self.submission)
 
-    def promises(self):
-        return [violation.promise for violation in self.ledger.violations]
+    def invariants(self):
+        return [violation.invariant for violation in self.ledger.violations]
 
     def run_once(self, name, endpoint="e1", reason="done"):
         self.ledger.started(endpoint, name, 1)
@@ -28,45 +28,45 @@
         self.run_once(LAST)
         self.ledger.shown(self.submission, "completed")
         self.ledger.check_settled()
-        self.assertEqual(self.promises(), [])
+        self.assertEqual(self.invariants(), [])
 
     def test_two_runs_at_a_time(self):
         self.ledger.started("e1", FIRST, 1)
         self.ledger.started("e2", FIRST, 2)
-        self.assertEqual(self.promises(), ["one run at a time"])
+        self.assertEqual(self.invariants(), ["one run at a time"])
 
-    def test_repeat_of_a_noted_end(self):
+    def test_repeat_of_an_acknowledged_end(self):
         self.run_once(FIRST)
-        self.ledger.noted(FIRST, "done", 0.0)
+        self.ledger.acknowledged(FIRST, "done", 0.0)
         self.ledger.started("e2", FIRST, 2)
-        self.assertIn("a done task is not repeated", self.promises())
+        self.assertIn("a done task is not repeated", self.invariants())
 
     def test_step_out_of_order(self):
         self.run_once(FIRST)
         self.ledger.started("e1", LAST, 1)
-        self.assertEqual(self.promises(), ["steps run in order"])
+        self.assertEqual(self.invariants(), ["steps run in order"])
 
     def test_spread_and_attempts(self):
         self.ledger.started("e1", FIRST, 1)
         self.ledger.started("e1", SECOND, 1)
-        self.assertEqual(self.promises(), ["spread over endpoints"])
+        self.assertEqual(self.invariants(), ["spread over endpoints"])
         self.ledger.ended("e1", SECOND, 1, "failed")
         self.run_once(SECOND, "e2", "failed")
         self.ledger.started("e3", SECOND, 3)
-        self.assertEqual(self.promises()[-1], "attempts are bounded")
+        self.assertEqual(self.invariants()[-1], "attempts are bounded")
 
     def test_refused_submission_that_runs(self):
         self.submission.accepted = False
         self.ledger.started("e1", FIRST, 1)
-        self.assertEqual(self.promises(), ["a refused submission never runs"])
+        self.assertEqual(self.invariants(), ["a refused submission never runs"])
 
     def test_states_without_cause(self):
         for state in ("completed", "failed", "cancelled"):
             self.submission.shown = ""
             self.ledger.shown(self.submission, state)
-        self.assertEqual(len(self.promises()), 3)
+        self.assertEqual(len(self.invariants()), 3)
         self.ledger.shown(self.submission, "running")
-        self.assertEqual(self.promises()[-1], "a final state stays")
+        self.assertEqual(self.invariants()[-1], "a final state stays")
 
     def test_work_that_is_lost_or_goes_on(self):
         self.ledger.started("e1", FIRST, 1)
@@ -74,5 +74,5 @@
         self.submission.cancelled_at = 1.0
         self.ledger.check_settled()
         self.assertEqual(
-            self.promises(), ["accepted work is finished", "cancelled work has ended"]
+            self.invariants(), ["accepted work is finished", "cancelled work has ended"]
         )
