Confirm that an endpoint is down before its work is given up

Cause (found while reading the diff): news of a crash may reach a holder later than the endpoint's restart under the same id; its settled runs would then have been given up and started a second time beside themselves.

Change: the news only counts if the endpoint does not answer a short call sent after it. The test of an endpoint that answers fails on the code before.

--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -49,6 +49,7 @@
         self.released = False
         self.leaving = False
         self._answered_at = None
+        self._checked_since = None
         self._client = client
         self._owner = owner
         self._token = token
@@ -136,13 +137,36 @@
 
     def host_down(self, since):
         """
-        Give up settled runs because the host is listed as down since a steady time.
+        Check an endpoint whose host is listed as down since a steady time.
 
-        An endpoint that has answered later has restarted under its id. A start that is
-        still under way may yet begin on such a one, so it waits for its stop.
+        The news may be older than a restart under the same id, so it only counts if the
+        endpoint does not answer a call that was sent after it.
         """
-        if self._answered_at is not None and self._answered_at >= since:
+        answered = self._answered_at is not None and self._answered_at >= since
+        if answered or self._checked_since == since:
             return
+        self._checked_since = since
+        self._spawn(self._confirm_down())
+
+    async def _confirm_down(self):
+        try:
+            await self._client.inspect(
+                self.record, self._token, None, self._acknowledged, 0
+            )
+        except OrderRefusedError as error:
+            log.info("host_not_down", endpoint=self.endpoint_id, reason=error.reason)
+        except EndpointUnreachableError:
+            self._give_up_settled()
+        else:
+            log.info("host_not_down", endpoint=self.endpoint_id, reason="answered")
+
+    def _give_up_settled(self):
+        """
+        Give up the runs of a crashed endpoint.
+
+        A start that is still under way may begin after a restart under the same id, so
+        it waits for its stop.
+        """
         self._mark_failing("host_down")
         for live in list(self.live.values()):
             if live.settled_at is not None:
--- a/tests/service/test_shard.py
+++ b/tests/service/test_shard.py
@@ -319,14 +319,15 @@
         self.fleet.crashed = {"e1": self.clock.now}
         await self.until(lambda: second.running)
 
-    async def test_endpoint_that_answered_since_is_not_given_up(self):
-        """Guards against a second run after an endpoint restarted under its id."""
+    async def test_endpoint_that_answers_is_not_given_up(self):
+        """Guards against a second run when news of a crash is older than a restart."""
         first = self.add_endpoint("e1")
         await self.start_shard()
         await self.submit(submission("6" * 16, short_step()))
         await self.until(lambda: first.running)
         second = self.add_endpoint("e2")
-        self.fleet.crashed = {"e1": self.clock.now - 1}
+        self.clock.now += 1
+        self.fleet.crashed = {"e1": self.clock.now}
         await asyncio.sleep(0.3)
         self.assertEqual(second.running, {})
 
