Wait for the process that was signalled when the soak stops a node

The node's log shows that the stopped process ended after 2.6 s; another fault had started the node again, and the first one waited for that process and killed it. The seed stays as a regression case.

--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -99,13 +99,21 @@
             self.process.send_signal(number)
 
     async def stop(self, grace_s=GRACE_S):
-        """Send SIGTERM, then SIGKILL after the grace."""
+        """
+        Send SIGTERM, then SIGKILL after the grace; return whether that was not needed.
+
+        Another fault may start the node again meanwhile, so only the process that was
+        signalled is waited for.
+        """
+        process = self.process
         self.signal(signal.SIGTERM)
         until = time.monotonic() + grace_s
-        while self.running and time.monotonic() < until:
+        while process.poll() is None and time.monotonic() < until:
             await asyncio.sleep(0.05)
-        graceful = not self.running
-        self.kill()
+        graceful = process.poll() is not None
+        if not graceful:
+            process.kill()
+            process.wait()
         return graceful
 
     def kill(self):
--- a/tests/soak/seeds.py
+++ b/tests/soak/seeds.py
@@ -3,4 +3,10 @@
 CI_SEEDS = (1, 2)
 
 # Each entry is (seed, seconds of faults, cause of the failure).
-REGRESSION_SEEDS = ()
+REGRESSION_SEEDS = (
+    (
+        51,
+        8.0,
+        "soak: two stops of one node overlapped, the second killed its successor",
+    ),
+)
