--- a/magnoliapier/modelcheck.py
+++ b/magnoliapier/modelcheck.py
@@ -18,7 +18,13 @@
 
 from magnoliapier.specification import specifications
 
-SPECIFICATION_MODULES = ("spec_ownership", "spec_manifest", "spec_claims", "spec_lease")
+SPECIFICATION_MODULES = (
+    "spec_ownership",
+    "spec_manifest",
+    "spec_claims",
+    "spec_lease",
+    "spec_shard",
+)
 
 # A runaway specification is stopped here; the largest one stays well below.
 MAX_STATES = 2_000_000
--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -167,7 +167,7 @@
 
     async def _start(self, live):
         name = str(live.task.name)
-        if not self._owner.may_act():
+        if not self._owner.may_act() or live.run.state != RunState.ORDERED:
             self._owner.run_gone(self, live, "not_sent")
             return
         order = StartOrder(
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: the real program as separate processes, under injected faults."""
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,60 @@
+"""Runs soaks of several seeds: ``python -m tests.soak --seeds 1-50``."""
+
+import asyncio
+import time
+from typing import Annotated
+
+import typer
+
+from tests.soak.seeds import CI_SEEDS, REGRESSION_SEEDS
+from tests.soak.world import World
+
+DEFAULT_SECONDS = 15.0
+DEFAULT_NODES = 3
+
+
+def parse_seeds(text):
+    """
+    Return the seeds in ``7`` or ``1-50``.
+
+    ``ci`` gives those of CI and all that ever failed, ``fresh`` one from the clock.
+    """
+    if text == "ci":
+        return [*CI_SEEDS, *(seed for seed, _, _ in REGRESSION_SEEDS)]
+    if text == "fresh":
+        return [time.time_ns() % 1_000_000]
+    first, _, last = text.partition("-")
+    return list(range(int(first), int(last or first) + 1))
+
+
+def describe(result):
+    """Return the lines that report a soak."""
+    verdict = "BROKEN" if result.violations else "ok"
+    counts = ", ".join(f"{n} {name}" for name, n in sorted(result.counts.items()))
+    yield f"seed {result.seed} {verdict}: {counts}"
+    if result.violations:
+        yield f"  faults: {'; '.join(result.faults)}"
+        yield f"  logs: {result.directory}"
+    for violation in result.violations[:20]:
+        yield f"  {violation.at:6.2f} s  {violation.promise}: {violation.detail}"
+
+
+def main(
+    seeds: Annotated[str, typer.Option(help="7, 1-50, ci or fresh")] = "fresh",
+    seconds: Annotated[float, typer.Option(help="of faults")] = DEFAULT_SECONDS,
+    nodes: Annotated[int, typer.Option(help="processes")] = DEFAULT_NODES,
+):
+    """Run the soak of each seed; fail if any promise was broken."""
+    broken = []
+    for seed in parse_seeds(seeds):
+        result = asyncio.run(World(seed, nodes).run(seconds))
+        for line in describe(result):
+            print(line, flush=True)
+        if result.violations:
+            broken.append(seed)
+    print(f"broken seeds: {broken or 'none'}")
+    raise typer.Exit(bool(broken))
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/tests/soak/endpoints.py
@@ -0,0 +1,272 @@
+"""Stand-ins of endpoints: they run tasks under leases and tell the ledger."""
+
+import asyncio
+import base64
+import contextlib
+import time
+
+import msgspec
+
+from tests.soak.proxy import LinkProxy
+from tests.soak.serving import LOOPBACK, HttpServer, cut_connection, json_answer
+
+HOLD_MAX_MS = 6000
+STOP_S = 0.1
+HEARTBEAT_S = 1.0
+LATE_ORDER_S = 1.5
+TICK_S = 0.02
+CPU = 32_000
+MEMORY_MB = 64_000
+INSTANCE_HEADER = "X-Magnoliapier-Target-Instance"
+
+
+class RunningTask(msgspec.Struct):
+    """A run on an endpoint; times are monotonic seconds."""
+
+    name: str
+    run: int
+    step: dict
+    started_at: float
+    ends_at: float | None
+    reason: str = "done"
+    stops_at: float | None = None
+
+
+class EndedTask(msgspec.Struct):
+    """An end that is listed until it is acknowledged."""
+
+    number: int
+    name: str
+    run: int
+    reason: str
+    at: float
+
+
+class EndpointFaults(msgspec.Struct):
+    """What an endpoint does wrong now."""
+
+    late_share: float = 0.0
+    fail_share: float = 0.02
+    slowdown: float = 1.0
+
+
+class EndpointStandIn:
+    """
+    One life of a host, in the pool of a service.
+
+    ``clock_rate`` is how fast its clock runs; leases are measured on it.
+    """
+
+    def __init__(self, endpoint_id, host, service, rng, store, ledger):
+        self.endpoint_id = endpoint_id
+        self.host = host
+        self.service = service
+        self.faults = EndpointFaults()
+        self.draining = False
+        self.proxy = None
+        self._rng = rng
+        self._store = store
+        self._ledger = ledger
+        self._clock_rate = rng.uniform(0.98, 1.0)
+        self._born = time.monotonic()
+        self._born_ms = int(time.time() * 1000)
+        self._running = {}
+        self._ended = []
+        self._barred = {}
+        self._next_end = 1
+        self._token = 0
+        self._lease_ms = 0
+        self._lapsed_at = 0.0
+        self._sequence = 0
+        self._end_listed = asyncio.Event()
+        self._server = HttpServer(self._answer)
+        self._tasks = []
+
+    async def start(self):
+        """Serve orders and register in the store."""
+        self.proxy = LinkProxy(await self._server.start())
+        await self.proxy.start()
+        self._tasks = [
+            asyncio.create_task(self._heartbeat()),
+            asyncio.create_task(self._work()),
+        ]
+
+    async def crash(self):
+        """End with all that runs; the row stays until the platform removes it."""
+        for task in self._tasks:
+            task.cancel()
+        self._running.clear()
+        self._ledger.gone(self.endpoint_id)
+        await self.proxy.close()
+        await self._server.close()
+
+    async def close(self):
+        """End and leave the store."""
+        await self.crash()
+        self._store.remove("servers", "", self.endpoint_id)
+
+    def _clock_ms(self):
+        return int((time.monotonic() - self._born) * 1000 * self._clock_rate) + 1000
+
+    async def _heartbeat(self):
+        while True:
+            self._sequence += 1
+            self._store.put("servers", "", self.endpoint_id, self._row())
+            await asyncio.sleep(HEARTBEAT_S)
+
+    def _row(self):
+        body = {
+            "service": self.service,
+            "address": f"{LOOPBACK}:{self.proxy.port}",
+            "zone": "zone-1",
+            "state": "draining" if self.draining else "ready",
+            "sequence": self._sequence,
+            "capacity": {"cpu": CPU, "mem_mb": MEMORY_MB, "gpu": 0},
+            "labels": ["kind-a", "rack-1"],
+            "machine": self.host,
+            "born": self._born_ms,
+        }
+        return base64.b64encode(msgspec.json.encode(body)).decode()
+
+    async def _work(self):
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = time.monotonic()
+            lapsed = self._clock_ms() > self._lease_ms
+            if lapsed:
+                self._lapsed_at = now
+            for task in list(self._running.values()):
+                if lapsed:
+                    self._end(task, "lapsed")
+                elif task.stops_at is not None and now >= task.stops_at:
+                    self._end(task, "stopped")
+                elif task.ends_at is not None and now >= task.ends_at:
+                    self._end(task, task.reason)
+
+    def _end(self, task, reason):
+        del self._running[task.name, task.run]
+        self._barred[task.name] = max(task.run, self._barred.get(task.name, 0))
+        end = EndedTask(self._next_end, task.name, task.run, reason, time.monotonic())
+        self._next_end += 1
+        self._ended.append(end)
+        self._ledger.ended(self.endpoint_id, task.name, task.run, reason)
+        self._end_listed.set()
+        self._end_listed = asyncio.Event()
+
+    async def _answer(self, request):
+        if request.headers.get(INSTANCE_HEADER) != self.endpoint_id:
+            return self._refuse("", 421)
+        body = msgspec.json.decode(await request.read())
+        handler = {
+            "/run-start": self._start_run,
+            "/run-stop": self._stop_run,
+            "/hold": self._hold,
+            "/pace": self._pace,
+        }[request.path]
+        if request.path != "/hold" and self._rng.random() < self.faults.late_share:
+            asyncio.create_task(self._execute_late(handler, body))
+            await asyncio.sleep(LATE_ORDER_S)
+            return cut_connection(request)
+        if body["fencing_token"] < self._token:
+            return self._refuse("fence")
+        self._token = body["fencing_token"]
+        return await handler(body)
+
+    async def _execute_late(self, handler, body):
+        await asyncio.sleep(self._rng.uniform(0.2, LATE_ORDER_S))
+        if body["fencing_token"] >= self._token:
+            self._token = body["fencing_token"]
+            await handler(body)
+
+    def _refuse(self, reason, status=409):
+        return json_answer({"clock_ms": self._clock_ms(), "reason": reason}, status)
+
+    def _accept(self, **fields):
+        return json_answer(
+            {"clock_ms": self._clock_ms(), "born": self._born_ms} | fields
+        )
+
+    def _extend_lease(self, deadline_ms):
+        longest = self._clock_ms() + HOLD_MAX_MS
+        self._lease_ms = max(self._lease_ms, min(deadline_ms, longest))
+
+    async def _start_run(self, body):
+        name, run = body["task"], body["run"]
+        if body["deadline_ms"] <= self._clock_ms():
+            return self._refuse("late")
+        self._extend_lease(body["deadline_ms"])
+        if (name, run) in self._running:
+            return self._accept()
+        if run <= self._barred.get(name, 0):
+            return self._refuse("old")
+        step = self._step(name)
+        if step is None:
+            self._ledger.report("no start that nobody asked for", name)
+            return self._refuse("old")
+        if not self._fits(step):
+            return self._refuse("room")
+        self._begin(name, run, step)
+        return self._accept()
+
+    def _step(self, name):
+        submission_id, _, step, _ = name.split(".")
+        submission = self._ledger.submissions.get(submission_id)
+        return submission.steps[int(step)] if submission else None
+
+    def _fits(self, step):
+        cpu = sum(task.step["cpu"] for task in self._running.values())
+        memory = sum(task.step["mem_mb"] for task in self._running.values())
+        return cpu + step["cpu"] <= CPU and memory + step["mem_mb"] <= MEMORY_MB
+
+    def _begin(self, name, run, step):
+        now = time.monotonic()
+        ends_at = None
+        if not step.get("long_running"):
+            seconds = step["estimated_ms"] / 1000 * self._rng.uniform(0.5, 2.0)
+            ends_at = now + seconds * self.faults.slowdown
+        failed = self._rng.random() < self.faults.fail_share
+        reason = "failed" if failed else "done"
+        if failed and ends_at is None:
+            ends_at = now + self._rng.uniform(0.2, 3.0)
+        self._running[name, run] = RunningTask(name, run, step, now, ends_at, reason)
+        self._ledger.started(self.endpoint_id, name, run)
+
+    async def _stop_run(self, body):
+        name, run = body["task"], body["run"]
+        task = self._running.get((name, run))
+        if task is not None and task.stops_at is None:
+            task.stops_at = time.monotonic() + STOP_S
+        self._barred[name] = max(run, self._barred.get(name, 0))
+        return self._accept()
+
+    async def _pace(self, body):
+        return self._accept()
+
+    async def _hold(self, body):
+        if body.get("deadline_ms") is not None:
+            self._extend_lease(body["deadline_ms"])
+        self._acknowledge(body["acked_through"])
+        if body.get("wait_ms") and not self._ended:
+            listed = self._end_listed
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(listed.wait(), body["wait_ms"] / 1000)
+        now = time.monotonic()
+        running = [
+            [t.name, t.run, "", self._percent(t, now), 0]
+            for t in self._running.values()
+        ]
+        ended = [[e.number, e.name, e.run, e.reason, ""] for e in self._ended]
+        return self._accept(running=running, ended=ended)
+
+    def _percent(self, task, now):
+        if task.ends_at is None or task.step.get("long_running"):
+            return 100
+        length = max(0.001, task.ends_at - task.started_at)
+        return min(99, int(100 * (now - task.started_at) / length))
+
+    def _acknowledge(self, number):
+        """Forget ends; one that outlasted the lease may have been given up before."""
+        for end in self._ended:
+            if end.number <= number and end.at > self._lapsed_at:
+                self._ledger.noted(end.name, end.reason, end.at)
+        self._ended = [end for end in self._ended if end.number > number]
--- /dev/null
+++ b/tests/soak/machines.py
@@ -0,0 +1,144 @@
+"""A stand-in of the platform's interface for machines, and the fleet behind it."""
+
+import asyncio
+
+import msgspec
+from aiohttp import web
+
+from tests.soak.endpoints import EndpointStandIn
+from tests.soak.serving import HttpServer, json_answer
+
+MOVE_S = 0.6
+HOLDER_HEADER = "X-Magnoliapier-Lease-Holder"
+TOKEN_HEADER = "X-Magnoliapier-Fencing-Token"
+RETURN_S = 1.0
+
+
+class MachineEntry(msgspec.Struct):
+    """A host of the fleet."""
+
+    name: str
+    pool: str
+    state: str = "up"
+    endpoint: object = None
+    lives: int = 0
+    token: int = 0
+    maintained: bool = False
+
+
+class MachinesStandIn:
+    """Lists hosts, moves them between pools and takes them down for maintenance."""
+
+    def __init__(self, pools, rng, store, ledger):
+        self.hosts = {}
+        self._rng = rng
+        self._store = store
+        self._ledger = ledger
+        self._tasks = set()
+        self._server = HttpServer(self._answer)
+        self.wave = ()
+        for pool, count in pools.items():
+            for _ in range(count):
+                name = f"host-{len(self.hosts)}"
+                self.hosts[name] = MachineEntry(name, pool)
+
+    async def start(self):
+        """Start all endpoints and listen; return the port."""
+        for host in self.hosts.values():
+            await self._start_endpoint(host)
+        return await self._server.start()
+
+    async def close(self):
+        """Stop everything."""
+        for task in list(self._tasks):
+            task.cancel()
+        await self._server.close()
+        for host in self.hosts.values():
+            if host.endpoint is not None:
+                await host.endpoint.close()
+
+    def endpoints(self):
+        """Return the endpoints that are up."""
+        hosts = self.hosts.values()
+        return [host.endpoint for host in hosts if host.endpoint is not None]
+
+    async def _start_endpoint(self, host):
+        host.lives += 1
+        endpoint_id = f"{host.name}-{host.lives}"
+        host.endpoint = EndpointStandIn(
+            endpoint_id, host.name, host.pool, self._rng, self._store, self._ledger
+        )
+        host.state = "up"
+        await host.endpoint.start()
+
+    async def crash(self, name):
+        """Crash a host's endpoint and bring up a new one later."""
+        host = self.hosts[name]
+        endpoint, host.endpoint, host.state = host.endpoint, None, "down"
+        if endpoint is None:
+            return
+        await endpoint.crash()
+        await asyncio.sleep(RETURN_S)
+        self._store.remove("servers", "", endpoint.endpoint_id)
+        await self._start_endpoint(host)
+
+    async def _answer(self, request):
+        if request.path == "/machines":
+            return json_answer({"machines": [entry(h) for h in self.hosts.values()]})
+        body = msgspec.json.decode(await request.read())
+        host = self.hosts.get(body["machine"])
+        if host is None:
+            return web.Response(status=400)
+        if host.state != "up":
+            return json_answer({"reason": "busy"}, 409)
+        self._check_token(host, int(request.headers[TOKEN_HEADER]))
+        if request.path == "/machine-move":
+            return await self._move(host, body["pool"])
+        return await self._maintain(host)
+
+    def _check_token(self, host, token):
+        if token < host.token:
+            detail = f"{host.name}: token {token} after {host.token}"
+            self._ledger.report("one holder orders a host", detail)
+        host.token = max(host.token, token)
+
+    async def _move(self, host, pool):
+        if host.pool != pool:
+            host.pool = pool
+            self._ledger.count("moves")
+            await self._restart(host, "moving")
+        return json_answer({})
+
+    async def _maintain(self, host):
+        down = sum(h.state == "upkeep" for h in self.hosts.values())
+        if down >= 1:
+            self._ledger.report("one host of the wave is down at a time", host.name)
+        host.maintained = True
+        self._ledger.count("maintained")
+        await self._restart(host, "upkeep")
+        return json_answer({})
+
+    async def _restart(self, host, state):
+        endpoint, host.endpoint, host.state = host.endpoint, None, state
+        await endpoint.close()
+        task = asyncio.create_task(self._return(host))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _return(self, host):
+        await asyncio.sleep(MOVE_S)
+        await self._start_endpoint(host)
+
+
+def entry(host):
+    """Return a host's entry of the list."""
+    endpoint = host.endpoint
+    return {
+        "machine": host.name,
+        "pool": host.pool,
+        "state": host.state,
+        "zone": "zone-1",
+        "labels": ["kind-a", "rack-1"],
+        "capacity": {"cpu": 32000, "mem_mb": 64000, "gpu": 0},
+        "id": endpoint.endpoint_id if endpoint else None,
+    }
--- /dev/null
+++ b/tests/soak/proxy.py
@@ -0,0 +1,92 @@
+"""A TCP proxy on loopback that delays, resets, cuts one way or silences connections."""
+
+import asyncio
+from enum import StrEnum
+
+from tests.soak.serving import LOOPBACK
+
+CHUNK = 65_536
+POLL_S = 0.05
+
+
+class LinkFault(StrEnum):
+    """What a link does to the bytes that pass."""
+
+    NONE = "none"
+    DELAY = "delay"
+    RESET = "reset"
+    CUT_REQUESTS = "cut_requests"
+    CUT_ANSWERS = "cut_answers"
+    SILENT = "silent"
+
+
+class LinkProxy:
+    """
+    Forwards connections to one address.
+
+    Bytes that a cut holds back are delivered when the link is whole again, as a network
+    retransmits them, unless the connection has been closed meanwhile.
+    """
+
+    def __init__(self, target_port):
+        self._target_port = target_port
+        self._server = None
+        self._writers = set()
+        self._fault = LinkFault.NONE
+        self.delay_s = 0.15
+        self.port = 0
+
+    async def start(self):
+        """Listen; return the port."""
+        self._server = await asyncio.start_server(self._accept, LOOPBACK, 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self.port
+
+    async def close(self):
+        """Stop listening and end all connections."""
+        self._server.close()
+        self._abort_all()
+
+    def break_link(self, fault):
+        """Apply a fault from now on; a reset also ends open connections."""
+        self._fault = fault
+        if fault == LinkFault.RESET:
+            self._abort_all()
+
+    def _abort_all(self):
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _accept(self, reader, writer):
+        if self._fault == LinkFault.RESET:
+            writer.transport.abort()
+            return
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                LOOPBACK, self._target_port
+            )
+        except OSError:
+            writer.transport.abort()
+            return
+        both = {writer, far_writer}
+        self._writers |= both
+        requests = self._pump(reader, far_writer, LinkFault.CUT_REQUESTS)
+        answers = self._pump(far_reader, writer, LinkFault.CUT_ANSWERS)
+        try:
+            await asyncio.gather(requests, answers)
+        finally:
+            self._writers -= both
+
+    async def _pump(self, reader, writer, own_cut):
+        try:
+            while data := await reader.read(CHUNK):
+                while self._fault in (own_cut, LinkFault.SILENT):
+                    await asyncio.sleep(POLL_S)
+                if self._fault == LinkFault.DELAY:
+                    await asyncio.sleep(self.delay_s)
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            writer.transport.abort()
+        finally:
+            writer.close()
--- /dev/null
+++ b/tests/soak/seeds.py
@@ -0,0 +1,6 @@
+"""Seeds that are run again: a few in CI, and each one that ever broke a promise."""
+
+CI_SEEDS = (1, 2)
+
+# Each entry is (seed, seconds of faults, cause of the failure).
+REGRESSION_SEEDS = ()
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,194 @@
+"""One soak: the processes, the stand-ins around them, a load and a series of faults."""
+
+import asyncio
+import base64
+import random
+import tempfile
+from pathlib import Path
+
+import msgspec
+
+from tests.soak.callers import MAX_ATTEMPTS, Callers
+from tests.soak.faults import FAULTS
+from tests.soak.ledger import Ledger
+from tests.soak.machines import MachinesStandIn
+from tests.soak.nodes import Node, all_ready
+from tests.soak.store import StoreStandIn
+
+START_LIMIT_S = 20.0
+WARM_UP_S = 2.0
+FAULT_GAP_S = 1.6
+FAULT_S = (0.5, 4.0)
+SETTLE_S = 25.0  # the leases of shards and endpoints, and a takeover, several times
+SETTLE_STEP_S = 1.0
+POOLS = {"alpha": 4, "beta": 4, "idle": 2}
+
+
+class QueueRoute(msgspec.Struct):
+    """A queue as callers address it."""
+
+    host: str
+    path_prefix: str
+    service: str
+
+    def body(self):
+        """Return the queue's route in the configuration."""
+        return {
+            "name": f"queue-{self.service}",
+            "host": self.host,
+            "path_prefix": self.path_prefix,
+            "service": self.service,
+            "max_attempts": MAX_ATTEMPTS,
+            "stretch": 2.0,
+            "target_completion_ms": 2000,
+        }
+
+
+class SoakResult(msgspec.Struct):
+    """What one soak did and found."""
+
+    seed: int
+    faults: list
+    counts: dict
+    violations: list
+    directory: str
+
+
+class World:
+    """
+    Everything that one seed runs.
+
+    Example::
+
+        result = asyncio.run(World(seed=7, nodes=3, directory=path).run(15.0))
+        assert not result.violations
+    """
+
+    def __init__(self, seed, nodes, directory=None):
+        self.seed = seed
+        self.waves = []
+        self.ledger = Ledger()
+        self._rng = random.Random(seed)
+        self._directory = Path(directory or tempfile.mkdtemp(prefix="soak-"))
+        self.store = StoreStandIn(self._child_rng())
+        self.machines = MachinesStandIn(
+            POOLS, self._child_rng(), self.store, self.ledger
+        )
+        self._node_count = nodes
+        self.nodes = []
+        self._queues = [
+            QueueRoute(f"{service}.example", "/work/", service)
+            for service in ("alpha", "beta")
+        ]
+        self._version = 1
+        self._callers = None
+        self._injected = []
+
+    def _child_rng(self):
+        return random.Random(self._rng.getrandbits(64))
+
+    def endpoints(self):
+        """Return the endpoints that are up."""
+        return self.machines.endpoints()
+
+    def disturb_all(self):
+        """Take note of a disturbance of all nodes."""
+        for node in self.nodes:
+            node.disturb()
+
+    def configure(self, extra_routes):
+        """Write a newer configuration, as the operator does."""
+        self._version += 3
+        services = [{"name": name, "standby": name == "idle"} for name in POOLS]
+        routes = [queue.body() for queue in self._queues] + extra_routes
+        body = {"version": self._version, "routes": routes, "services": services}
+        value = base64.b64encode(msgspec.json.encode(body)).decode()
+        self.store.put("op", "", "config", value)
+
+    async def run(self, seconds):
+        """Run the soak and return its result."""
+        try:
+            await self._start()
+            await asyncio.sleep(WARM_UP_S)
+            await self._inject(seconds)
+            await self._settle()
+        finally:
+            await self._close()
+        return SoakResult(
+            self.seed,
+            self._injected,
+            self.ledger.counts,
+            self.ledger.violations,
+            str(self._directory),
+        )
+
+    async def _start(self):
+        store_port = await self.store.start()
+        self.configure([])
+        machines_port = await self.machines.start()
+        for index in range(self._node_count):
+            node = Node(index, self._directory, store_port, machines_port)
+            self.nodes.append(node)
+            await node.start()
+        missing = await all_ready(self.nodes, START_LIMIT_S)
+        if missing:
+            names = [node.name for node in missing]
+            self.ledger.report("all nodes become ready", str(names))
+        self._callers = Callers(
+            self.nodes, self._queues, self._child_rng(), self.ledger
+        )
+        await self._callers.start()
+
+    async def _inject(self, seconds):
+        """Inject faults in series that overlap, until all have ended."""
+        rng = self._child_rng()
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        running = []
+        while loop.time() < until:
+            name = rng.choice(sorted(FAULTS))
+            lasting = rng.uniform(*FAULT_S)
+            self._injected.append(f"{name} {lasting:.1f}")
+            fault = FAULTS[name](self, self._fault_rng(rng), lasting)
+            running.append(asyncio.create_task(fault))
+            await asyncio.sleep(rng.expovariate(1 / FAULT_GAP_S))
+        await asyncio.gather(*running)
+
+    def _fault_rng(self, rng):
+        return random.Random(rng.getrandbits(64))
+
+    async def _settle(self):
+        """Let work finish, then check what must hold without disturbance."""
+        missing = await all_ready(self.nodes, START_LIMIT_S)
+        for node in missing:
+            self.ledger.report("all nodes become ready again", node.name)
+        finishing = asyncio.create_task(self._callers.stop_submitting())
+        for _ in range(int(SETTLE_S / SETTLE_STEP_S)):
+            if finishing.done():
+                break
+            await asyncio.sleep(SETTLE_STEP_S)
+        await asyncio.sleep(3 * SETTLE_STEP_S)
+        finishing.cancel()
+        self.ledger.check_settled()
+        self._check_wave()
+
+    def _check_wave(self):
+        if not self.waves:
+            return
+        value = self.store.value("status", "", "wave/1")
+        state = msgspec.json.decode(base64.b64decode(value))["state"] if value else ""
+        hosts = [self.machines.hosts[name] for name in self.waves[0]]
+        maintained = all(host.maintained for host in hosts)
+        if state == "completed" and not maintained:
+            self.ledger.report("a completed wave has maintained all hosts", state)
+        if not maintained:
+            missing = [host.name for host in hosts if not host.maintained]
+            self.ledger.report("a wave is carried out", str(missing))
+
+    async def _close(self):
+        if self._callers is not None:
+            await self._callers.close()
+        for node in self.nodes:
+            await node.close()
+        await self.machines.close()
+        await self.store.close()
