Log when a host order leaves and ends, and what was left of its lease

When orders are sent has not changed. The orders' sending moved from service.fleet to service.host_orders.

--- a/magnoliapier/platform/machines.py
+++ b/magnoliapier/platform/machines.py
@@ -49,18 +49,29 @@
             raise StoreUnavailableError(f"Retry later; the host list gave {status}.")
         return wire.decode(wire.MachinePage, data)
 
-    async def move(self, host, service, token):
-        """Move a host to the pool of a service."""
-        await self._order("/machine-move", wire.MoveBody(host, service), token)
+    async def move(self, host, service, token, sending):
+        """
+        Move a host to the pool of a service.
 
-    async def maintain(self, host, wave, token):
-        """Take a host down for its maintenance in a wave."""
-        await self._order("/machine-upkeep", wire.UpkeepBody(host, wave), token)
+        ``sending()`` is called just before the order's bytes are written.
+        """
+        await self._order("/machine-move", wire.MoveBody(host, service), token, sending)
 
-    async def _order(self, path, body, token):
-        headers = {wire.HOLDER_HEADER: self._holder, wire.TOKEN_HEADER: str(token)}
+    async def maintain(self, host, wave, token, sending):
+        """Take a host down for its maintenance in a wave; see ``move``."""
+        await self._order(
+            "/machine-upkeep", wire.UpkeepBody(host, wave), token, sending
+        )
+
+    async def _order(self, path, body, token, sending):
+        data = wire.encode(body)
+        headers = {
+            wire.HOLDER_HEADER: self._holder,
+            wire.TOKEN_HEADER: str(token),
+            "Content-Length": str(len(data)),
+        }
         url = URL(f"{self._base}{path}")
-        status, data = await self._call("POST", url, wire.encode(body), headers)
+        status, data = await self._call("POST", url, _written(data, sending), headers)
         if status == 200:
             return
         if status in NOTHING_DONE:
@@ -90,6 +101,12 @@
         return status, content
 
 
+async def _written(data, sending):
+    """Yield a request's body; the client writes the headers together with it."""
+    sending()
+    yield data
+
+
 def decode_hosts(page):
     """Yield the hosts of a page; log and leave out those of an unknown state."""
     for machine in page.machines:
--- a/magnoliapier/service/fleet.py
+++ b/magnoliapier/service/fleet.py
@@ -7,17 +7,12 @@
 
 import asyncio
 
-from magnoliapier.exceptions import (
-    FencedError,
-    HostOrderRefusedError,
-    PlatformError,
-    StoreOutcomeUnknownError,
-    StoreUnavailableError,
-)
+from magnoliapier.exceptions import FencedError, PlatformError
 from magnoliapier.logs import get_logger
 from magnoliapier.pools.planner import FleetPlanner, Maintain
 from magnoliapier.pools.report import PLAN_KEY, FleetPlan, decode_plan, encode
 from magnoliapier.service.background import cancel_tasks
+from magnoliapier.service.host_orders import HostOrderOutcome, HostOrderSender
 from magnoliapier.service.leases import FLEET_SHARD
 from magnoliapier.state.commit import FencedCommitter
 from magnoliapier.state.lease import CONTROL_TABLE
@@ -46,7 +41,9 @@
         self._machines = deps.machines
         self._store = deps.store
         self._clock = deps.boottime
-        self._metrics = deps.metrics
+        self._sender = HostOrderSender(
+            deps.machines, lease, deps.boottime, deps.metrics
+        )
         self._wave_status = deps.wave_status
         self._view = view
         self._on_lost = on_lost
@@ -132,20 +129,11 @@
     async def _send(self, order):
         self._planner.ordered(order, self._clock())
         self._listed_at = None
-        try:
-            if isinstance(order, Maintain):
-                await self._machines.maintain(order.host, order.wave, self.lease.token)
-                self._planner.maintenance_begun(order)
-            else:
-                await self._machines.move(order.host, order.service, self.lease.token)
-        except (HostOrderRefusedError, StoreUnavailableError) as error:
+        outcome = await self._sender.send(order)
+        if outcome == HostOrderOutcome.REFUSED:
             self._planner.refused(order)
-            log.info("host_order_refused", order=order, error=error)
-        except StoreOutcomeUnknownError as error:
-            log.warning("host_order_unanswered", order=order, error=error)
-        else:
-            log.info("host_ordered", order=order, token=self.lease.token)
-        self._metrics.count("host_orders_total", kind=type(order).__name__)
+        elif outcome == HostOrderOutcome.DONE and isinstance(order, Maintain):
+            self._planner.maintenance_begun(order)
 
     async def _commit_plan(self):
         plan = FleetPlan(
--- a/magnoliapier/service/leases.py
+++ b/magnoliapier/service/leases.py
@@ -155,6 +155,10 @@
             self._identity.holder, self._identity.process, self._identity.address, token
         )
         sent_at = self._clock()
+        details = {
+            "previous": view.record.holder if view.record else "",
+            "unchanged_ms": view.unchanged_ms(sent_at),
+        }
         try:
             version = await self._write(shard, record, view.version)
         except (StoreUnavailableError, StoreOutcomeUnknownError) as error:
@@ -168,7 +172,7 @@
         view.observe(record, version, self._clock())
         self._held.add(shard)
         self._taken_at = self._clock()
-        log.info("shard_taken", shard=shard, token=token)
+        log.info("shard_taken", shard=shard, token=token, **details)
         self._on_taken(shard, lease)
         return True
 
--- a/magnoliapier/state/lease.py
+++ b/magnoliapier/state/lease.py
@@ -81,6 +81,11 @@
             return True
         return now - self.unchanged_since >= LEASE_TTL_S
 
+    def unchanged_ms(self, now):
+        """Return for how long the row has been the same, 0 if it was never read."""
+        since = now if self.unchanged_since is None else self.unchanged_since
+        return round((now - since) * 1000)
+
     def left_by_predecessor(self, holder, process):
         """Return whether the holder is an earlier process on the same host."""
         record = self.record
@@ -114,13 +119,14 @@
 
     def may_act(self, now):
         """Return whether no other host can hold the shard yet."""
-        return self._valid_for(now) > ACTING_MARGIN_S
+        return self.valid_for(now) > ACTING_MARGIN_S
 
     def may_order_slowly(self, now):
         """Return whether an order without an answer ends before another can hold."""
-        return self._valid_for(now) > SLOW_ORDER_S
+        return self.valid_for(now) > SLOW_ORDER_S
 
-    def _valid_for(self, now):
+    def valid_for(self, now):
+        """Return for how many seconds no other host can hold the shard."""
         if self._renewed_at is None:
             return 0.0
         return LEASE_TTL_S - (now - self._renewed_at)
--- /dev/null
+++ b/tests/platform/test_machines.py
@@ -0,0 +1,62 @@
+import unittest
+
+import msgspec
+from aiohttp import web
+
+from magnoliapier.exceptions import HostOrderRefusedError, StoreUnavailableError
+from magnoliapier.metrics import Metrics
+from magnoliapier.platform.http import open_session
+from magnoliapier.platform.machines import MachineClient
+from tests.soak.serving import HttpServer, json_answer
+
+HOLDER = "X-Magnoliapier-Lease-Holder"
+TOKEN = "X-Magnoliapier-Fencing-Token"
+
+
+def nothing():
+    """Stand for the callback that is told of an order's sending."""
+
+
+class MachineClientTests(unittest.IsolatedAsyncioTestCase):
+    """The client against a stand-in that answers as the platform's page says."""
+
+    async def asyncSetUp(self):
+        self.events = []
+        self.answer = json_answer({})
+        self.server = HttpServer(self.serve)
+        port = await self.server.start()
+        self.session = open_session()
+        self.client = MachineClient(
+            self.session, f"127.0.0.1:{port}", "node-1", Metrics()
+        )
+
+    async def asyncTearDown(self):
+        await self.session.close()
+        await self.server.close()
+
+    async def serve(self, request):
+        body = msgspec.json.decode(await request.read())
+        headers = (request.headers[HOLDER], request.headers[TOKEN])
+        self.events.append((request.path, body, headers))
+        return self.answer
+
+    async def test_move(self):
+        """Guards against an order that the platform cannot read or attribute."""
+        await self.client.move("h1", "desk", 7, lambda: self.events.append("sending"))
+        expected = ("/machine-move", {"machine": "h1", "pool": "desk"}, ("node-1", "7"))
+        self.assertEqual(self.events, ["sending", expected])
+
+    async def test_maintain(self):
+        """Guards against maintenance that is ordered for another wave."""
+        await self.client.maintain("h1", 3, 7, nothing)
+        expected = ("/machine-upkeep", {"machine": "h1", "wave": 3}, ("node-1", "7"))
+        self.assertEqual(self.events, [expected])
+
+    async def test_refusals(self):
+        """Guards against a refused order that is taken for one under way."""
+        self.answer = json_answer({"reason": "busy"}, 409)
+        with self.assertRaises(HostOrderRefusedError):
+            await self.client.move("h1", "desk", 7, nothing)
+        self.answer = web.Response(status=429)
+        with self.assertRaises(StoreUnavailableError):
+            await self.client.move("h1", "desk", 7, nothing)
--- /dev/null
+++ b/tests/service/test_host_orders.py
@@ -0,0 +1,81 @@
+import unittest
+
+import logbook
+
+from magnoliapier.exceptions import (
+    HostOrderRefusedError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from magnoliapier.metrics import Metrics
+from magnoliapier.pools.planner import Maintain, Move
+from magnoliapier.service.host_orders import HostOrderOutcome, HostOrderSender
+from magnoliapier.state.lease import HeldLease, LeaseRecord
+from tests.service.fakes import FakeClock
+
+ANSWER_S = 0.25
+
+
+class FakeMachines:
+    """The client of the platform's interface for hosts; each call takes a while."""
+
+    def __init__(self, clock):
+        self.error = None
+        self.orders = []
+        self._clock = clock
+
+    async def move(self, host, service, token, sending):
+        await self._order((host, service, token), sending)
+
+    async def maintain(self, host, wave, token, sending):
+        await self._order((host, wave, token), sending)
+
+    async def _order(self, order, sending):
+        sending()
+        self.orders.append(order)
+        self._clock.now += ANSWER_S
+        if self.error is not None:
+            raise self.error
+
+
+class HostOrderSenderTests(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.clock = FakeClock(10.0)
+        self.machines = FakeMachines(self.clock)
+        lease = HeldLease(LeaseRecord("host-1", "p", "127.0.0.1:1", 7))
+        lease.renewed(1, sent_at=10.0)
+        self.sender = HostOrderSender(self.machines, lease, self.clock, Metrics())
+
+    async def test_orders_carry_the_token(self):
+        """Guards against orders that cannot be told from another holder's."""
+        await self.sender.send(Move("h1", "desk"))
+        await self.sender.send(Maintain("h2", 3))
+        self.assertEqual(self.machines.orders, [("h1", "desk", 7), ("h2", 3, 7)])
+
+    async def test_outcomes(self):
+        """Guards against an unanswered order that is taken for a refused one."""
+        cases = [
+            (None, HostOrderOutcome.DONE),
+            (HostOrderRefusedError("busy"), HostOrderOutcome.REFUSED),
+            (StoreUnavailableError("429"), HostOrderOutcome.REFUSED),
+            (StoreOutcomeUnknownError("silent"), HostOrderOutcome.UNANSWERED),
+        ]
+        for error, outcome in cases:
+            self.machines.error = error
+            self.assertEqual(await self.sender.send(Move("h1", "desk")), outcome)
+
+    async def test_lines_tell_when_an_order_left_and_ended(self):
+        """
+        Guards against an incident in which two holders' orders cannot be put in order.
+
+        An order that got no answer needs its token and what was left of the lease, when
+        it left and when its call ended.
+        """
+        self.machines.error = StoreOutcomeUnknownError("silent")
+        with logbook.TestHandler() as handler:
+            await self.sender.send(Move("h1", "desk"))
+        sent, ended = handler.formatted_records
+        self.assertIn("event=host_order_sent", sent)
+        self.assertIn("token=7 took_ms=0 lease_left_ms=2200", sent)
+        self.assertIn("event=host_order_unanswered", ended)
+        self.assertIn("token=7 took_ms=250 lease_left_ms=1950", ended)
