--- a/tests/platform/test_machines.py
+++ b/tests/platform/test_machines.py
@@ -1,9 +1,14 @@
+import asyncio
 import unittest
 
 import msgspec
 from aiohttp import web
 
-from magnoliapier.exceptions import HostOrderRefusedError, StoreUnavailableError
+from magnoliapier.exceptions import (
+    HostOrderRefusedError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
 from magnoliapier.metrics import Metrics
 from magnoliapier.platform.http import open_session
 from magnoliapier.platform.machines import MachineClient
@@ -60,3 +65,44 @@
         self.answer = web.Response(status=429)
         with self.assertRaises(StoreUnavailableError):
             await self.client.move("h1", "desk", 7, nothing)
+
+
+class UnansweredOrderTests(unittest.IsolatedAsyncioTestCase):
+    """The client against a stand-in that reads an order and never answers it."""
+
+    async def asyncSetUp(self):
+        self.ends = asyncio.Queue()
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        port = self.server.sockets[0].getsockname()[1]
+        self.session = open_session()
+        self.client = MachineClient(
+            self.session, f"127.0.0.1:{port}", "node-1", Metrics()
+        )
+
+    async def asyncTearDown(self):
+        await self.session.close()
+        self.server.close()
+
+    async def serve(self, reader, writer):
+        """Put down how the connection ends: closed, or reset by its other side."""
+        try:
+            while await reader.read(1000):
+                pass
+        except ConnectionResetError:
+            self.ends.put_nowait("reset")
+        else:
+            self.ends.put_nowait("closed")
+        writer.transport.abort()
+
+    # Fails: the connection is closed, and its bytes stay in the kernel (issue 16).
+    @unittest.expectedFailure
+    async def test_order_without_answer_resets_its_connection(self):
+        """
+        Guards against an order that arrives after its call has ended.
+
+        The kernel goes on sending what a connection that was closed has left, and a cut
+        that ends delivers it seconds later, after orders of a successor.
+        """
+        with self.assertRaises(StoreOutcomeUnknownError):
+            await self.client.move("h1", "desk", 7, nothing)
+        self.assertEqual(await asyncio.wait_for(self.ends.get(), 1.0), "reset")
