Check the lease as a host order's bytes are written

The lease was checked once for up to 16 orders, before a connection was open. A process that is paused after the check, or a connection that takes its time, let an order leave with less of the lease than it may take, and after a successor's orders.

The body of an order is now let go by the sender just before the HTTP client writes it, and withheld with LeaseTooShortError otherwise.

Before: test_order_that_outlasts_the_lease_is_withheld and test_withheld_order_is_not_sent fail (the order is sent; the client says that it may have been carried out).

--- a/magnoliapier/exceptions.py
+++ b/magnoliapier/exceptions.py
@@ -124,6 +124,10 @@
         super().__init__(f"Choose another endpoint or run: {reason} {detail}".rstrip())
 
 
+class LeaseTooShortError(MagnoliapierError):
+    """An order was not sent because its holder's lease ends too soon."""
+
+
 class HostOrderRefusedError(PlatformError):
     """
     The platform refused an order for a host and did nothing.
--- a/magnoliapier/platform/machines.py
+++ b/magnoliapier/platform/machines.py
@@ -53,7 +53,8 @@
         """
         Move a host to the pool of a service.
 
-        ``sending()`` is called just before the order's bytes are written.
+        ``sending()`` is called just before the order's bytes are written; if it raises
+        an error, they are not.
         """
         await self._order("/machine-move", wire.MoveBody(host, service), token, sending)
 
@@ -70,8 +71,15 @@
             wire.TOKEN_HEADER: str(token),
             "Content-Length": str(len(data)),
         }
-        url = URL(f"{self._base}{path}")
-        status, data = await self._call("POST", url, _written(data, sending), headers)
+        guarded = _GuardedBody(data, sending)
+        try:
+            status, data = await self._call(
+                "POST", URL(f"{self._base}{path}"), guarded, headers
+            )
+        except StoreOutcomeUnknownError as error:
+            if guarded.released:
+                raise
+            raise StoreUnavailableError(f"Order again; not sent: {error}") from error
         if status == 200:
             return
         if status in NOTHING_DONE:
@@ -101,10 +109,23 @@
         return status, content
 
 
-async def _written(data, sending):
-    """Yield a request's body; the client writes the headers together with it."""
-    sending()
-    yield data
+class _GuardedBody:
+    """
+    A request's body that is let go just before its bytes are written.
+
+    The HTTP client writes the headers together with it, so nothing has left while
+    ``released`` is not set.
+    """
+
+    def __init__(self, data, sending):
+        self.released = False
+        self._data = data
+        self._sending = sending
+
+    async def __aiter__(self):
+        self._sending()
+        self.released = True
+        yield self._data
 
 
 def decode_hosts(page):
--- a/magnoliapier/service/host_orders.py
+++ b/magnoliapier/service/host_orders.py
@@ -1,6 +1,9 @@
 """
 Sending the fleet controller's orders, and the log lines that explain them.
 
+Whether the lease covers an order is checked as its bytes are written: what comes before
+that may take any time, as the process may be paused.
+
 An order's lines say when its bytes left the process and when its call ended, each with
 what was left of the holder's lease, so that orders of two holders can be put in order
 from the logs of both.
@@ -10,6 +13,7 @@
 
 from magnoliapier.exceptions import (
     HostOrderRefusedError,
+    LeaseTooShortError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
@@ -37,7 +41,7 @@
         self._metrics = metrics
 
     async def send(self, order):
-        """Send an order and return its HostOrderOutcome."""
+        """Send an order if the lease covers it; return its HostOrderOutcome."""
         started_at = self._clock()
         try:
             await self._call(order, lambda: self._sending(order, started_at))
@@ -68,6 +72,8 @@
             await self._machines.move(order.host, order.service, token, sending)
 
     def _sending(self, order, started_at):
+        if not self._lease.may_order_slowly(self._clock()):
+            raise LeaseTooShortError(f"Renew the lease before {order} is sent.")
         log.info("host_order_sent", **self._details(order, started_at))
 
     def _details(self, order, started_at):
--- a/tests/platform/test_machines.py
+++ b/tests/platform/test_machines.py
@@ -6,6 +6,7 @@
 
 from magnoliapier.exceptions import (
     HostOrderRefusedError,
+    LeaseTooShortError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
@@ -57,6 +58,17 @@
         expected = ("/machine-upkeep", {"machine": "h1", "wave": 3}, ("node-1", "7"))
         self.assertEqual(self.events, [expected])
 
+    async def test_withheld_order_is_not_sent(self):
+        """Guards against an order that leaves after its holder's lease."""
+
+        def withhold():
+            raise LeaseTooShortError("the lease ends too soon")
+
+        with self.assertRaises(StoreUnavailableError):
+            await self.client.move("h1", "desk", 7, withhold)
+        await self.client.move("h2", "desk", 7, nothing)
+        self.assertEqual([body["machine"] for _, body, _ in self.events], ["h2"])
+
     async def test_refusals(self):
         """Guards against a refused order that is taken for one under way."""
         self.answer = json_answer({"reason": "busy"}, 409)
--- a/tests/service/test_host_orders.py
+++ b/tests/service/test_host_orders.py
@@ -4,13 +4,19 @@
 
 from magnoliapier.exceptions import (
     HostOrderRefusedError,
+    LeaseTooShortError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
 from magnoliapier.metrics import Metrics
 from magnoliapier.pools.planner import Maintain, Move
 from magnoliapier.service.host_orders import HostOrderOutcome, HostOrderSender
-from magnoliapier.state.lease import HeldLease, LeaseRecord
+from magnoliapier.state.lease import (
+    LEASE_TTL_S,
+    SLOW_ORDER_S,
+    HeldLease,
+    LeaseRecord,
+)
 from tests.service.fakes import FakeClock
 
 ANSWER_S = 0.25
@@ -64,6 +70,18 @@
             self.machines.error = error
             self.assertEqual(await self.sender.send(Move("h1", "desk")), outcome)
 
+    async def test_order_that_outlasts_the_lease_is_withheld(self):
+        """
+        Guards against a lease that is checked before a pause and used after it.
+
+        The check belongs to the moment at which the bytes are written: opening a
+        connection or a paused process may take the rest of the lease.
+        """
+        self.clock.now += LEASE_TTL_S - SLOW_ORDER_S + 0.01
+        with self.assertRaises(LeaseTooShortError):
+            await self.sender.send(Move("h1", "desk"))
+        self.assertEqual(self.machines.orders, [])
+
     async def test_lines_tell_when_an_order_left_and_ended(self):
         """
         Guards against an incident in which two holders' orders cannot be put in order.
