Record hosts before they are ordered, and leave a former holder's hosts alone

A token check does not help, as the platform makes none.

The plan row names the hosts that are about to be ordered or were lately; it is committed under the lease before the first order leaves. A successor reads it after its takeover and bars these hosts for lease_ms of the settings and half a second more; it orders all others at once. A record is kept as long after its order's end.

Before: with the wait taken out, test_successor_waits_before_it_orders_a_host_of_its_predecessor and test_third_holder_waits_for_the_first_one_s_orders fail. Cost: a host that was ordered in the last seconds before a takeover waits for 3.5 s after it.

--- a/magnoliapier/platform/__main__.py
+++ b/magnoliapier/platform/__main__.py
@@ -51,6 +51,7 @@
     endpoint_lease_ms: int
     keep_final_s: float
     weak: bool
+    host_order_gap_s: float
 
 
 def decode_endpoint(endpoint_id, data):
@@ -93,6 +94,7 @@
             min(boot.bounds.hold_max_ms, ENDPOINT_LEASE_MS),
             boot.bounds.status_s * KEEP_FINAL_FACTOR,
             boot.limits.weak,
+            boot.bounds.lease_ms / 1000,
         )
         self._node = Node(clients, settings, self._metrics)
         self._ingress = Ingress(self._node, boot.listen, self._metrics)
--- a/magnoliapier/platform/boot.py
+++ b/magnoliapier/platform/boot.py
@@ -25,6 +25,7 @@
 
     hold_max_ms: int = 6000  # longest lease of an endpoint
     status_s: float = 120  # how long a final state is kept
+    lease_ms: int = 3000  # least time between two holders' orders for one host
 
 
 class StoreSettings(msgspec.Struct):
--- a/magnoliapier/pools/planner.py
+++ b/magnoliapier/pools/planner.py
@@ -54,14 +54,20 @@
         self._reports = {}
         self._waves = ()
         self._standby = None
+        self._barred = ()
 
-    def update(self, hosts, reports, waves, standby, now):
-        """Take in what is known now, and settle orders that have taken effect."""
+    def update(self, hosts, reports, waves, standby, now, barred=()):
+        """
+        Take in what is known now, and settle orders that have taken effect.
+
+        ``barred`` names hosts that must not be ordered yet.
+        """
         self._crashes.update(hosts, self._pending, now)
         self._hosts = {host.name: host for host in hosts}
         self._reports = reports
         self._waves = waves
         self._standby = standby
+        self._barred = barred
         for name, pending in list(self._pending.items()):
             host = self._hosts.get(name)
             if host is None or self._settled(host, pending, now):
@@ -123,6 +129,8 @@
         """Return whether a host can be taken without ending any work."""
         if host.state != HostState.UP or host.name in self._pending:
             return False
+        if host.name in self._barred:
+            return False
         if host.service == self._standby:
             return True
         report = self._reports.get(host.service)
--- a/magnoliapier/service/fleet.py
+++ b/magnoliapier/service/fleet.py
@@ -1,14 +1,17 @@
 """
 The controller of the fleet: it moves hosts between pools and runs waves.
 
-One host at a time holds the fleet's lease. It orders only while the lease lasts longer
-than an order can take, so that none of its orders arrives after a successor's.
+One host at a time holds the fleet's lease. The platform carries out orders whoever
+sends them, so the controller keeps the orders of two holders apart itself: it records a
+host before it orders it, orders only while the lease lasts longer than an order can
+take, and leaves recorded hosts alone until a former holder's orders are past.
 """
 
 import asyncio
 
 from magnoliapier.exceptions import FencedError, PlatformError
 from magnoliapier.logs import get_logger
+from magnoliapier.pools.handover import OrderedHosts
 from magnoliapier.pools.planner import FleetPlanner, Maintain
 from magnoliapier.pools.report import PLAN_KEY, FleetPlan, decode_plan, encode
 from magnoliapier.service.background import cancel_tasks
@@ -22,6 +25,7 @@
 BUSY_LIST_INTERVAL_S = 0.4
 IDLE_LIST_INTERVAL_S = 1.0
 RETRY_DELAY_S = 0.2
+ORDER_SETTLE_S = 0.5  # an order may be on its way still as its call ends
 CONCURRENT_ORDERS = 16  # a quarter of what the platform accepts in a second
 
 log = get_logger(__name__)
@@ -48,7 +52,9 @@
         self._view = view
         self._on_lost = on_lost
         self._committer = FencedCommitter(deps.store, FLEET_SHARD, lease, deps.boottime)
+        self._order_gap_s = deps.host_order_gap_s + ORDER_SETTLE_S
         self._planner = FleetPlanner()
+        self._ordered = OrderedHosts()
         self._plan = FleetPlan()
         self._listed_at = None
         self._hosts = []
@@ -95,6 +101,10 @@
         if changes.rows:
             self._plan = decode_plan(changes.rows[0].value)
         self._planner = FleetPlanner(self._plan.maintained)
+        self._ordered = OrderedHosts(
+            self._plan.ordered, self._clock(), self._order_gap_s
+        )
+        log.info("fleet_loaded", barred=len(self._plan.ordered))
 
     async def _tick(self):
         await self._commit_plan()
@@ -106,16 +116,35 @@
             self._view.waves(),
             self._view.standby(),
             now,
+            self._ordered.barred(now),
         )
         await self._commit_plan()
         orders = self._planner.orders()
+        if orders:
+            await self._order(orders)
+            await self._commit_plan()
+        await self._write_wave_states()
+
+    async def _order(self, orders):
+        """Record the hosts of orders and send those that the lease still covers."""
+        now = self._clock()
+        self._listed_at = None
+        for order in orders:
+            self._planner.ordered(order, now)
+            self._ordered.begin(order.host)
+        try:
+            await self._commit_plan()
+        except PlatformError:
+            self._withdraw(orders)
+            raise
         for start in range(0, len(orders), CONCURRENT_ORDERS):
-            if not self.lease.may_order_slowly(self._clock()):
-                break
             batch = orders[start : start + CONCURRENT_ORDERS]
             await asyncio.gather(*(self._send(order) for order in batch))
-        await self._commit_plan()
-        await self._write_wave_states()
+
+    def _withdraw(self, orders):
+        for order in orders:
+            self._planner.refused(order)
+            self._ordered.end(order.host, self._clock())
 
     async def _list_hosts(self):
         now = self._clock()
@@ -127,9 +156,8 @@
         self._listed_at = now
 
     async def _send(self, order):
-        self._planner.ordered(order, self._clock())
-        self._listed_at = None
         outcome = await self._sender.send(order)
+        self._ordered.end(order.host, self._clock())
         if outcome == HostOrderOutcome.REFUSED:
             self._planner.refused(order)
         elif outcome == HostOrderOutcome.DONE and isinstance(order, Maintain):
@@ -143,6 +171,7 @@
                 for wave, hosts in self._planner.maintained.items()
             },
             self._planner.crashed,
+            self._ordered.recorded(self._clock()),
         )
         puts = []
         if plan != self._plan:
--- a/magnoliapier/service/node.py
+++ b/magnoliapier/service/node.py
@@ -80,6 +80,7 @@
     boottime: object
     metrics: object
     wave_status: object
+    host_order_gap_s: float
 
 
 class FleetView:
@@ -218,6 +219,7 @@
             boottime,
             metrics,
             clients.wave_status,
+            settings.host_order_gap_s,
         )
 
     async def start(self):
