Record when a host order ended, and spare a successor the wait for old ones

The wait of 3.5 s after a takeover also held hosts back whose orders had ended seconds before it: a holder that is cut off can drop nothing from its record.

The record of a host now has the time at which its order's call ended, on the table's steady clock, which is in every answer about rows.

--- a/magnoliapier/platform/store.py
+++ b/magnoliapier/platform/store.py
@@ -16,6 +16,7 @@
 from magnoliapier.logs import get_logger
 from magnoliapier.platform import wire
 from magnoliapier.platform.http import call_timeout, progress_timeout
+from magnoliapier.service.clock import StoreClock
 from magnoliapier.state.patience import Patience
 from magnoliapier.state.rows import Changes, Row
 
@@ -46,6 +47,7 @@
         self._metrics = metrics
         self._patience = Patience()
         self.last_answer_at = None
+        self.clock = StoreClock()
 
     async def commit(self, expects, puts, removes=()):
         """Apply a transaction and return its version."""
@@ -54,6 +56,7 @@
             [wire.RowPut(p.table, p.part, p.key, p.value) for p in puts],
             [wire.RowKey(r.table, r.part, r.key) for r in removes],
         )
+        sent_at = self._clock()
         status, data = await self._call(
             "POST", URL(f"{self._base}/rows-tx"), wire.encode(body)
         )
@@ -61,6 +64,7 @@
             wire.decode(wire.RowsAnswer, data) if status in (200, CONFLICT) else None
         )
         if status == 200:
+            self.clock.observe(answer.now_ms, sent_at, self._clock())
             return answer.ver
         if status == CONFLICT:
             rows = [decode_row(row) for row in answer.rows]
@@ -85,10 +89,13 @@
         if end:
             query["target"] = end
         url = URL(f"{self._base}/rows-get").with_query(query)
+        sent_at = self._clock()
         status, data = await self._call("GET", url, silence_s=READ_SILENCE_S)
         if status != 200:
             raise self._failure(status, data)
-        return wire.decode(wire.RowsAnswer, data)
+        answer = wire.decode(wire.RowsAnswer, data)
+        self.clock.observe(answer.now_ms, sent_at, self._clock())
+        return answer
 
     async def parts(self, table):
         """Return all parts of a table, and a version to follow it from."""
--- a/magnoliapier/pools/report.py
+++ b/magnoliapier/pools/report.py
@@ -28,14 +28,15 @@
 
     ``to_maintain`` holds hosts that their pools should empty now. ``maintained`` maps
     the number of a wave to the hosts whose maintenance has begun. ``crashed`` holds the
-    endpoints whose hosts went down lately. ``ordered`` holds the hosts that were
-    ordered lately or are about to be; a successor leaves them alone for a while.
+    endpoints whose hosts went down lately. ``ordered`` maps hosts that
+    were ordered lately to when the order's call had ended, in ms of the table's clock,
+    0 while it may be under way; a successor leaves them alone for a while.
     """
 
     to_maintain: tuple[str, ...] = ()
     maintained: dict[int, tuple[str, ...]] = {}
     crashed: tuple[str, ...] = ()
-    ordered: tuple[str, ...] = ()
+    ordered: dict[str, int] = {}
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/magnoliapier/service/clock.py
+++ b/magnoliapier/service/clock.py
@@ -19,6 +19,47 @@
     return int(time.time() * 1000)
 
 
+class StoreClock:
+    """
+    Bounds on the platform table's steady clock, which all hosts read.
+
+    An answer's reading was taken between its request and its arrival. Local times are
+    seconds, readings milliseconds.
+
+    Example::
+
+        clock = StoreClock()
+        clock.observe(5000, sent_at=10.0, received_at=10.1)
+        assert clock.earliest_ms(11.1) == 6000
+        assert clock.latest_ms(11.1) == 6100
+    """
+
+    def __init__(self):
+        self._reading_ms = 0
+        self._sent_at = 0.0
+        self._received_at = 0.0
+
+    def observe(self, reading_ms, sent_at, received_at):
+        """Take note of a reading; 0 stands for an answer without one."""
+        if reading_ms:
+            self._reading_ms = reading_ms
+            self._sent_at = sent_at
+            self._received_at = received_at
+
+    def earliest_ms(self, now):
+        """Return a value that the clock has reached, 0 if it was never read."""
+        return self._extrapolated(now - self._received_at)
+
+    def latest_ms(self, now):
+        """Return a value that the clock has not passed, 0 if it was never read."""
+        return self._extrapolated(now - self._sent_at)
+
+    def _extrapolated(self, elapsed_s):
+        if not self._reading_ms:
+            return 0
+        return self._reading_ms + round(elapsed_s * 1000)
+
+
 class EndpointClock:
     """
     A cautious estimate of an endpoint's clock from the readings in its answers.
--- a/magnoliapier/service/fleet.py
+++ b/magnoliapier/service/fleet.py
@@ -116,7 +116,7 @@
             self._view.waves(),
             self._view.standby(),
             now,
-            self._ordered.barred(now),
+            self._ordered.barred(now, self._store.clock.earliest_ms(now)),
         )
         await self._commit_plan()
         orders = self._planner.orders()
@@ -144,7 +144,11 @@
     def _withdraw(self, orders):
         for order in orders:
             self._planner.refused(order)
-            self._ordered.end(order.host, self._clock())
+            self._order_ended(order)
+
+    def _order_ended(self, order):
+        now = self._clock()
+        self._ordered.end(order.host, now, self._store.clock.latest_ms(now))
 
     async def _list_hosts(self):
         now = self._clock()
@@ -157,13 +161,14 @@
 
     async def _send(self, order):
         outcome = await self._sender.send(order)
-        self._ordered.end(order.host, self._clock())
+        self._order_ended(order)
         if outcome == HostOrderOutcome.REFUSED:
             self._planner.refused(order)
         elif outcome == HostOrderOutcome.DONE and isinstance(order, Maintain):
             self._planner.maintenance_begun(order)
 
     async def _commit_plan(self):
+        now = self._clock()
         plan = FleetPlan(
             self._planner.hosts_to_empty(),
             {
@@ -171,7 +176,7 @@
                 for wave, hosts in self._planner.maintained.items()
             },
             self._planner.crashed,
-            self._ordered.recorded(self._clock()),
+            self._ordered.recorded(now, self._store.clock.earliest_ms(now)),
         )
         puts = []
         if plan != self._plan:
--- a/tests/service/fakes.py
+++ b/tests/service/fakes.py
@@ -11,6 +11,7 @@
 )
 from magnoliapier.metrics import Metrics
 from magnoliapier.pools.report import FleetPlan
+from magnoliapier.service.clock import StoreClock
 from magnoliapier.service.orders import (
     Inspection,
     OrderRefusal,
@@ -38,9 +39,12 @@
 
     ``fail_next`` raises an error instead of applying a commit; ``lose_next`` applies
     it and loses the answer; ``delay_next`` loses it and keeps it for ``apply_late``.
+    ``now`` is the clock of the table, in seconds; there is none by default.
     """
 
-    def __init__(self):
+    def __init__(self, now=None):
+        self.clock = StoreClock()
+        self._now = now
         self.rows = {}
         self.version = 0
         self.fail_next = 0
@@ -50,6 +54,10 @@
         self.commits = []
         self.last_answer_at = 0.0
 
+    def _read_clock(self):
+        if self._now is not None:
+            self.clock.observe(round(self._now() * 1000), self._now(), self._now())
+
     async def commit(self, expects, puts, removes=()):
         await asyncio.sleep(0)
         if self.fail_next:
@@ -60,6 +68,7 @@
             self.late.append((expects, puts, removes))
             raise StoreOutcomeUnknownError("late")
         version = self._apply(expects, puts, removes)
+        self._read_clock()
         if self.lose_next:
             self.lose_next -= 1
             raise StoreOutcomeUnknownError("lost")
@@ -94,6 +103,7 @@
 
     async def read(self, table, part, first_key="", end_key=""):
         await asyncio.sleep(0)
+        self._read_clock()
         rows = [
             row
             for (t, p, key), row in sorted(self.rows.items())
--- a/tests/service/test_fleet.py
+++ b/tests/service/test_fleet.py
@@ -77,7 +77,7 @@
 
     async def asyncSetUp(self):
         self.clock = FakeClock()
-        self.store = FakeStore()
+        self.store = FakeStore(self.clock)
         self.view = FakeView()
         hosts = [
             Host(f"h{n}", "desk", HostState.UP, endpoint_id=f"e{n}") for n in (1, 2)
@@ -177,3 +177,22 @@
         await self.hold(3)
         await self.release("h1")
         self.assertEqual(self.machines.tokens("h1"), [1])
+
+    async def test_successor_orders_hosts_at_once_that_were_ordered_long_before(self):
+        """
+        Guards against hosts that stand idle after each takeover.
+
+        The pattern is a holder that is cut off as a queue's turn begins: the hosts that
+        it moved some seconds earlier are wanted elsewhere now.
+        """
+        former = await self.hold(1)
+        await self.release("h1")
+        self.assertEqual(self.machines.tokens("h1"), [1])
+        await former.close()
+        self.clock.now += HOST_ORDER_GAP_S
+        taken_at = self.clock()
+        await self.hold(2)
+        await self.release("h1")
+        self.assertEqual(self.machines.tokens("h1"), [1, 2])
+        ordered_at = self.machines.orders[-1][2]
+        self.assertLess(ordered_at - taken_at, HOST_ORDER_GAP_S)
