Write a wave's state under the version that was seen last

The state of a wave was written without a condition.

Before: test_late_write_does_not_bring_an_older_state_back fails on writes without a condition (the late write is applied). After: it is refused.

--- a/magnoliapier/service/fleet.py
+++ b/magnoliapier/service/fleet.py
@@ -17,6 +17,7 @@
 from magnoliapier.service.background import cancel_tasks
 from magnoliapier.service.host_orders import HostOrderOutcome, HostOrderSender
 from magnoliapier.service.leases import FLEET_SHARD
+from magnoliapier.service.wave_status import WaveStatusWriter
 from magnoliapier.state.commit import FencedCommitter
 from magnoliapier.state.lease import CONTROL_TABLE
 from magnoliapier.state.rows import Put
@@ -48,7 +49,7 @@
         self._sender = HostOrderSender(
             deps.machines, lease, deps.boottime, deps.metrics
         )
-        self._wave_status = deps.wave_status
+        self._wave_status = WaveStatusWriter(deps.store, deps.wave_status)
         self._view = view
         self._on_lost = on_lost
         self._committer = FencedCommitter(deps.store, FLEET_SHARD, lease, deps.boottime)
@@ -58,7 +59,6 @@
         self._plan = FleetPlan()
         self._listed_at = None
         self._hosts = []
-        self._wave_states = {}
         self._lost = False
         self._task = None
 
@@ -191,9 +191,6 @@
 
     async def _write_wave_states(self):
         for wave in self._view.waves():
-            completed = self._planner.wave_completed(wave)
-            if self._wave_states.get(wave.number) == completed:
-                continue
-            await self._store.commit([], [self._wave_status(wave.number, completed)])
-            self._wave_states[wave.number] = completed
-            log.info("wave_state", wave=wave.number, completed=completed)
+            await self._wave_status.write(
+                wave.number, self._planner.wave_completed(wave)
+            )
