Keep tokens rising and wait for the holder when a lease row is unreadable

A lease row that cannot be read counted as free at once, and its successor's token started at 1: two holders at the same time and with one token, and orders that every endpoint refuses. A host that met such a row while it took a shard stopped taking shards altogether, as the error ended its task.

An unreadable row counts as held until it stands still for a lease, the next token is above the row's version, which no token exceeds, and a commit that meets it counts as fenced.

After: they pass.

--- a/magnoliapier/service/leases.py
+++ b/magnoliapier/service/leases.py
@@ -5,7 +5,6 @@
 
 from magnoliapier.exceptions import (
     ConflictError,
-    MessageError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
@@ -13,13 +12,12 @@
 from magnoliapier.service.background import cancel_tasks
 from magnoliapier.state.lease import (
     CONTROL_TABLE,
-    FIRST_TOKEN,
     LEASE_KEY,
     HeldLease,
     LeaseRecord,
     LeaseView,
-    decode_lease,
     encode_lease,
+    read_lease,
 )
 from magnoliapier.state.rows import ABSENT, Expect, Put
 
@@ -49,12 +47,7 @@
         for row in rows:
             if row.key != LEASE_KEY or row.removed:
                 continue
-            try:
-                record = decode_lease(row.value)
-            except MessageError as error:
-                log.warning("unreadable_lease", shard=row.part, error=error)
-                record = None
-            self.view(row.part).observe(record, row.version, now)
+            self.view(row.part).observe(read_lease(row), row.version, now)
 
     def view(self, shard):
         """Return the view of a shard's lease."""
@@ -129,7 +122,7 @@
         if view.version != ABSENT and not view.expired(now):
             self._free_since.pop(shard, None)
             return False
-        if view.record is not None and view.record.holder and self._in_grace(now):
+        if view.version != ABSENT and not view.released and self._in_grace(now):
             return False
         free_since = self._free_since.setdefault(shard, now)
         if self._held and self._taken_at is not None:
@@ -150,7 +143,7 @@
     async def _take(self, shard):
         """Try to take a shard; return whether the store answered."""
         view = self._directory.view(shard)
-        token = view.record.token + 1 if view.record else FIRST_TOKEN
+        token = view.next_token
         record = LeaseRecord(
             self._identity.holder, self._identity.process, self._identity.address, token
         )
@@ -185,7 +178,7 @@
                 return await self._store.commit([expect], [put])
             except ConflictError as error:
                 row = error.rows.get(LEASE_KEY)
-                if row is not None and decode_lease(row.value) == record:
+                if read_lease(row) == record:
                     return row.version
                 log.info("shard_taken_by_other", shard=shard)
                 return None
--- a/magnoliapier/state/commit.py
+++ b/magnoliapier/state/commit.py
@@ -16,8 +16,8 @@
 from magnoliapier.state.lease import (
     CONTROL_TABLE,
     LEASE_KEY,
-    decode_lease,
     encode_lease,
+    read_lease,
 )
 from magnoliapier.state.rows import Expect, Put
 
@@ -73,7 +73,7 @@
 
     def _resolve_conflict(self, error):
         row = error.rows.get(LEASE_KEY)
-        record = decode_lease(row.value) if row is not None else None
+        record = read_lease(row)
         if record != self._lease.record:
             holder = record.holder if record else ""
             raise FencedError(f"Stop acting on {self._shard}; {holder!r} holds it.")
--- a/magnoliapier/state/lease.py
+++ b/magnoliapier/state/lease.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from magnoliapier.exceptions import MessageError
+from magnoliapier.logs import get_logger
 
 CONTROL_TABLE = "control"
 LEASE_KEY = "lease"
@@ -19,6 +20,8 @@
 ACTING_MARGIN_S = 0.2  # covers the time between a check and the order it allows
 SLOW_ORDER_S = 1.1  # after which the connection of an unanswered order is reset
 
+log = get_logger(__name__)
+
 
 class LeaseRecord(msgspec.Struct, frozen=True):
     """
@@ -54,11 +57,24 @@
         ) from error
 
 
+def read_lease(row):
+    """Return the LeaseRecord in a row, None if there is no row or it is unreadable."""
+    if row is None:
+        return None
+    try:
+        return decode_lease(row.value)
+    except MessageError as error:
+        log.warning("unreadable_lease", shard=row.part, error=error)
+        return None
+
+
 class LeaseView:
     """
     What a host knows of a shard's lease from reading its row.
 
-    Times are seconds on a clock that counts suspended time.
+    ``record`` is None if the row cannot be read, as after a change of its form; its
+    holder may be acting all the same. Times are seconds on a clock that counts
+    suspended time.
     """
 
     def __init__(self):
@@ -73,11 +89,27 @@
             self.version = version
             self.unchanged_since = now
 
+    @property
+    def released(self):
+        """Return whether the last holder has given the shard up."""
+        return self.record is not None and not self.record.holder
+
+    @property
+    def next_token(self):
+        """
+        Return a token above all that were given out.
+
+        Each holder writes the row, so no token exceeds its version.
+        """
+        if self.record is not None:
+            return self.record.token + 1
+        return self.version + FIRST_TOKEN
+
     def expired(self, now):
         """Return whether the holder can no longer be acting on the lease."""
         if self.unchanged_since is None:
             return False
-        if self.record is None or not self.record.holder:
+        if self.released:
             return True
         return now - self.unchanged_since >= LEASE_TTL_S
 
--- a/tests/service/test_leases.py
+++ b/tests/service/test_leases.py
@@ -13,6 +13,7 @@
     LEASE_KEY,
     LEASE_TTL_S,
     LeaseRecord,
+    decode_lease,
     encode_lease,
 )
 from magnoliapier.state.rows import Put
@@ -67,6 +68,30 @@
         await self.later(LEASE_TTL_S)
         self.assertEqual(self.taken, [SHARD])
 
+    async def test_unreadable_lease_is_taken_once_it_stands_still(self):
+        """Guards against a takeover at once, and against none at all."""
+        put = Put(CONTROL_TABLE, SHARD, LEASE_KEY, b"\xc1")
+        version = await self.store.commit([], [put])
+        changes = await self.store.read(CONTROL_TABLE, SHARD)
+        self.directory.apply(changes.rows, True)
+        await self.later(0.5)
+        self.assertEqual(self.taken, [])
+        await self.later(LEASE_TTL_S)
+        self.assertEqual(self.taken, [SHARD])
+        stored = self.store.rows[(CONTROL_TABLE, SHARD, LEASE_KEY)]
+        self.assertGreater(decode_lease(stored.value).token, version)
+
+    async def test_taker_survives_an_unreadable_row_in_its_way(self):
+        """Guards against a host that never takes a shard again after such a row."""
+        put = Put(CONTROL_TABLE, SHARD, LEASE_KEY, b"\xc1")
+        await self.store.commit([], [put])
+        await self.later(LEASE_TTL_S)
+        self.assertEqual(self.taken, [])
+        changes = await self.store.read(CONTROL_TABLE, SHARD)
+        self.directory.apply(changes.rows, True)
+        await self.later(LEASE_TTL_S)
+        self.assertEqual(self.taken, [SHARD])
+
     async def test_holder_may_renew_first_when_the_store_is_back(self):
         """
         Guards against a takeover from every living holder after each store outage.
--- a/tests/state/test_lease.py
+++ b/tests/state/test_lease.py
@@ -1,6 +1,7 @@
 import unittest
 
 from magnoliapier.state.lease import (
+    FIRST_TOKEN,
     LEASE_TTL_S,
     HeldLease,
     LeaseRecord,
@@ -46,6 +47,27 @@
         self.assertFalse(view.left_by_predecessor("host-1", "process-1"))
         self.assertFalse(view.left_by_predecessor("host-2", "process-2"))
 
+    def test_unreadable_row_may_have_an_acting_holder(self):
+        """Guards against a takeover beside a holder whose row has another form."""
+        view = LeaseView()
+        view.observe(None, 9, now=10.0)
+        self.assertFalse(view.expired(10.1))
+        self.assertTrue(view.expired(10.1 + LEASE_TTL_S))
+
+    def test_token_rises_over_an_unreadable_row(self):
+        """
+        Guards against two holders with one token.
+
+        A token that started anew would equal an earlier holder's, or stay below those
+        that endpoints have seen.
+        """
+        view = LeaseView()
+        self.assertEqual(view.next_token, FIRST_TOKEN)
+        view.observe(RECORD, 7, now=10.0)
+        self.assertEqual(view.next_token, RECORD.token + 1)
+        view.observe(None, 9, now=11.0)
+        self.assertGreater(view.next_token, 9)
+
     def test_stored_form(self):
         """Guards against a lease that the next version cannot read."""
         self.assertEqual(decode_lease(encode_lease(RECORD)), RECORD)
