Split the outcomes module into a package by job

It is now the package outcomes/: observations, the registry of checks, the language of outcome files, results, shared measures, and the checks by family (requests, waits, slots, fleet, store). All 53 functions and classes have the same syntax tree as before. The package imports the modules of checks, so that any import of it fills the registry: 30 checks before and after, with the same names. Importers name the defining module.

tests/test_outcomes.py becomes tests/outcomes/, one module per job. The cases of planted violations are the same, listed by family: 44 tests before and after. The test that every check has a case still covers all families together.

Replay of traces/ with the known failures prints the same results as before, apart from run times: 13 passed, 0 failed, 5 known red.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -29,7 +29,7 @@
 from magnoliapier.fleet_state import FleetState, LogEntry
 from magnoliapier.manifest import digest
 from magnoliapier.memory_platform import MemoryPlatform
-from magnoliapier.outcomes import nearest_rank
+from magnoliapier.outcomes.measures import nearest_rank
 from magnoliapier.planner import Planner, PlannerInputs, SenderRow
 from magnoliapier.platform_api import HostStatus, ListedHost
 from magnoliapier.registry import Registry
--- a/magnoliapier/observed_replay.py
+++ b/magnoliapier/observed_replay.py
@@ -7,7 +7,7 @@
 
 from magnoliapier.fleet_replay import MINUTE_S, FleetReplay
 from magnoliapier.fleet_state import HostState
-from magnoliapier.outcomes import Observation, ReplayReport
+from magnoliapier.outcomes.observations import Observation, ReplayReport
 from magnoliapier.planner_tables import hosts_required
 from magnoliapier.request_replay import RequestReplay
 from magnoliapier.traces import Fault
--- /dev/null
+++ b/magnoliapier/outcomes/observations.py
@@ -0,0 +1,90 @@
+"""What a replay observed: observations in order of time, and totals."""
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+from magnoliapier.exceptions import TraceError
+
+CONTEXT_EVENTS = 5
+
+
+@dataclass(frozen=True, slots=True)
+class Observation:
+    """
+    Something that happened in a replay at ``t`` seconds.
+
+    ``docs/replay.md`` lists the kinds and their fields.
+    """
+
+    t: float
+    kind: str
+    fields: dict
+
+    def __getitem__(self, name):
+        return self.fields[name]
+
+    def get(self, name, default=None):
+        """Return a field, or ``default``."""
+        return self.fields.get(name, default)
+
+    def __str__(self):
+        pairs = " ".join(f"{name}={value}" for name, value in self.fields.items())
+        return f"t={self.t:.4f} {self.kind} {pairs}"
+
+
+@dataclass
+class ReplayReport:
+    """
+    The observations of one replay, in order of time.
+
+    ``figures`` holds totals such as buffer host-hours. ``baselines`` maps names of
+    policies to reports of the same trace under that policy.
+    """
+
+    name: str
+    observations: list
+    figures: dict = field(default_factory=dict)
+    baselines: dict = field(default_factory=dict)
+
+    def __post_init__(self):
+        self.observations = sorted(self.observations, key=lambda seen: seen.t)
+        self._by_kind = defaultdict(list)
+        for index, seen in enumerate(self.observations):
+            self._by_kind[seen.kind].append((index, seen))
+
+    def of(self, *kinds):
+        """Return (index, observation) pairs of the given kinds in order of time."""
+        if len(kinds) == 1:
+            return self._by_kind.get(kinds[0], [])
+        return sorted(
+            (pair for kind in kinds for pair in self._by_kind.get(kind, [])),
+            key=lambda pair: pair[0],
+        )
+
+    def baseline(self, policy):
+        """Return the report under ``policy``; raise TraceError if it was not run."""
+        if policy not in self.baselines:
+            raise TraceError(
+                f"Trace {self.name} was not replayed with policy {policy!r}; "
+                "name it in the check or give --compare."
+            )
+        return self.baselines[policy]
+
+    def around(self, index, focus=None, count=CONTEXT_EVENTS):
+        """
+        Return the observations around ``index``, itself included.
+
+        With ``focus``, the name of a field, only those with the same value in
+        that field are returned.
+        """
+        centre = self.observations[index]
+        value = centre.get(focus) if focus else None
+        if value is None:
+            return self.observations[max(0, index - count) : index + count + 1]
+        related = [
+            (number, seen)
+            for number, seen in enumerate(self.observations)
+            if seen.get(focus) == value
+        ]
+        place = next(i for i, (number, _) in enumerate(related) if number == index)
+        return [seen for _, seen in related[max(0, place - count) : place + count + 1]]
--- /dev/null
+++ b/magnoliapier/outcomes/slot_checks.py
@@ -0,0 +1,105 @@
+"""Checks of how the slots of services and hosts are used and shared."""
+
+from collections import defaultdict
+
+from magnoliapier.outcomes.check_registry import EPSILON, Violation, checks, nothing
+from magnoliapier.outcomes.measures import (
+    busy_by,
+    fair_shares,
+    matching_requests,
+    overlap,
+)
+
+
+@checks.register("fair_share")
+def fair_share(
+    report, service: str, slots: int, start_s: float, end_s: float, min_share: float
+):
+    """
+    Check each organisation's use of a service against its max-min fair share.
+
+    Demand is the work that would be running if every request ran on arrival.
+    """
+    demands = defaultdict(float)
+    for seen in matching_requests(report, service=service).values():
+        demands[seen["organisation"]] += overlap(
+            seen.t, seen.t + seen["run_s"], start_s, end_s
+        )
+    if len(demands) < 2:
+        return nothing("second organisation")
+    fair = fair_shares(slots * (end_s - start_s), demands)
+    served = busy_by(report, "organisation", service, start_s, end_s)
+    ratios = {
+        name: served[name] / share for name, share in fair.items() if share > EPSILON
+    }
+    worst = min(ratios, key=ratios.get)
+    if ratios[worst] >= min_share - EPSILON:
+        return None
+    index = next(
+        index
+        for index, seen in report.of("arrival")
+        if seen["organisation"] == worst
+        and seen["service"] == service
+        and seen.t + seen["run_s"] > start_s
+    )
+    message = f"{worst} got {ratios[worst]:.3f} of its fair share, allowed {min_share}"
+    return Violation(message, index, "organisation")
+
+
+@checks.register("slot_use")
+def slot_use(
+    report, service: str, slots: int, start_s: float, end_s: float, min_share: float
+):
+    """Check the share of a service's slots in use between two instants."""
+    busy = sum(busy_by(report, "service", service, start_s, end_s).values())
+    if not report.of("run"):
+        return nothing("run")
+    share = busy / (slots * (end_s - start_s))
+    if share > 1 + EPSILON:
+        return Violation(f"{share:.3f} of the slots were in use, over the limit")
+    if share >= min_share - EPSILON:
+        return None
+    return Violation(f"{share:.3f} of the slots were in use, allowed {min_share}")
+
+
+@checks.register("slots_respected")
+def slots_respected(report, slots: int):
+    """Check that no host runs more requests at once than it has slots."""
+    runs = report.of("run")
+    if not runs:
+        return nothing("run")
+    ends = defaultdict(list)
+    for index, seen in runs:
+        host = ends[seen["host"]]
+        host[:] = [until for until in host if until > seen.t + EPSILON]
+        host.append(seen["until"])
+        if len(host) > slots:
+            message = f"host {seen['host']} runs {len(host)} requests in {slots} slots"
+            return Violation(message, index, "host")
+    return None
+
+
+@checks.register("goodput")
+def goodput(
+    report, service: str, slots: int, start_s: float, end_s: float, min_share: float
+):
+    """Check the slot-seconds spent on requests that were answered in time."""
+    requests = matching_requests(report, service=service)
+    in_time = {
+        seen["request_id"]
+        for _, seen in report.of("answer")
+        if seen["outcome"] == "ok"
+        and (request := requests.get(seen["request_id"])) is not None
+        and seen.t <= request.t + request["deadline_s"]
+    }
+    if not requests:
+        return nothing(f"request of {service}")
+    useful = sum(
+        overlap(seen.t, seen["until"], start_s, end_s)
+        for _, seen in report.of("run")
+        if seen["request_id"] in in_time
+    )
+    share = useful / (slots * (end_s - start_s))
+    if share >= min_share - EPSILON:
+        return None
+    return Violation(f"goodput is {share:.3f} of capacity, allowed {min_share}")
--- /dev/null
+++ b/magnoliapier/outcomes/store_checks.py
@@ -0,0 +1,93 @@
+"""Checks of the store: commits, manifests in force and planner writes."""
+
+from collections import defaultdict
+
+from magnoliapier.outcomes.check_registry import EPSILON, Violation, checks, nothing
+
+
+@checks.register("commits_kept")
+def commits_kept(report):
+    """Check that accepted versions only grow and none is lost or reverted."""
+    accepted = {}
+    for index, seen in report.of("commit"):
+        if seen["version"] is None:
+            continue
+        if seen["version"] in accepted:
+            message = f"version {seen['version']} was accepted twice"
+            return Violation(message, index, "version")
+        accepted[seen["version"]] = seen["digest"]
+    if not accepted:
+        return nothing("accepted commit")
+    latest = defaultdict(int)
+    for index, seen in report.of("manifest"):
+        where, version = seen["where"], seen["version"]
+        if version < latest[where]:
+            message = f"{where} went back from version {latest[where]} to {version}"
+            return Violation(message, index, "where")
+        latest[where] = version
+        if version in accepted and seen["digest"] != accepted[version]:
+            message = f"{where} holds another manifest as version {version}"
+            return Violation(message, index, "version")
+    newest = max(accepted)
+    if not latest:
+        return nothing("manifest in force")
+    for where, version in latest.items():
+        if version < newest:
+            return Violation(f"{where} ends at version {version}, not {newest}")
+    return None
+
+
+@checks.register("one_commit_per_base")
+def one_commit_per_base(report):
+    """Check that of commits that build on one version exactly one is accepted."""
+    results = defaultdict(list)
+    for index, seen in report.of("commit"):
+        results[seen["base"]].append((index, seen["version"]))
+    if not any(len(pairs) > 1 for pairs in results.values()):
+        return nothing("two commits on one base")
+    for base, pairs in results.items():
+        accepted = [index for index, version in pairs if version is not None]
+        if len(accepted) != 1:
+            message = f"{len(accepted)} commits on base {base} were accepted"
+            place = accepted[-1] if accepted else pairs[0][0]
+            return Violation(message, place, "base")
+    return None
+
+
+@checks.register("in_force")
+def in_force(report, limit_s: float):
+    """Check that each accepted version is in force everywhere within ``limit_s``."""
+    accepted = [pair for pair in report.of("commit") if pair[1]["version"] is not None]
+    if not accepted:
+        return nothing("accepted commit")
+    places = {seen["where"] for _, seen in report.of("manifest")}
+    if not places:
+        return nothing("manifest in force")
+    for index, seen in accepted:
+        reached = {
+            other["where"]
+            for _, other in report.of("manifest")
+            if other["version"] >= seen["version"]
+            and other.t <= seen.t + limit_s + EPSILON
+        }
+        if reached != places:
+            missing = ", ".join(sorted(places - reached))
+            message = f"version {seen['version']} is late at {missing}"
+            return Violation(message, index, "version")
+    return None
+
+
+@checks.register("single_planner")
+def single_planner(report):
+    """Check that accepted planner writes never carry an older epoch than before."""
+    writes = report.of("planner_write")
+    if not writes:
+        return nothing("planner write")
+    newest, holder = 0, None
+    for index, seen in writes:
+        epoch = seen["epoch"]
+        if epoch < newest or (epoch == newest and seen["holder"] != holder):
+            message = f"{seen['holder']} wrote with epoch {epoch} after {newest}"
+            return Violation(message, index, "epoch")
+        newest, holder = epoch, seen["holder"]
+    return None
--- /dev/null
+++ b/magnoliapier/outcomes/wait_checks.py
@@ -0,0 +1,73 @@
+"""Checks of the waits from the arrival of requests to their first runs."""
+
+from collections import defaultdict
+
+from magnoliapier.outcomes.check_registry import EPSILON, Violation, checks, nothing
+from magnoliapier.outcomes.measures import (
+    first_runs,
+    matching_requests,
+    nearest_rank,
+    percentile_of_waits,
+)
+
+# Waits below this count as no wait, so that a ratio of two tiny waits means
+# nothing. It is the added median latency that the design page allows, doubled.
+WAIT_FLOOR_S = 0.001
+
+
+def wait_violation(report, requests, percent, max_s, who=""):
+    """Return a violation if the waits of ``requests`` exceed ``max_s``."""
+    waits = first_runs(report, requests)
+    if not waits:
+        return nothing(f"run of a matching request {who}".rstrip())
+    measured = nearest_rank([wait for _, wait in waits.values()], percent)
+    if measured <= max_s + EPSILON:
+        return None
+    first = min(index for index, wait in waits.values() if wait > max_s)
+    message = f"p{percent:g} wait {who} is {measured:.4f} s, allowed {max_s:.4f} s"
+    return Violation(" ".join(message.split()), first, "request_id")
+
+
+@checks.register("wait_percentile")
+def wait_percentile(
+    report,
+    percentile: float,
+    max_s: float,
+    work_class: str = "",
+    organisation: str = "",
+    service: str = "",
+    each_organisation: bool = False,
+):
+    """Check a percentile of the wait from arrival to first run, in seconds."""
+    requests = matching_requests(report, work_class, organisation, service)
+    if not each_organisation:
+        return wait_violation(report, requests, percentile, max_s)
+    groups = defaultdict(dict)
+    for request_id, seen in requests.items():
+        groups[seen["organisation"]][request_id] = seen
+    if not groups:
+        return nothing("matching request")
+    for name in sorted(groups):
+        found = wait_violation(report, groups[name], percentile, max_s, f"of {name}")
+        if found:
+            return found
+    return None
+
+
+@checks.register("wait_versus")
+def wait_versus(
+    report, policy: str, percentile: float, max_ratio: float, work_class: str = ""
+):
+    """Check a percentile of the waits against the same under another policy."""
+    other = report.baseline(policy)
+    waits = first_runs(other, matching_requests(other, work_class))
+    if not waits:
+        return nothing(f"run of a matching request under {policy}")
+    reference = percentile_of_waits(waits, percentile)
+    limit = max(max_ratio * reference, WAIT_FLOOR_S)
+    requests = matching_requests(report, work_class)
+    found = wait_violation(report, requests, percentile, limit)
+    if found:
+        note = f"{found.message} ({max_ratio:g} times {policy}'s {reference:.4f} s)"
+        return Violation(note, found.index, found.focus)
+    return None
--- a/magnoliapier/replay.py
+++ b/magnoliapier/replay.py
@@ -20,7 +20,6 @@
 from collections import defaultdict
 from pathlib import Path
 
-from magnoliapier import outcomes as outcome_language
 from magnoliapier.exceptions import (
     MagnoliapierError,
     OutcomeFailedError,
@@ -30,14 +29,14 @@
 from magnoliapier.known_red import read_known_red, split_known
 from magnoliapier.logs import configure_logs
 from magnoliapier.observed_replay import observe_fleet, observe_requests
-from magnoliapier.outcomes import (
-    ReplayReport,
-    dump_json,
+from magnoliapier.outcomes.language import read_outcomes
+from magnoliapier.outcomes.measures import (
+    first_runs,
+    matching_requests,
     nearest_rank,
-    read_outcomes,
-    results_to_values,
-    run_checks,
 )
+from magnoliapier.outcomes.observations import ReplayReport
+from magnoliapier.outcomes.results import dump_json, results_to_values, run_checks
 from magnoliapier.registry import Registry
 from magnoliapier.request_policies import policies as request_policies
 from magnoliapier.store_replay import observe_store
@@ -106,8 +105,8 @@
     """Return figures of a report by name, for printing and comparing."""
     waits = defaultdict(list)
     for work_class in ("short", "long"):
-        requests = outcome_language.matching_requests(report, work_class)
-        runs = outcome_language.first_runs(report, requests)
+        requests = matching_requests(report, work_class)
+        runs = first_runs(report, requests)
         waits[work_class] = [wait for _, wait in runs.values()]
     figures = {
         f"{work_class}_wait_p{percent}_s": round(nearest_rank(values, percent), 4)
--- a/magnoliapier/store_replay.py
+++ b/magnoliapier/store_replay.py
@@ -34,7 +34,7 @@
 from magnoliapier.memory_platform import MemoryPlatform
 from magnoliapier.metrics import Metrics
 from magnoliapier.observed_replay import arrival_fields
-from magnoliapier.outcomes import Observation, ReplayReport
+from magnoliapier.outcomes.observations import Observation, ReplayReport
 from magnoliapier.planner import advance_drains
 from magnoliapier.planner_tables import PlannerInputs, PlanTables, SenderRow
 from magnoliapier.platform_api import HostStatus, ListedHost
--- /dev/null
+++ b/tests/outcomes/test_fleet_checks.py
@@ -0,0 +1,92 @@
+from tests.outcomes.samples import (
+    PlantedViolationTestCase,
+    assign,
+    make_report,
+    run,
+    run_one,
+    see,
+)
+
+CASES = {
+    "single_pool": (
+        {},
+        [assign(0, "h", "a"), assign(1, "h", "a", "draining"), assign(2, "h", "b")]
+        + [run(3, "x", 4, "h", "b")],
+        [assign(0, "h", "a"), run(0.5, "x", 3, "h", "a")]
+        + [assign(1, "h", "a", "draining"), assign(2, "h", "b")],
+        3,
+    ),
+    "budgets": (
+        {"max_missed": 0},
+        [see(0, "budget", service="wire", serving=6, required=6)],
+        [
+            see(0, "budget", service="wire", serving=6, required=6),
+            see(60, "budget", service="wire", serving=5, required=6),
+        ],
+        1,
+    ),
+    "moves": (
+        {"max_moves": 1},
+        [see(0, "move", host="w-1")],
+        [see(0, "move", host="w-1"), see(1, "move", host="w-2")],
+        1,
+    ),
+    "moves_versus": (
+        {"policy": "fifo", "max_ratio": 0.5},
+        [see(0, "move", host="w-1")],
+        [see(0, "move", host="w-1"), see(1, "move", host="w-2")],
+        1,
+    ),
+    "graceful_stops": (
+        {},
+        [see(0, "stop", host="w-1", in_flight=0)],
+        [see(0, "stop", host="w-1", in_flight=0)]
+        + [see(1, "stop", host="w-2", in_flight=1)],
+        1,
+    ),
+    "wave_finished": (
+        {"name": "kernel", "end_s": 10},
+        [see(9, "wave", name="kernel", done=8, total=8)],
+        [see(9, "wave", name="kernel", done=7, total=8)],
+        0,
+    ),
+    "urgent_start": (
+        {"percentile": 99, "max_s": 4.7},
+        [see(0, "urgent", job="j", wait_s=4.7)],
+        [see(0, "urgent", job="j", wait_s=4.7), see(1, "urgent", job="k", wait_s=5)],
+        1,
+    ),
+    "jobs_succeed": (
+        {"prefix": "deadline"},
+        [see(0, "job_start", job="archive-1"), see(0, "job_start", job="deadline-1")]
+        + [see(5, "job_end", job="deadline-1", outcome="succeeded")],
+        [see(0, "job_start", job="archive-1"), see(0, "job_start", job="deadline-1")]
+        + [see(5, "job_end", job="deadline-1", outcome="failed")],
+        1,
+    ),
+}
+
+
+class FleetCheckTests(PlantedViolationTestCase):
+    cases = CASES
+
+    def test_buffer_versus(self):
+        parameters = {"policy": "fifo", "max_ratio": 0.4}
+        for hours, passed in ((40.0, True), (40.1, False)):
+            report = make_report([], buffer_host_hours=hours)
+            result = run_one("buffer_versus", parameters, report)
+            self.assertEqual(result.passed, passed)
+
+    def test_figure(self):
+        parameters = {"name": "double_runs", "max_value": 0}
+        for figures, passed in (
+            ({"double_runs": 0}, True),
+            ({"double_runs": 1}, False),
+            ({}, False),
+        ):
+            result = run_one("figure", parameters, make_report([], **figures))
+            self.assertEqual(result.passed, passed)
+
+    def test_two_views_of_one_host(self):
+        observations = [assign(0, "h", "a", view="dc-1"), assign(1, "h", "b")]
+        self.assertFalse(run_one("single_pool", {}, make_report(observations)).passed)
--- a/tests/test_generator.py
+++ b/tests/test_generator.py
@@ -3,7 +3,7 @@
 from pathlib import Path
 
 from magnoliapier import generator
-from magnoliapier.outcomes import read_outcomes
+from magnoliapier.outcomes.language import read_outcomes
 from magnoliapier.replay import drivers
 from magnoliapier.traces import Arrival, read_trace
 
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -3,7 +3,8 @@
 from pathlib import Path
 
 from magnoliapier.known_red import read_known_red, split_known
-from magnoliapier.outcomes import CheckResult, Violation
+from magnoliapier.outcomes.check_registry import Violation
+from magnoliapier.outcomes.results import CheckResult
 
 TEXT = """Failures that are known.
 
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -187,7 +187,7 @@
         self.assertEqual(path.read_bytes()[:4], b"\x89PNG")
 
     def test_refuses_unknown_formats_and_empty_reports(self):
-        from magnoliapier.outcomes import ReplayReport
+        from magnoliapier.outcomes.observations import ReplayReport
         from magnoliapier.plots import plot_report
 
         for name in ("x.pdf", "x.svg"):
