Share the arithmetic of replays and outcome checks

overlap stood in fleet_replay and in the outcome checks, and the nearest-rank percentile in request_replay beside nearest_rank. They are now in magnoliapier/measures.py with fair_shares, since drivers should not import from the checks. The test whether a request was answered before its deadline, which two checks repeated, is answered_in_time.

request_replay.percentile keeps its value of 0.0 for no values. It rounded differently from nearest_rank: len * percent / 100 against percent / 100 * len, which gives another rank for 7, 14, 17, 28, 34, 55, 56, 68, 81 and some fractions. It is called with 95 and 99 only; the ranks of both are equal for 1 to 2,000,000 values, and the results were equal for lists of 0 to 2,999 random values. nearest_rank is unchanged, so that outcome files mean the same.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -28,8 +28,8 @@
 from magnoliapier.fleet_replay import ReplayOptions, replay_fleet
 from magnoliapier.fleet_state import FleetState, LogEntry
 from magnoliapier.manifest import digest
+from magnoliapier.measures import nearest_rank
 from magnoliapier.memory_platform import MemoryPlatform
-from magnoliapier.outcomes.measures import nearest_rank
 from magnoliapier.planner import Planner, PlannerInputs, SenderRow
 from magnoliapier.platform_api import HostStatus, ListedHost
 from magnoliapier.registry import Registry
--- a/magnoliapier/fleet_replay.py
+++ b/magnoliapier/fleet_replay.py
@@ -22,6 +22,7 @@
 from magnoliapier.fleet_policies import PolicySetting, policies
 from magnoliapier.fleet_state import FleetState, LogEntry
 from magnoliapier.manifest import digest, make_patch, merge_patch, validate_manifest
+from magnoliapier.measures import overlap
 from magnoliapier.planner_tables import PlannerInputs, SenderRow, hosts_required
 from magnoliapier.platform_api import HostStatus, ListedHost
 from magnoliapier.registry import Registry
@@ -217,11 +218,6 @@
         return place
 
 
-def overlap(start, end, low, high):
-    """Return the length that [start, end] and [low, high] have in common."""
-    return max(0.0, min(end, high) - max(start, low))
-
-
 class FleetReplay:
     """One run of a policy over a trace; use :func:`replay_fleet`."""
 
--- a/magnoliapier/outcomes/fleet_checks.py
+++ b/magnoliapier/outcomes/fleet_checks.py
@@ -2,8 +2,8 @@
 
 from collections import defaultdict
 
+from magnoliapier.measures import nearest_rank
 from magnoliapier.outcomes.check_registry import EPSILON, Violation, checks, nothing
-from magnoliapier.outcomes.measures import nearest_rank
 
 
 @checks.register("single_pool")
--- a/magnoliapier/outcomes/request_checks.py
+++ b/magnoliapier/outcomes/request_checks.py
@@ -3,7 +3,10 @@
 from collections import defaultdict
 
 from magnoliapier.outcomes.check_registry import EPSILON, Violation, checks, nothing
-from magnoliapier.outcomes.measures import matching_requests
+from magnoliapier.outcomes.request_measures import (
+    answered_in_time,
+    matching_requests,
+)
 
 
 @checks.register("answered_once")
@@ -121,7 +124,7 @@
         request = requests.get(seen["request_id"])
         if request is None:
             continue
-        if seen["outcome"] == "ok" and seen.t <= request.t + request["deadline_s"]:
+        if answered_in_time(seen, request):
             in_time += 1
         else:
             late.append(index)
--- a/magnoliapier/outcomes/slot_checks.py
+++ b/magnoliapier/outcomes/slot_checks.py
@@ -2,12 +2,12 @@
 
 from collections import defaultdict
 
+from magnoliapier.measures import fair_shares, overlap
 from magnoliapier.outcomes.check_registry import EPSILON, Violation, checks, nothing
-from magnoliapier.outcomes.measures import (
+from magnoliapier.outcomes.request_measures import (
+    answered_in_time,
     busy_by,
-    fair_shares,
     matching_requests,
-    overlap,
 )
 
 
@@ -88,9 +88,8 @@
     in_time = {
         seen["request_id"]
         for _, seen in report.of("answer")
-        if seen["outcome"] == "ok"
-        and (request := requests.get(seen["request_id"])) is not None
-        and seen.t <= request.t + request["deadline_s"]
+        if (request := requests.get(seen["request_id"])) is not None
+        and answered_in_time(seen, request)
     }
     if not requests:
         return nothing(f"request of {service}")
--- a/magnoliapier/outcomes/wait_checks.py
+++ b/magnoliapier/outcomes/wait_checks.py
@@ -3,10 +3,9 @@
 from collections import defaultdict
 
 from magnoliapier.outcomes.check_registry import EPSILON, Violation, checks, nothing
-from magnoliapier.outcomes.measures import (
+from magnoliapier.outcomes.request_measures import (
     first_runs,
     matching_requests,
-    nearest_rank,
     percentile_of_waits,
 )
 
@@ -20,7 +19,7 @@
     waits = first_runs(report, requests)
     if not waits:
         return nothing(f"run of a matching request {who}".rstrip())
-    measured = nearest_rank([wait for _, wait in waits.values()], percent)
+    measured = percentile_of_waits(waits, percent)
     if measured <= max_s + EPSILON:
         return None
     first = min(index for index, wait in waits.values() if wait > max_s)
--- a/magnoliapier/plots.py
+++ b/magnoliapier/plots.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 from magnoliapier.exceptions import TraceError
-from magnoliapier.outcomes.measures import first_runs, matching_requests
+from magnoliapier.outcomes.request_measures import first_runs, matching_requests
 from magnoliapier.registry import Registry
 
 panels = Registry("plot panel")
--- a/magnoliapier/replay.py
+++ b/magnoliapier/replay.py
@@ -28,14 +28,11 @@
 from magnoliapier.fleet_policies import policies as fleet_policies
 from magnoliapier.known_red import read_known_red, split_known
 from magnoliapier.logs import configure_logs
+from magnoliapier.measures import nearest_rank
 from magnoliapier.observed_replay import observe_fleet, observe_requests
 from magnoliapier.outcomes.language import read_outcomes
-from magnoliapier.outcomes.measures import (
-    first_runs,
-    matching_requests,
-    nearest_rank,
-)
 from magnoliapier.outcomes.observations import ReplayReport
+from magnoliapier.outcomes.request_measures import first_runs, matching_requests
 from magnoliapier.outcomes.results import dump_json, results_to_values, run_checks
 from magnoliapier.registry import Registry
 from magnoliapier.request_policies import policies as request_policies
--- a/magnoliapier/request_replay.py
+++ b/magnoliapier/request_replay.py
@@ -24,6 +24,7 @@
 
 from magnoliapier.clock import VirtualClock
 from magnoliapier.manifest import validate_manifest
+from magnoliapier.measures import nearest_rank
 from magnoliapier.reasons import RefusalReason, RunState
 from magnoliapier.registry import Registry
 from magnoliapier.request_tables import (
@@ -189,10 +190,8 @@
 
 
 def percentile(values, percent):
-    """Return the nearest-rank percentile of sorted ``values``, 0.0 if empty."""
-    if not values:
-        return 0.0
-    return values[max(math.ceil(len(values) * percent / 100) - 1, 0)]
+    """Return the nearest-rank percentile of ``values``, 0.0 if empty."""
+    return nearest_rank(values, percent) if values else 0.0
 
 
 class ReplayEndpoint:
--- a/tests/outcomes/test_measures.py
+++ b/tests/test_measures.py
@@ -1,6 +1,6 @@
 import unittest
 
-from magnoliapier.outcomes.measures import fair_shares
+from magnoliapier.measures import fair_shares
 
 
 class FairSharesTests(unittest.TestCase):
