Read strict JSON of manifests and traces in one place

manifest.read_json and traces.decode_line repeated the decoding, the depth limit and the four hooks of json.loads. Both now call manifest.parse_strict_json. As before, a trace counts the depth only of lines longer than an event may be, and turns a RecursionError of a shorter one into its own error.

--- a/magnoliapier/manifest.py
+++ b/magnoliapier/manifest.py
@@ -226,6 +226,26 @@
     return deepest
 
 
+def parse_strict_json(data, check_depth=True):
+    """
+    Return the value of JSON in ``data`` (bytes).
+
+    Raise ValueError if it is not UTF-8 or not JSON, repeats a key, or holds NaN or
+    huge numbers, and with ``check_depth`` also if it is nested too deeply. Without,
+    deep nesting can raise RecursionError.
+    """
+    text = data.decode("utf-8")
+    if check_depth and nesting_depth(text) > MAX_DEPTH:
+        raise ValueError(f"it is nested deeper than {MAX_DEPTH} levels")
+    return json.loads(
+        text,
+        object_pairs_hook=reject_duplicates,
+        parse_constant=reject_constant,
+        parse_int=parse_integer,
+        parse_float=parse_number,
+    )
+
+
 def read_json(data):
     """
     Return the JSON object in ``data`` (bytes), read strictly.
@@ -244,16 +264,7 @@
             ]
         )
     try:
-        text = data.decode("utf-8")
-        if nesting_depth(text) > MAX_DEPTH:
-            raise ValueError(f"it is nested deeper than {MAX_DEPTH} levels")
-        values = json.loads(
-            text,
-            object_pairs_hook=reject_duplicates,
-            parse_constant=reject_constant,
-            parse_int=parse_integer,
-            parse_float=parse_number,
-        )
+        values = parse_strict_json(data)
     except ValueError as error:
         raise ManifestError(
             [Problem("$", f"This is not usable JSON: {error}.", "Correct the file.")]
--- a/magnoliapier/traces.py
+++ b/magnoliapier/traces.py
@@ -26,16 +26,7 @@
 from magnoliapier.clock import Clock
 from magnoliapier.exceptions import ManifestError, TraceError
 from magnoliapier.logs import get_logger
-from magnoliapier.manifest import (
-    MAX_DEPTH,
-    json_path,
-    nesting_depth,
-    parse_integer,
-    parse_number,
-    reject_constant,
-    reject_duplicates,
-    validate_manifest,
-)
+from magnoliapier.manifest import json_path, parse_strict_json, validate_manifest
 from magnoliapier.registry import Registry
 
 log = get_logger(__name__)
@@ -258,16 +249,7 @@
 def decode_line(line, number):
     """Return the JSON object of one line, read strictly."""
     try:
-        text = line.decode("utf-8")
-        if len(line) > MAX_EVENT_BYTES and nesting_depth(text) > MAX_DEPTH:
-            raise ValueError(f"it is nested deeper than {MAX_DEPTH} levels")
-        values = json.loads(
-            text,
-            object_pairs_hook=reject_duplicates,
-            parse_constant=reject_constant,
-            parse_int=parse_integer,
-            parse_float=parse_number,
-        )
+        values = parse_strict_json(line, check_depth=len(line) > MAX_EVENT_BYTES)
     except (ValueError, RecursionError) as error:
         raise line_error(
             number, f"unusable JSON: {error}", "Correct or remove the line"
