--- /dev/null
+++ b/magnoliapier/outcomes/request_measures.py
@@ -0,0 +1,62 @@
+"""Measures of the requests of a report, for checks, figures and plots."""
+
+from collections import defaultdict
+
+from magnoliapier.measures import nearest_rank, overlap
+
+
+def matching_requests(report, work_class="", organisation="", service=""):
+    """Return a dict from id to arrival of the requests that match all filters."""
+    return {
+        seen["request_id"]: seen
+        for _, seen in report.of("arrival")
+        if work_class in ("", seen["work_class"])
+        and organisation in ("", seen["organisation"])
+        and service in ("", seen["service"])
+    }
+
+
+def first_runs(report, requests):
+    """
+    Return a dict from request id to (index, wait in seconds) until its first run.
+
+    A send that an endpoint refuses as busy does not end the wait. A request that
+    never runs counts as waiting for its whole deadline from its refusal on;
+    otherwise a policy would shorten its waits by refusing. Cancelled requests that
+    never ran are left out.
+    """
+    waits = {}
+    for index, seen in report.of("run"):
+        request_id = seen["request_id"]
+        if request_id in requests and request_id not in waits:
+            waits[request_id] = (index, seen.t - requests[request_id].t)
+    for index, seen in report.of("answer"):
+        request_id = seen["request_id"]
+        if (
+            seen["outcome"] == "refused"
+            and request_id in requests
+            and request_id not in waits
+        ):
+            waits[request_id] = (index, requests[request_id]["deadline_s"])
+    return waits
+
+
+def answered_in_time(answer, request):
+    """Return whether an endpoint answered ``request`` before its deadline."""
+    return answer["outcome"] == "ok" and answer.t <= request.t + request["deadline_s"]
+
+
+def percentile_of_waits(waits, percent):
+    """Return a percentile of the waits that :func:`first_runs` returns."""
+    return nearest_rank([wait for _, wait in waits.values()], percent)
+
+
+def busy_by(report, field_name, service, start_s, end_s):
+    """Return slot-seconds in use between two instants, by a field of the request."""
+    requests = matching_requests(report, service=service)
+    busy = defaultdict(float)
+    for _, seen in report.of("run"):
+        request = requests.get(seen["request_id"])
+        if request is not None:
+            busy[request[field_name]] += overlap(seen.t, seen["until"], start_s, end_s)
+    return busy
