--- a/magnoliapier/specifications/modelcheck.py
+++ b/magnoliapier/specifications/modelcheck.py
@@ -24,6 +24,7 @@
     "claims",
     "lease",
     "shard",
+    "host_orders",
 )
 
 # A runaway specification is stopped here; the largest one stays well below.
--- a/tests/specifications/test_modelcheck.py
+++ b/tests/specifications/test_modelcheck.py
@@ -3,6 +3,7 @@
 
 from magnoliapier.registry import Registry
 from magnoliapier.specifications import modelcheck
+from magnoliapier.specifications.host_orders import HostOrdersSpecification
 from magnoliapier.specifications.specification import Specification, specifications
 
 
@@ -74,3 +75,27 @@
         """Guards against a checker that finds nothing because nothing is seeded."""
         for name in modelcheck.load_specifications():
             self.assertGreaterEqual(len(specifications.get(name).mistakes.names()), 5)
+
+
+class HostOrdersTests(unittest.TestCase):
+    def assert_breaks(self, label, invariant):
+        mistake = HostOrdersSpecification.mistakes.get(label)
+
+        class OneInvariant(mistake):
+            def invariants(self):
+                return {invariant: super().invariants()[invariant]}
+
+        self.assertIsNotNone(modelcheck.find_mistake(OneInvariant))
+
+    def test_each_invariant_can_break(self):
+        """
+        Guards against an invariant that no state can break.
+
+        The checker stops a mistake at its first violation, so it alone does not show
+        that orders out of sequence are found.
+        """
+        self.assert_breaks(
+            "close_delivers_held_up_order", "no_lower_token_after_a_higher"
+        )
+        self.assert_breaks("drops_record_early", "holders_keep_the_gap")
+        self.assert_breaks("restarts_token", "tokens_are_unique")
