Test that a plan is written again after a lost answer

The specification of host orders showed that a record is lost if a change of the plan that got no answer is mistaken for the plan before it. The controller keeps this apart by committing the last plan before it takes in anything new; a test and a comment say so now. The test passes on the code before as well.

--- a/magnoliapier/service/fleet.py
+++ b/magnoliapier/service/fleet.py
@@ -107,6 +107,8 @@
         log.info("fleet_loaded", barred=len(self._plan.ordered))
 
     async def _tick(self):
+        # A plan whose commit got no answer is written again before it can change, so
+        # that the stored plan is never mistaken for another.
         await self._commit_plan()
         await self._list_hosts()
         now = self._clock()
--- a/tests/service/test_fleet.py
+++ b/tests/service/test_fleet.py
@@ -1,9 +1,8 @@
 import asyncio
 import unittest
 
-from magnoliapier.exceptions import StoreOutcomeUnknownError
-from magnoliapier.pools.hosts import Host, HostState
-from magnoliapier.pools.report import PoolReport
+from magnoliapier.pools.hosts import Host, HostState, Wave
+from magnoliapier.pools.report import PLAN_KEY, PoolReport, decode_plan
 from magnoliapier.service.fleet import FleetController
 from magnoliapier.service.leases import FLEET_SHARD
 from magnoliapier.service.node import FleetDependencies
@@ -23,6 +22,11 @@
 PATIENCE_S = 10.0
 
 
+def wave_status(number, completed):
+    """Return the row that tells the operator of a wave."""
+    return Put("status", "", f"wave/{number}", b"1" if completed else b"0")
+
+
 class FakeMachines:
     """
     The platform's interface for hosts, whose list never changes.
@@ -33,7 +37,6 @@
     def __init__(self, clock, hosts):
         self.listed = hosts
         self.orders = []
-        self.unanswered = False
         self._clock = clock
 
     def tokens(self, host):
@@ -47,8 +50,6 @@
         sending()
         self.orders.append((host, token, self._clock()))
         await asyncio.sleep(0)
-        if self.unanswered:
-            raise StoreOutcomeUnknownError("silent")
 
 
 class FakeView:
@@ -56,13 +57,14 @@
 
     def __init__(self):
         self.released = {}
+        self.asked_for = []
         self.ticks = 0
 
     def reports(self):
         return {"desk": PoolReport(dict(self.released))}
 
     def waves(self):
-        return []
+        return self.asked_for
 
     def standby(self):
         self.ticks += 1
@@ -97,7 +99,7 @@
             self.machines,
             self.clock,
             metrics(),
-            None,
+            wave_status,
             HOST_ORDER_GAP_S,
         )
         controller = FleetController(lease, deps, self.view, self.lost.append)
@@ -116,6 +118,11 @@
             self.clock.now += STEP_S
             await self.let_controllers_act()
 
+    def stored_plan(self):
+        """Return the plan that a successor would read."""
+        row = self.store.rows[CONTROL_TABLE, FLEET_SHARD, PLAN_KEY]
+        return decode_plan(row.value)
+
     async def let_controllers_act(self):
         """Wait for a few rounds of the controllers that hold the lease."""
         ticks = self.view.ticks + 3
@@ -157,6 +164,24 @@
         await self.let_controllers_act()
         self.assertEqual(self.machines.tokens("h1"), [1])
 
+    async def test_plan_is_written_again_after_a_lost_answer(self):
+        """
+        Guards against a stored plan that the controller takes for another.
+
+        A changed plan gets no answer and is applied; if the change is taken back then,
+        what the controller committed last is no longer what is stored.
+        """
+        await self.hold(1)
+        await self.let_controllers_act()
+        self.view.asked_for = [Wave(1, ("h1",), 20.0, 1)]
+        self.store.lose_next = 1
+        while self.store.lose_next:
+            await asyncio.sleep(0.01)
+        self.assertEqual(self.stored_plan().to_maintain, ("h1",))
+        self.view.asked_for = []
+        await self.let_controllers_act()
+        self.assertEqual(self.stored_plan().to_maintain, ())
+
     async def test_record_outlasts_an_order_and_then_ends(self):
         """Guards against hosts that every successor leaves alone for ever."""
         await self.hold(1)
