Let the kernel give up a host order that a cut holds back while its process is paused

An order is called back by resetting its connection when its call ends. A process that is paused meanwhile cannot do that; its held-back bytes arrive when the cut ends, after a successor's orders.

The client of the platform's interface for hosts has a session of its own, whose connections the kernel breaks after 1.0 s without an acknowledgement, the time limit of a call. What it cannot cover: a paused machine, whose kernel stands still as well, and a pause between the check of the lease and the write that follows it.

--- a/magnoliapier/platform/__main__.py
+++ b/magnoliapier/platform/__main__.py
@@ -14,7 +14,7 @@
 from magnoliapier.platform.endpoints import HttpEndpointClient
 from magnoliapier.platform.http import open_session
 from magnoliapier.platform.ingress import Ingress
-from magnoliapier.platform.machines import MachineClient
+from magnoliapier.platform.machines import CALL_TIMEOUT_MS, MachineClient
 from magnoliapier.platform.store import TableStore
 from magnoliapier.service.clock import boottime
 from magnoliapier.service.node import Node
@@ -74,6 +74,7 @@
         self._stop = asyncio.Event()
         self._metrics = Metrics()
         self._session = open_session()
+        self._machines_session = open_session(CALL_TIMEOUT_MS)
         store = TableStore(
             self._session, boot.platform.address, boottime, self._metrics
         )
@@ -82,7 +83,10 @@
             store,
             HttpEndpointClient(self._session, self._metrics),
             MachineClient(
-                self._session, boot.cloud_api.address, boot.node_name, self._metrics
+                self._machines_session,
+                boot.cloud_api.address,
+                boot.node_name,
+                self._metrics,
             ),
             wire.SERVERS_TABLE,
             decode_endpoint,
@@ -128,6 +132,7 @@
         await self._operator.close()
         await self._ingress.close()
         await self._session.close()
+        await self._machines_session.close()
         log.info("stopped", node=self._boot.node_name)
 
     def _reload(self):
--- a/magnoliapier/platform/http.py
+++ b/magnoliapier/platform/http.py
@@ -1,7 +1,8 @@
-"""One HTTP client session for all calls of the process, by aiohttp."""
+"""The HTTP client sessions of the process, by aiohttp."""
 
 import socket
 import struct
+from functools import partial
 
 import aiohttp
 
@@ -13,25 +14,31 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # linger on, for no time
 
 
-def _open_socket(address_info):
+def open_socket(address_info, user_timeout_ms=USER_TIMEOUT_MS):
+    """Return a client socket whose unacknowledged bytes break it after a while."""
     family, kind, protocol, *_ = address_info
     sock = socket.socket(family, kind, protocol)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms)
     # A call that has ended must not arrive any more. The kernel would go on sending
     # what a closed connection has left; a reset drops it, also after a kill.
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
     return sock
 
 
-def open_session():
-    """Return the client session; close it with ``await session.close()``."""
+def open_session(user_timeout_ms=USER_TIMEOUT_MS):
+    """
+    Return a client session; close it with ``await session.close()``.
+
+    The kernel gives up bytes that are not acknowledged for ``user_timeout_ms``, also
+    while the process is paused.
+    """
     connector = aiohttp.TCPConnector(
         limit=0,
         limit_per_host=CONNECTIONS_PER_ADDRESS,
         keepalive_timeout=KEEPALIVE_S,
         use_dns_cache=False,
-        socket_factory=_open_socket,
+        socket_factory=partial(open_socket, user_timeout_ms=user_timeout_ms),
     )
     return aiohttp.ClientSession(
         connector=connector,
--- a/magnoliapier/platform/machines.py
+++ b/magnoliapier/platform/machines.py
@@ -15,13 +15,18 @@
 from magnoliapier.platform.http import call_timeout
 
 CALL_TIMEOUT_S = 1.0  # within state.lease.SLOW_ORDER_S
+CALL_TIMEOUT_MS = round(CALL_TIMEOUT_S * 1000)
 NOTHING_DONE = (429, 503)
 
 log = get_logger(__name__)
 
 
 class MachineClient:
-    """Lists hosts and orders moves and maintenance."""
+    """
+    Lists hosts and orders moves and maintenance.
+
+    Its session gives up what a cut holds back after ``CALL_TIMEOUT_MS``.
+    """
 
     def __init__(self, session, address, holder, metrics):
         self._session = session
