Manage the fleet on when its plan is unreadable or an order is invalid

A plan row that could not be read ended the fleet controller's task: its lease lapsed, and the next holder met the same row. An order that the platform calls invalid (400) ended the round while its other orders went on unobserved, and its host stayed recorded for ever.

Of a plan that cannot be read no order is known, so all hosts are left alone for the gap; an invalid order counts as refused and is logged as host_order_invalid.

Before: test_unreadable_plan_bars_all_hosts_for_a_while and the two new cases of test_outcomes fail with the errors themselves.

--- a/magnoliapier/service/fleet.py
+++ b/magnoliapier/service/fleet.py
@@ -9,9 +9,9 @@
 
 import asyncio
 
-from magnoliapier.exceptions import FencedError, PlatformError
+from magnoliapier.exceptions import FencedError, MessageError, PlatformError
 from magnoliapier.logs import get_logger
-from magnoliapier.pools.handover import OrderedHosts
+from magnoliapier.pools.handover import UNDER_WAY, OrderedHosts
 from magnoliapier.pools.planner import FleetPlanner, Maintain
 from magnoliapier.pools.report import PLAN_KEY, FleetPlan, decode_plan, encode
 from magnoliapier.service.background import cancel_tasks
@@ -91,21 +91,31 @@
     async def _load(self):
         while True:
             try:
-                changes = await self._store.read(
-                    CONTROL_TABLE, FLEET_SHARD, PLAN_KEY, PLAN_KEY + "\x00"
-                )
+                self._plan = await self._read_plan()
                 break
             except PlatformError as error:
                 log.info("fleet_load_failed", error=error)
                 await asyncio.sleep(RETRY_DELAY_S)
-        if changes.rows:
-            self._plan = decode_plan(changes.rows[0].value)
         self._planner = FleetPlanner(self._plan.maintained)
         self._ordered = OrderedHosts(
             self._plan.ordered, self._clock(), self._order_gap_s
         )
         log.info("fleet_loaded", barred=len(self._plan.ordered))
 
+    async def _read_plan(self):
+        changes = await self._store.read(
+            CONTROL_TABLE, FLEET_SHARD, PLAN_KEY, PLAN_KEY + "\x00"
+        )
+        if not changes.rows:
+            return FleetPlan()
+        try:
+            return decode_plan(changes.rows[0].value)
+        except MessageError as error:
+            log.error("unreadable_plan", error=error)
+        # Any host may have an order of a former holder under way.
+        hosts = await self._machines.hosts()
+        return FleetPlan(ordered={host.name: UNDER_WAY for host in hosts})
+
     async def _tick(self):
         # A plan whose commit got no answer is written again before it can change, so
         # that the stored plan is never mistaken for another.
--- a/magnoliapier/service/host_orders.py
+++ b/magnoliapier/service/host_orders.py
@@ -14,6 +14,8 @@
 from magnoliapier.exceptions import (
     HostOrderRefusedError,
     LeaseTooShortError,
+    MessageError,
+    PlatformError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
@@ -55,6 +57,11 @@
             log.warning(
                 "host_order_unanswered", **self._details(order, started_at), error=error
             )
+        except (PlatformError, MessageError) as error:
+            outcome = HostOrderOutcome.REFUSED
+            log.error(
+                "host_order_invalid", **self._details(order, started_at), error=error
+            )
         else:
             outcome = HostOrderOutcome.DONE
             log.info("host_ordered", **self._details(order, started_at))
--- a/tests/service/test_fleet.py
+++ b/tests/service/test_fleet.py
@@ -182,6 +182,20 @@
         await self.let_controllers_act()
         self.assertEqual(self.stored_plan().to_maintain, ())
 
+    async def test_unreadable_plan_bars_all_hosts_for_a_while(self):
+        """
+        Guards against a fleet that nobody manages while its plan cannot be read.
+
+        What the former holder ordered last is not known then either.
+        """
+        put = Put(CONTROL_TABLE, FLEET_SHARD, PLAN_KEY, b"\xc1")
+        await self.store.commit([], [put])
+        await self.hold(1)
+        await self.release("h1")
+        self.assertEqual(self.machines.orders, [])
+        await self.pass_time(HOST_ORDER_GAP_S + 1.0)
+        self.assertEqual(self.machines.tokens("h1"), [1])
+
     async def test_record_outlasts_an_order_and_then_ends(self):
         """Guards against hosts that every successor leaves alone for ever."""
         await self.hold(1)
--- a/tests/service/test_host_orders.py
+++ b/tests/service/test_host_orders.py
@@ -5,6 +5,8 @@
 from magnoliapier.exceptions import (
     HostOrderRefusedError,
     LeaseTooShortError,
+    MessageError,
+    PlatformError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
@@ -65,8 +67,11 @@
             (HostOrderRefusedError("busy"), HostOrderOutcome.REFUSED),
             (StoreUnavailableError("429"), HostOrderOutcome.REFUSED),
             (StoreOutcomeUnknownError("silent"), HostOrderOutcome.UNANSWERED),
+            (PlatformError("400"), HostOrderOutcome.REFUSED),
+            (MessageError("409 without a reason"), HostOrderOutcome.REFUSED),
         ]
         for error, outcome in cases:
+            self.clock.now = 10.0
             self.machines.error = error
             self.assertEqual(await self.sender.send(Move("h1", "desk")), outcome)
 
