Let the soak's links tell a reset from a graceful close

A cut delivered held bytes even if their sender had reset its connection, and let a close pass at once. Now a close waits for the link as the bytes before it do and delivers them; a reset drops them and is passed on as a reset. transport.abort() alone sends a FIN unless bytes are unread, as a run of it showed, so resets set SO_LINGER first.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -1,12 +1,16 @@
 """A TCP proxy on loopback that delays, resets, cuts one way or silences connections."""
 
 import asyncio
+import contextlib
+import socket
+import struct
 from enum import StrEnum
 
 from tests.soak.serving import LOOPBACK
 
 CHUNK = 65_536
 POLL_S = 0.05
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER without a time to linger
 
 
 class LinkFault(StrEnum):
@@ -25,7 +29,8 @@
     Forwards connections to one address.
 
     Bytes that a cut holds back are delivered when the link is whole again, as a network
-    retransmits them, unless the connection has been closed meanwhile.
+    retransmits them, even if their sender has closed the connection meanwhile. They are
+    lost if it has reset the connection.
     """
 
     def __init__(self, target_port):
@@ -55,18 +60,18 @@
 
     def _abort_all(self):
         for writer in list(self._writers):
-            writer.transport.abort()
+            reset(writer)
 
     async def _accept(self, reader, writer):
         if self._fault == LinkFault.RESET:
-            writer.transport.abort()
+            reset(writer)
             return
         try:
             far_reader, far_writer = await asyncio.open_connection(
                 LOOPBACK, self._target_port
             )
         except OSError:
-            writer.transport.abort()
+            reset(writer)
             return
         both = {writer, far_writer}
         self._writers |= both
@@ -76,17 +81,38 @@
             await asyncio.gather(requests, answers)
         finally:
             self._writers -= both
+            for each in both:
+                each.close()
 
     async def _pump(self, reader, writer, own_cut):
+        """Pass on bytes and the end of one direction; a cut holds back both."""
         try:
-            while data := await reader.read(CHUNK):
-                while self._fault in (own_cut, LinkFault.SILENT):
-                    await asyncio.sleep(POLL_S)
+            while data := await self._read(reader, own_cut):
                 if self._fault == LinkFault.DELAY:
                     await asyncio.sleep(self.delay_s)
                 writer.write(data)
                 await writer.drain()
+            writer.write_eof()
         except OSError:
-            writer.transport.abort()
-        finally:
-            writer.close()
+            await self._wait_until_whole(own_cut)
+            reset(writer)
+
+    async def _read(self, reader, own_cut):
+        """Return bytes once the link passes them; raise if their sender has reset."""
+        data = await reader.read(CHUNK)
+        await self._wait_until_whole(own_cut)
+        if reader.exception() is not None:
+            raise reader.exception()
+        return data
+
+    async def _wait_until_whole(self, own_cut):
+        while self._fault in (own_cut, LinkFault.SILENT):
+            await asyncio.sleep(POLL_S)
+
+
+def reset(writer):
+    """Reset a connection; an abort alone ends it like a graceful close."""
+    with contextlib.suppress(OSError):
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    writer.transport.abort()
