Check which holder sent an order for a host, not only its token

The stand-in of the machines' interface saw a lower token after a higher one, but neither two holders of one token nor two holders that order one host within lease_ms (3 s). The ledger now checks all three, for refused orders too: a host that is not up refused them before their token was seen. The nodes' settings carry lease_ms.

--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+LEASE_MS = 3000  # in which two holders may not both order a host
+
 
 class Violation(msgspec.Struct, frozen=True):
     """A broken invariant."""
@@ -40,6 +42,14 @@
     starts: list = []
 
 
+class HostOrders(msgspec.Struct):
+    """The orders that one host was given, and the last of them."""
+
+    holders: dict = {}
+    holder: str = ""
+    at: float = 0.0
+
+
 class Ledger:
     """
     Records events and the violations they show.
@@ -56,6 +66,7 @@
         self.submissions = {}
         self.counts = {}
         self._tasks = {}
+        self._orders = {}
         self._began_at = time.monotonic()
 
     def report(self, invariant, detail):
@@ -151,6 +162,31 @@
                 if place == endpoint:
                     del task.running[place, run]
 
+    # What the interface for machines sees
+
+    def ordered(self, host, holder, token):
+        """
+        Check an order for a host; ``token`` fences the orders of ``holder``.
+
+        Holders may not take turns within a lease even where they are cut off from each
+        other, which is stricter than the platform's rule.
+        """
+        now = time.monotonic()
+        orders = self._orders.setdefault(host, HostOrders())
+        highest = max(orders.holders, default=token)
+        if token < highest:
+            detail = f"{host}: token {token} of {holder} after {highest}"
+            self.report("one holder orders a host", detail)
+        first = orders.holders.setdefault(token, holder)
+        if first != holder:
+            detail = f"{host}: token {token} of {first} and {holder}"
+            self.report("a token has one holder", detail)
+        since = now - orders.at
+        if orders.holder not in ("", holder) and since * 1000 < LEASE_MS:
+            detail = f"{host}: {holder} {since:.2f} s after {orders.holder}"
+            self.report("holders take no turns within a lease", detail)
+        orders.holder, orders.at = holder, now
+
     # What callers see
 
     def shown(self, submission, state):
--- a/tests/soak/machines.py
+++ b/tests/soak/machines.py
@@ -9,6 +9,7 @@
 from tests.soak.serving import HttpServer, json_answer
 
 MOVE_S = 0.6
+HOLDER_HEADER = "X-Magnoliapier-Lease-Holder"
 TOKEN_HEADER = "X-Magnoliapier-Fencing-Token"
 RETURN_S = 1.0
 
@@ -21,7 +22,6 @@
     state: str = "up"
     endpoint: object = None
     boots: int = 0
-    token: int = 0
     maintained: bool = False
 
 
@@ -35,7 +35,7 @@
         self._ledger = ledger
         self._tasks = set()
         self._server = HttpServer(self._answer)
-        self.wave = ()
+        self.last_holder = ""
         for pool, count in pools.items():
             for _ in range(count):
                 name = f"host-{len(self.hosts)}"
@@ -88,19 +88,15 @@
         host = self.hosts.get(body["machine"])
         if host is None:
             return web.Response(status=400)
+        self.last_holder = request.headers[HOLDER_HEADER]
+        token = int(request.headers[TOKEN_HEADER])
+        self._ledger.ordered(host.name, self.last_holder, token)
         if host.state != "up":
             return json_answer({"reason": "busy"}, 409)
-        self._check_token(host, int(request.headers[TOKEN_HEADER]))
         if request.path == "/machine-move":
             return await self._move(host, body["pool"])
         return await self._maintain(host)
 
-    def _check_token(self, host, token):
-        if token < host.token:
-            detail = f"{host.name}: token {token} after {host.token}"
-            self._ledger.report("one holder orders a host", detail)
-        host.token = max(host.token, token)
-
     async def _move(self, host, pool):
         if host.pool != pool:
             host.pool = pool
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -10,6 +10,7 @@
 import aiohttp
 import msgspec
 
+from tests.soak.ledger import LEASE_MS
 from tests.soak.proxy import LinkProxy
 
 GRACE_S = 6.0
@@ -83,7 +84,7 @@
             "internal_ports": PEER_PORTS,
             "platform": {"address": f"127.0.0.1:{self.store_link.port}"},
             "cloud_api": {"address": f"127.0.0.1:{self.machines_link.port}"},
-            "bounds": {"hold_max_ms": 6000, "status_s": 120},
+            "bounds": {"hold_max_ms": 6000, "lease_ms": LEASE_MS, "status_s": 120},
         }
 
     @property
--- a/tests/soak/test_ledger.py
+++ b/tests/soak/test_ledger.py
@@ -1,6 +1,7 @@
 import unittest
+from unittest import mock
 
-from tests.soak.ledger import Ledger, Submitted
+from tests.soak.ledger import LEASE_MS, Ledger, Submitted
 
 ID = "00000000000000aa"
 FIRST, SECOND, LAST = f"{ID}.0.0.0", f"{ID}.0.0.1", f"{ID}.0.1.0"
@@ -76,3 +77,34 @@
         self.assertEqual(
             self.invariants(), ["accepted work is finished", "cancelled work has ended"]
         )
+
+    def order(self, holder, token, at_ms):
+        with mock.patch("time.monotonic", return_value=100 + at_ms / 1000):
+            self.ledger.ordered("host-1", holder, token)
+
+    def test_holders_of_a_host_that_succeed_each_other(self):
+        """Guards against reports of a takeover after the lease, or of other hosts."""
+        self.order("a", 1, 0)
+        self.order("a", 2, 1)
+        self.order("b", 3, LEASE_MS + 1)
+        self.ledger.ordered("host-2", "a", 1)
+        self.assertEqual(self.invariants(), [])
+
+    def test_order_that_arrives_after_a_successors(self):
+        """Guards against a soak that passes over held orders of a former holder."""
+        self.order("a", 1, 0)
+        self.order("b", 2, LEASE_MS)
+        self.order("a", 1, 2 * LEASE_MS)
+        self.assertEqual(self.invariants(), ["one holder orders a host"])
+
+    def test_two_holders_of_one_token(self):
+        """Guards against a token that two holders use, however far apart."""
+        self.order("a", 1, 0)
+        self.order("b", 1, LEASE_MS)
+        self.assertEqual(self.invariants(), ["a token has one holder"])
+
+    def test_holders_that_take_turns_within_a_lease(self):
+        """Guards against a takeover sooner than the platform's bound."""
+        self.order("a", 1, 0)
+        self.order("b", 2, LEASE_MS - 1)
+        self.assertEqual(self.invariants(), ["holders take no turns within a lease"])
