Cut a node off as it sends an order in the soak

All nodes lost the interface for machines at once, so no successor ordered while an order of the former holder was held back. cut_node_off silences one node's links to store and machines for 3.5 s or more. A cut at a random moment seldom meets an order, so it asks for a wave and waits up to 2 s for an order to pass; the cut holds that order back.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -11,6 +11,8 @@
 
 FAULTS = {}
 LINK_FAULTS = [fault for fault in LinkFault if fault != LinkFault.NONE]
+TAKEOVER_S = 3.5  # for a successor to take a lease and to order in its turn
+ORDER_WAIT_S = 2.0
 ADDED_ROUTE = {"name": "extra", "host": "extra.example", "path_prefix": "/extra/"}
 
 
@@ -105,6 +107,34 @@
     await _break(links, rng.choice(LINK_FAULTS), seconds)
 
 
+@fault
+async def cut_node_off(soak, rng, seconds):
+    """Cut a node off from store and machines, if possible as it sends an order."""
+    await wave(soak, rng, seconds)
+    node = await _ordering_node(soak) or _last_holder(soak) or rng.choice(soak.nodes)
+    node.disturb()
+    links = [node.store_link, node.machines_link]
+    await _break(links, LinkFault.SILENT, max(seconds, TAKEOVER_S))
+    node.disturb()
+
+
+async def _ordering_node(soak):
+    """Return the node that orders next, its link to the machines cut, or None."""
+    order = asyncio.get_running_loop().create_future()
+    for node in soak.nodes:
+        node.machines_link.awaited_order = order
+    try:
+        link = await asyncio.wait_for(order, ORDER_WAIT_S)
+    except TimeoutError:
+        return None
+    return next(node for node in soak.nodes if node.machines_link is link)
+
+
+def _last_holder(soak):
+    holder = soak.machines.last_holder
+    return next((node for node in soak.nodes if node.name == holder), None)
+
+
 @fault
 async def cut_endpoints(soak, rng, seconds):
     """Disturb the links to some endpoints, which run on."""
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -10,6 +10,7 @@
 
 CHUNK = 65_536
 POLL_S = 0.05
+ORDER_START = b"POST /machine-"
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER without a time to linger
 
 
@@ -31,6 +32,9 @@
     Bytes that a cut holds back are delivered when the link is whole again, as a network
     retransmits them, even if their sender has closed the connection meanwhile. They are
     lost if it has reset the connection.
+
+    While ``awaited_order`` is a pending future, the link falls silent as the next order
+    passes, and the future gets the link as its result.
     """
 
     def __init__(self, target_port):
@@ -38,6 +42,7 @@
         self._server = None
         self._writers = set()
         self._fault = LinkFault.NONE
+        self.awaited_order = None
         self.delay_s = 0.15
         self.port = 0
 
@@ -100,11 +105,18 @@
     async def _read(self, reader, own_cut):
         """Return bytes once the link passes them; raise if their sender has reset."""
         data = await reader.read(CHUNK)
+        if data.startswith(ORDER_START):
+            self._silence_if_awaited()
         await self._wait_until_whole(own_cut)
         if reader.exception() is not None:
             raise reader.exception()
         return data
 
+    def _silence_if_awaited(self):
+        if self.awaited_order is not None and not self.awaited_order.done():
+            self._fault = LinkFault.SILENT
+            self.awaited_order.set_result(self)
+
     async def _wait_until_whole(self, own_cut):
         while self._fault in (own_cut, LinkFault.SILENT):
             await asyncio.sleep(POLL_S)
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -68,3 +68,12 @@
         reset(await self.send_into(LinkFault.SILENT))
         self.assertEqual(await self.heal(), "reset")
         self.assertEqual(self.received, [b"first"])
+
+    async def test_link_falls_silent_as_an_order_passes(self):
+        """Guards against a cut that comes before or after the order it should hold."""
+        self.proxy.awaited_order = asyncio.get_running_loop().create_future()
+        writer = await self.send_into(LinkFault.NONE)
+        self.assertIs(self.proxy.awaited_order.result(), self.proxy)
+        writer.close()
+        self.assertEqual(await self.heal(), "closed")
+        self.assertEqual(self.received, [b"first", ORDER])
