Keep seed 51 among the soak's regression seeds

The new fault changes what the seed injects, and tests.soak.test_nodes guards its cause directly; the seed stays all the same, as every seed that ever failed does.

--- a/tests/soak/seeds.py
+++ b/tests/soak/seeds.py
@@ -5,6 +5,11 @@
 # Each entry is (seed, seconds of faults, cause of the failure). A fault that is added
 # or removed changes what every seed injects, so such a change has to find new seeds.
 REGRESSION_SEEDS = (
+    (
+        51,
+        8.0,
+        "soak: two stops of one node overlapped, the second killed its successor",
+    ),
     (
         261,
         6.0,
