Manage the fleet on after a host list that cannot be read

One damaged answer of the platform's interface ended the fleet controller's task without a log line; its lease lapsed, and this host never took the fleet's shard again.

Before: test_unreadable_host_list_is_read_again fails (no tick within 10 s).

--- a/magnoliapier/service/fleet.py
+++ b/magnoliapier/service/fleet.py
@@ -84,7 +84,7 @@
                 self._lost = True
                 self._on_lost(self)
                 return
-            except PlatformError as error:
+            except (PlatformError, MessageError) as error:
                 log.info("fleet_tick_failed", error=error)
             await asyncio.sleep(TICK_S)
 
@@ -93,7 +93,7 @@
             try:
                 self._plan = await self._read_plan()
                 break
-            except PlatformError as error:
+            except (PlatformError, MessageError) as error:
                 log.info("fleet_load_failed", error=error)
                 await asyncio.sleep(RETRY_DELAY_S)
         self._planner = FleetPlanner(self._plan.maintained)
--- a/tests/service/test_fleet.py
+++ b/tests/service/test_fleet.py
@@ -1,6 +1,7 @@
 import asyncio
 import unittest
 
+from magnoliapier.exceptions import MessageError
 from magnoliapier.pools.hosts import Host, HostState, Wave
 from magnoliapier.pools.report import PLAN_KEY, PoolReport, decode_plan
 from magnoliapier.service.fleet import FleetController
@@ -37,6 +38,7 @@
     def __init__(self, clock, hosts):
         self.listed = hosts
         self.orders = []
+        self.unreadable_lists = 0
         self._clock = clock
 
     def tokens(self, host):
@@ -44,6 +46,9 @@
         return [token for name, token, _ in self.orders if name == host]
 
     async def hosts(self):
+        if self.unreadable_lists:
+            self.unreadable_lists -= 1
+            raise MessageError("no JSON")
         return list(self.listed)
 
     async def move(self, host, service, token, sending):
@@ -196,6 +201,13 @@
         await self.pass_time(HOST_ORDER_GAP_S + 1.0)
         self.assertEqual(self.machines.tokens("h1"), [1])
 
+    async def test_unreadable_host_list_is_read_again(self):
+        """Guards against a fleet that nobody manages after one damaged answer."""
+        self.machines.unreadable_lists = 1
+        await self.hold(1)
+        await self.release("h1")
+        self.assertEqual(self.machines.tokens("h1"), [1])
+
     async def test_record_outlasts_an_order_and_then_ends(self):
         """Guards against hosts that every successor leaves alone for ever."""
         await self.hold(1)
