Leave nothing between the check of the lease and the write of a host order

The line host_order_sent was written between the two. A process that is paused there, which a review showed with a pause of 3 s through the real client, sends its order without a check after it wakes. The line is now written once the bytes are.

Answers other than 200, 400, 409, 429 and 503 leave the outcome of an order open: they counted as a refusal that has had no effect, and a second maintenance could have exceeded the limit of its wave. The two cases of test_outcomes that pinned this are replaced by tests of the client: test_refusals takes a 400 and a 409 without a readable reason, and test_other_answers_leave_the_outcome_open the rest.

--- a/magnoliapier/platform/machines.py
+++ b/magnoliapier/platform/machines.py
@@ -6,7 +6,6 @@
 from magnoliapier.exceptions import (
     HostOrderRefusedError,
     MessageError,
-    PlatformError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
@@ -17,6 +16,7 @@
 CALL_TIMEOUT_S = 1.0  # within state.lease.SLOW_ORDER_S
 CALL_TIMEOUT_MS = round(CALL_TIMEOUT_S * 1000)
 NOTHING_DONE = (429, 503)
+REFUSED = (400, 409)
 
 log = get_logger(__name__)
 
@@ -54,29 +54,27 @@
             raise StoreUnavailableError(f"Retry later; the host list gave {status}.")
         return wire.decode(wire.MachinePage, data)
 
-    async def move(self, host, service, token, sending):
+    async def move(self, host, service, token, guard):
         """
         Move a host to the pool of a service.
 
-        ``sending()`` is called just before the order's bytes are written; if it raises
-        an error, they are not.
+        ``guard.check()`` is called just before the order's bytes are written; if it
+        raises an error, they are not. ``guard.written()`` is called after it.
         """
-        await self._order("/machine-move", wire.MoveBody(host, service), token, sending)
+        await self._order("/machine-move", wire.MoveBody(host, service), token, guard)
 
-    async def maintain(self, host, wave, token, sending):
+    async def maintain(self, host, wave, token, guard):
         """Take a host down for its maintenance in a wave; see ``move``."""
-        await self._order(
-            "/machine-upkeep", wire.UpkeepBody(host, wave), token, sending
-        )
+        await self._order("/machine-upkeep", wire.UpkeepBody(host, wave), token, guard)
 
-    async def _order(self, path, body, token, sending):
+    async def _order(self, path, body, token, guard):
         data = wire.encode(body)
         headers = {
             wire.HOLDER_HEADER: self._holder,
             wire.TOKEN_HEADER: str(token),
             "Content-Length": str(len(data)),
         }
-        guarded = _GuardedBody(data, sending)
+        guarded = _GuardedBody(data, guard)
         try:
             status, data = await self._call(
                 "POST", URL(f"{self._base}{path}"), guarded, headers
@@ -89,10 +87,11 @@
             return
         if status in NOTHING_DONE:
             raise StoreUnavailableError(f"Retry later; {path} gave {status}.")
-        if status == 409:
-            reason = wire.decode(wire.ReasonBody, data).reason
-            raise HostOrderRefusedError(reason)
-        raise PlatformError(f"Check the order; {path} gave {status}: {data[:200]}")
+        if status in REFUSED:
+            raise HostOrderRefusedError(f"{status}: {data[:200]}")
+        raise StoreOutcomeUnknownError(
+            f"Read the host list before repeating; {path} gave {status}."
+        )
 
     async def _call(self, method, url, data=None, headers=None):
         try:
@@ -122,15 +121,16 @@
     ``released`` is not set.
     """
 
-    def __init__(self, data, sending):
+    def __init__(self, data, guard):
         self.released = False
         self._data = data
-        self._sending = sending
+        self._guard = guard
 
     async def __aiter__(self):
-        self._sending()
+        self._guard.check()
         self.released = True
         yield self._data
+        self._guard.written()
 
 
 def decode_hosts(page):
--- a/magnoliapier/service/host_orders.py
+++ b/magnoliapier/service/host_orders.py
@@ -1,8 +1,8 @@
 """
 Sending the fleet controller's orders, and the log lines that explain them.
 
-Whether the lease covers an order is checked as its bytes are written: what comes before
-that may take any time, as the process may be paused.
+Whether the lease covers an order is checked as its bytes are written, with nothing but
+the write after it: what comes before may take any time, as the process may be paused.
 
 An order's lines say when its bytes left the process and when its call ended, each with
 what was left of the holder's lease, so that orders of two holders can be put in order
@@ -14,8 +14,6 @@
 from magnoliapier.exceptions import (
     HostOrderRefusedError,
     LeaseTooShortError,
-    MessageError,
-    PlatformError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
@@ -33,6 +31,28 @@
     UNANSWERED = "unanswered"  # it may have been carried out
 
 
+class OrderGuard:
+    """
+    Lets one order go while the lease covers it.
+
+    ``details()`` returns the fields of the log line that says when it left.
+    """
+
+    def __init__(self, lease, clock, details):
+        self._lease = lease
+        self._clock = clock
+        self._details = details
+
+    def check(self):
+        """Raise LeaseTooShortError if the order may outlast the lease."""
+        if not self._lease.may_order_slowly(self._clock()):
+            raise LeaseTooShortError("Renew the lease before the order is sent.")
+
+    def written(self):
+        """Take note that the order's bytes were written."""
+        log.info("host_order_sent", **self._details())
+
+
 class HostOrderSender:
     """Sends one holder's orders to hosts of the fleet."""
 
@@ -46,7 +66,7 @@
         """Send an order if the lease covers it; return its HostOrderOutcome."""
         started_at = self._clock()
         try:
-            await self._call(order, lambda: self._sending(order, started_at))
+            await self._call(order, started_at)
         except (HostOrderRefusedError, StoreUnavailableError) as error:
             outcome = HostOrderOutcome.REFUSED
             log.info(
@@ -57,11 +77,6 @@
             log.warning(
                 "host_order_unanswered", **self._details(order, started_at), error=error
             )
-        except (PlatformError, MessageError) as error:
-            outcome = HostOrderOutcome.REFUSED
-            log.error(
-                "host_order_invalid", **self._details(order, started_at), error=error
-            )
         else:
             outcome = HostOrderOutcome.DONE
             log.info("host_ordered", **self._details(order, started_at))
@@ -71,17 +86,15 @@
         )
         return outcome
 
-    async def _call(self, order, sending):
+    async def _call(self, order, started_at):
         token = self._lease.token
+        guard = OrderGuard(
+            self._lease, self._clock, lambda: self._details(order, started_at)
+        )
         if isinstance(order, Maintain):
-            await self._machines.maintain(order.host, order.wave, token, sending)
+            await self._machines.maintain(order.host, order.wave, token, guard)
         else:
-            await self._machines.move(order.host, order.service, token, sending)
-
-    def _sending(self, order, started_at):
-        if not self._lease.may_order_slowly(self._clock()):
-            raise LeaseTooShortError(f"Renew the lease before {order} is sent.")
-        log.info("host_order_sent", **self._details(order, started_at))
+            await self._machines.move(order.host, order.service, token, guard)
 
     def _details(self, order, started_at):
         now = self._clock()
