Count barred hosts of a wave as down, and test what the review's mutants survived

A successor did not count hosts that it left alone when it chose the next ones of a wave: the maintenance that a former holder had begun on one of them could exceed the limit. Before: test_barred_hosts_count_as_down fails (Maintain of h2).

The store's attribute is called table_clock, as its own clock is the local one. Loops of two tests that waited without end are bounded.

--- a/magnoliapier/platform/store.py
+++ b/magnoliapier/platform/store.py
@@ -47,7 +47,7 @@
         self._metrics = metrics
         self._patience = Patience()
         self.last_answer_at = None
-        self.clock = StoreClock()
+        self.table_clock = StoreClock()
 
     async def commit(self, expects, puts, removes=()):
         """Apply a transaction and return its version."""
@@ -64,7 +64,7 @@
             wire.decode(wire.RowsAnswer, data) if status in (200, CONFLICT) else None
         )
         if status == 200:
-            self.clock.observe(answer.now_ms, sent_at, self._clock())
+            self.table_clock.observe(answer.now_ms, sent_at, self._clock())
             return answer.ver
         if status == CONFLICT:
             rows = [decode_row(row) for row in answer.rows]
@@ -94,7 +94,7 @@
         if status != 200:
             raise self._failure(status, data)
         answer = wire.decode(wire.RowsAnswer, data)
-        self.clock.observe(answer.now_ms, sent_at, self._clock())
+        self.table_clock.observe(answer.now_ms, sent_at, self._clock())
         return answer
 
     async def parts(self, table):
--- a/magnoliapier/pools/handover.py
+++ b/magnoliapier/pools/handover.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-UNDER_WAY = 0  # stands for the end of an order that may be under way
+UNDER_WAY = 0  # the end of an order that may be under way, or was never timed
 
 
 class OwnOrder(msgspec.Struct):
--- a/magnoliapier/pools/planner.py
+++ b/magnoliapier/pools/planner.py
@@ -147,6 +147,8 @@
         return orders
 
     def _down_for(self, wave):
+        # A former holder may have begun the maintenance of a barred host.
+        barred = set(self._barred).difference(self.maintained.get(wave.number, ()))
         ordered = sum(
             isinstance(pending.order, Maintain) and pending.order.wave == wave.number
             for pending in self._pending.values()
@@ -156,7 +158,7 @@
             for name in wave.hosts
             if name in self._hosts
             and name not in self._pending
-            and self._hosts[name].state == HostState.UPKEEP
+            and (self._hosts[name].state == HostState.UPKEEP or name in barred)
         )
         return ordered + listed
 
--- a/magnoliapier/service/fleet.py
+++ b/magnoliapier/service/fleet.py
@@ -128,7 +128,7 @@
             self._view.waves(),
             self._view.standby(),
             now,
-            self._ordered.barred(now, self._store.clock.earliest_ms(now)),
+            self._ordered.barred(now, self._store.table_clock.earliest_ms(now)),
         )
         await self._commit_plan()
         orders = self._planner.orders()
@@ -160,7 +160,7 @@
 
     def _order_ended(self, order):
         now = self._clock()
-        self._ordered.end(order.host, now, self._store.clock.latest_ms(now))
+        self._ordered.end(order.host, now, self._store.table_clock.latest_ms(now))
 
     async def _list_hosts(self):
         now = self._clock()
@@ -188,7 +188,7 @@
                 for wave, hosts in self._planner.maintained.items()
             },
             self._planner.crashed,
-            self._ordered.recorded(now, self._store.clock.earliest_ms(now)),
+            self._ordered.recorded(now, self._store.table_clock.earliest_ms(now)),
         )
         puts = []
         if plan != self._plan:
--- a/magnoliapier/state/rows.py
+++ b/magnoliapier/state/rows.py
@@ -58,8 +58,11 @@
 
     Every method raises StoreUnavailableError if nothing was done and
     StoreOutcomeUnknownError if a write may have been or may yet be applied.
+    ``table_clock`` is a ``service.clock.StoreClock`` that answers keep up to date.
     """
 
+    table_clock: object
+
     async def commit(self, expects, puts, removes=()):
         """Apply all or nothing and return the version; ConflictError if refused."""
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -35,6 +35,15 @@
         await self.session.close()
         await self.runner.cleanup()
 
+    async def test_answers_tell_the_table_s_time(self):
+        """Guards against a clock of the table that stands still or is made up."""
+        self.answers = [(200, '{"ver": 7, "now_ms": 5000}')]
+        await self.store.commit([], [PUT])
+        self.assertGreaterEqual(self.store.table_clock.earliest_ms(boottime()), 5000)
+        self.answers = [(200, '{"ver": 7, "now_ms": 90000, "rows": []}')]
+        await self.store.read("t", "p")
+        self.assertGreaterEqual(self.store.table_clock.earliest_ms(boottime()), 90000)
+
     async def answer(self, request):
         self.requests.append((request.method, request.path_qs, await request.text()))
         status, text = self.answers.pop(0)
--- a/tests/pools/test_planner.py
+++ b/tests/pools/test_planner.py
@@ -39,6 +39,15 @@
         self.update(hosts, reports, now=0.5)
         self.assertEqual(self.planner.orders(), [])
 
+    def test_barred_hosts_count_as_down(self):
+        """Guards against a wave that exceeds its limit after a takeover."""
+        wave = Wave(1, ("h1", "h2"), 20.0, 1)
+        hosts = [host(1, STANDBY), host(2, STANDBY)]
+        self.planner.update(hosts, {}, [wave], STANDBY, 0.0, barred={"h1"})
+        self.assertEqual(self.planner.orders(), [])
+        self.planner.update(hosts, {}, [wave], STANDBY, 4.0)
+        self.assertEqual(self.planner.orders(), [Maintain("h1", 1)])
+
     def test_pool_with_fewest_hosts_comes_first(self):
         """Guards against one organisation taking all spare hosts before another."""
         reports = {
--- a/tests/service/fakes.py
+++ b/tests/service/fakes.py
@@ -40,11 +40,13 @@
     ``fail_next`` raises an error instead of applying a commit; ``lose_next`` applies
     it and loses the answer; ``delay_next`` loses it and keeps it for ``apply_late``.
     ``now`` is the clock of the table, in seconds; there is none by default.
+    ``answer_s`` is how long its answers seem to have taken.
     """
 
     def __init__(self, now=None):
-        self.clock = StoreClock()
+        self.table_clock = StoreClock()
         self._now = now
+        self.answer_s = 0.0
         self.rows = {}
         self.version = 0
         self.fail_next = 0
@@ -56,7 +58,8 @@
 
     def _read_clock(self):
         if self._now is not None:
-            self.clock.observe(round(self._now() * 1000), self._now(), self._now())
+            now = self._now()
+            self.table_clock.observe(round(now * 1000), now - self.answer_s, now)
 
     async def commit(self, expects, puts, removes=()):
         await asyncio.sleep(0)
--- a/tests/service/test_fleet.py
+++ b/tests/service/test_fleet.py
@@ -1,10 +1,10 @@
 import asyncio
 import unittest
 
-from magnoliapier.exceptions import MessageError
+from magnoliapier.exceptions import HostOrderRefusedError, MessageError
 from magnoliapier.pools.hosts import Host, HostState, Wave
 from magnoliapier.pools.report import PLAN_KEY, PoolReport, decode_plan
-from magnoliapier.service.fleet import FleetController
+from magnoliapier.service.fleet import ORDER_SETTLE_S, FleetController
 from magnoliapier.service.leases import FLEET_SHARD
 from magnoliapier.service.node import FleetDependencies
 from magnoliapier.state.lease import (
@@ -39,6 +39,7 @@
         self.listed = hosts
         self.orders = []
         self.unreadable_lists = 0
+        self.refuses = False
         self._clock = clock
 
     def tokens(self, host):
@@ -53,6 +54,8 @@
 
     async def move(self, host, service, token, guard):
         guard.check()
+        if self.refuses:
+            raise HostOrderRefusedError("busy")
         self.orders.append((host, token, self._clock()))
         await asyncio.sleep(0)
 
@@ -155,7 +158,8 @@
         await self.pass_time(HOST_ORDER_GAP_S + 2.0)
         self.assertEqual(self.machines.tokens("h1"), [1, 2])
         ordered_at = self.machines.orders[-1][2]
-        self.assertGreaterEqual(ordered_at - taken_at, HOST_ORDER_GAP_S)
+        wait_s = HOST_ORDER_GAP_S + ORDER_SETTLE_S
+        self.assertGreaterEqual(ordered_at - taken_at, wait_s)
 
     async def test_host_is_recorded_before_it_is_ordered(self):
         """Guards against an order that a successor cannot know of."""
@@ -163,9 +167,10 @@
         await self.let_controllers_act()
         self.view.released = {"e1": "h1"}
         self.store.fail_next = 5
-        while self.store.fail_next:
-            self.assertEqual(self.machines.orders, [])
-            await asyncio.sleep(0.01)
+        async with asyncio.timeout(PATIENCE_S):
+            while self.store.fail_next:
+                self.assertEqual(self.machines.orders, [])
+                await asyncio.sleep(0.01)
         await self.let_controllers_act()
         self.assertEqual(self.machines.tokens("h1"), [1])
 
@@ -180,8 +185,9 @@
         await self.let_controllers_act()
         self.view.asked_for = [Wave(1, ("h1",), 20.0, 1)]
         self.store.lose_next = 1
-        while self.store.lose_next:
-            await asyncio.sleep(0.01)
+        async with asyncio.timeout(PATIENCE_S):
+            while self.store.lose_next:
+                await asyncio.sleep(0.01)
         self.assertEqual(self.stored_plan().to_maintain, ("h1",))
         self.view.asked_for = []
         await self.let_controllers_act()
@@ -247,3 +253,26 @@
         self.assertEqual(self.machines.tokens("h1"), [1, 2])
         ordered_at = self.machines.orders[-1][2]
         self.assertLess(ordered_at - taken_at, HOST_ORDER_GAP_S)
+
+    async def test_slow_answers_of_the_table_make_the_wait_longer(self):
+        """Guards against a wait that a late reading of the table's clock shortens."""
+        self.store.answer_s = 1.5
+        former = await self.hold(1)
+        await self.release("h1")
+        ended_at = self.machines.orders[-1][2]
+        await former.close()
+        self.clock.now += 2.0
+        await self.hold(2)
+        await self.pass_time(HOST_ORDER_GAP_S)
+        self.assertEqual(self.machines.tokens("h1"), [1, 2])
+        wait_s = HOST_ORDER_GAP_S + ORDER_SETTLE_S + self.store.answer_s
+        self.assertGreaterEqual(self.machines.orders[-1][2] - ended_at, wait_s)
+
+    async def test_record_of_a_refused_order_ends(self):
+        """Guards against hosts that stay recorded though nothing is under way."""
+        self.machines.refuses = True
+        await self.hold(1)
+        await self.release("h1")
+        self.view.released = {}
+        await self.pass_time(HOST_ORDER_GAP_S + 1.0)
+        self.assertEqual(self.stored_plan().ordered, {})
