Run a service on after damaged answers of the table

A transaction that was answered with a server error, or unreadably, ended the task of the shard's controller without a log line; its lease lapsed and this host never took the shard again. Such a write may have been applied: it counts as one without an answer now and is written again under the lease row, and the controller survives any other failed write.

Before: test_damaged_answers_leave_the_outcome_open and test_unusual_answers_of_the_store_are_survived fail (the error itself; no start within 3 s).

--- a/magnoliapier/platform/store.py
+++ b/magnoliapier/platform/store.py
@@ -9,6 +9,7 @@
 from magnoliapier.exceptions import (
     ConflictError,
     HistoryLostError,
+    MessageError,
     PlatformError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
@@ -26,6 +27,7 @@
 NOTHING_DONE = (429, 503)
 HISTORY_LOST = 410
 CONFLICT = 412
+SERVER_ERROR = 500
 
 log = get_logger(__name__)
 
@@ -60,16 +62,31 @@
         status, data = await self._call(
             "POST", URL(f"{self._base}/rows-tx"), wire.encode(body)
         )
-        answer = (
-            wire.decode(wire.RowsAnswer, data) if status in (200, CONFLICT) else None
-        )
+        answer = self._transaction_answer(status, data)
         if status == 200:
             self.table_clock.observe(answer.now_ms, sent_at, self._clock())
             return answer.ver
         if status == CONFLICT:
             rows = [decode_row(row) for row in answer.rows]
             raise ConflictError({row.key: row for row in rows if row and row.version})
-        raise self._failure(status, data)
+        raise self._write_failure(status, data)
+
+    def _transaction_answer(self, status, data):
+        if status not in (200, CONFLICT):
+            return None
+        try:
+            return wire.decode(wire.RowsAnswer, data)
+        except MessageError as error:
+            raise StoreOutcomeUnknownError(
+                f"Retry under the same condition; unreadable answer: {error}"
+            ) from error
+
+    def _write_failure(self, status, data):
+        if status < SERVER_ERROR or status in NOTHING_DONE:
+            return self._failure(status, data)
+        return StoreOutcomeUnknownError(
+            f"Retry under the same condition; the store answered {status}."
+        )
 
     async def read(self, table, part, first_key="", end_key=""):
         """Return all rows of a key range."""
--- a/magnoliapier/service/shard.py
+++ b/magnoliapier/service/shard.py
@@ -11,8 +11,6 @@
 from magnoliapier.exceptions import (
     FencedError,
     PlatformError,
-    StoreOutcomeUnknownError,
-    StoreUnavailableError,
 )
 from magnoliapier.logs import get_logger
 from magnoliapier.placement.durations import DurationModel
@@ -337,14 +335,14 @@
         puts.extend(self._report_put(now))
         try:
             await self._committer.commit(puts)
-        except (StoreUnavailableError, StoreOutcomeUnknownError) as error:
-            await self._commit_again(ids, error)
-            return
         except FencedError as error:
             log.warning("shard_lost", shard=self.service, error=error)
             self._lost = True
             self._on_lost(self)
             return
+        except PlatformError as error:
+            await self._commit_again(ids, error)
+            return
         self._send_starts(ids)
         self._finish(finals)
         if whole:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -35,6 +35,13 @@
         await self.session.close()
         await self.runner.cleanup()
 
+    async def test_damaged_answers_leave_the_outcome_open(self):
+        """Guards against a write that is taken for refused, or for done."""
+        for answer in ((500, ""), (507, ""), (200, "no JSON"), (412, "no JSON")):
+            self.answers = [answer]
+            with self.assertRaises(StoreOutcomeUnknownError):
+                await self.store.commit([Expect("t", "p", "k", 3)], [PUT])
+
     async def test_answers_tell_the_table_s_time(self):
         """Guards against a clock of the table that stands still or is made up."""
         self.answers = [(200, '{"ver": 7, "now_ms": 5000}')]
--- a/tests/service/test_shard.py
+++ b/tests/service/test_shard.py
@@ -1,6 +1,7 @@
 import asyncio
 import unittest
 
+from magnoliapier.exceptions import PlatformError
 from magnoliapier.placement.endpoint import EndpointRecord
 from magnoliapier.service.directory import EndpointDirectory
 from magnoliapier.service.node import ShardDependencies
@@ -166,6 +167,17 @@
         await self.until(lambda: endpoint.starts)
         self.assertEqual(self.stored("b" * 16).tasks[0].runs, ((1, "e1"),))
 
+    async def test_unusual_answers_of_the_store_are_survived(self):
+        """Guards against a service that nobody runs after one damaged answer."""
+        endpoint = self.add_endpoint("e1")
+        await self.start_shard()
+        await asyncio.sleep(0.1)
+        self.store.fail_error = PlatformError("400")
+        self.store.fail_next = 1
+        self.store._apply([], [intake_put(submission("1" * 16, short_step()))], [])
+        await self.until(lambda: endpoint.starts)
+        self.assertEqual(self.store.fail_next, 0)
+
     async def test_end_is_stored_before_it_is_acknowledged(self):
         """Guards against an end that is lost with the process that read it."""
         endpoint = self.add_endpoint("e1")
