--- a/magnoliapier/specifications/host_orders.py
+++ b/magnoliapier/specifications/host_orders.py
@@ -36,8 +36,8 @@
 several hosts or concurrent orders of one holder to the same host, orders that the
 platform carries out after they arrived, a lease row that is removed, a machine that
 fails without resetting its connections, and the shorter wait of a successor that finds
-the end of an order recorded on the table's clock. Answers to orders say nothing that the rules
-use. At most one commit of a holder waits for its answer at a time.
+the end of an order recorded on the table's clock. Answers to orders say nothing that
+the rules use. At most one commit of a holder waits for its answer at a time.
 """
 
 from typing import NamedTuple
