Start nodes of the soak again that SIGHUP has ended

SIGHUP reached it 0.2 s after its start, when the program has no handler yet, and ended it (status -1, also shown by hand at 0.05 s and 0.2 s after a start); the platform would have started it again, the soak did not. A node that ended otherwise is left to the checks. That SIGHUP ends a process which is starting is a fault of the product and stays open.

--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -92,6 +92,10 @@
         """Return whether the process has not ended."""
         return self.process is not None and self.process.poll() is None
 
+    def ended_by(self, number):
+        """Return whether a signal has ended the process."""
+        return self.process is not None and self.process.poll() == -number
+
     def signal(self, number):
         """Send a signal to the process that this soak started."""
         if self.running:
--- a/tests/soak/seeds.py
+++ b/tests/soak/seeds.py
@@ -10,6 +10,11 @@
         8.0,
         "soak: two stops of one node overlapped, the second killed its successor",
     ),
+    (
+        43,
+        8.0,
+        "soak: a process that SIGHUP ended as it started was not started again",
+    ),
     (
         261,
         6.0,
--- /dev/null
+++ b/tests/soak/test_faults.py
@@ -0,0 +1,30 @@
+import random
+import signal
+import unittest
+from pathlib import Path
+from types import SimpleNamespace
+from unittest import mock
+
+from tests.soak.faults import reload
+from tests.soak.nodes import Node
+
+
+class ReloadTests(unittest.IsolatedAsyncioTestCase):
+    async def reload_with(self, status):
+        """Send SIGHUP to a node whose process has ended with ``status`` afterwards."""
+        node = Node(0, Path(), 0, 0)
+        node.process = mock.Mock(poll=mock.Mock(return_value=status))
+        node.launch = mock.Mock()
+        await reload(SimpleNamespace(nodes=[node]), random.Random(1), 1.0)
+        return node
+
+    async def test_process_that_the_signal_ended_is_started_again(self):
+        """Guards against a node that stays away as no platform would leave it."""
+        node = await self.reload_with(-signal.SIGHUP)
+        node.launch.assert_called_once()
+
+    async def test_process_that_ended_otherwise_is_left_to_the_checks(self):
+        """Guards against a crash that a restart hides."""
+        for status in (None, 1, -signal.SIGKILL):
+            node = await self.reload_with(status)
+            node.launch.assert_not_called()
