Split the request replay into a package by job

It is now the package request_replay/: records of the result, hosts (entry hosts, endpoints and sends), the driver, and the parts of RequestReplay as mixins (callers, entries, sends, drains), so that the overrides of ObservedRequestReplay work as before. The registry of faults stands in one module with its starters, which the driver imports: 10 kinds before and after, with the same names. Importers name the defining module.

The others: _finish is split into _close_send and _keep_connection; the order of sends, which stood twice, is ReplayEndpoint.ordered_sends; silence_sends replaces a private call by a fault starter; start_cut sends the fleet in one place; the period of _check_drained has a name of its own, with the value of REPORT_S that it borrowed.

--- a/benchmarks/request.py
+++ b/benchmarks/request.py
@@ -28,7 +28,8 @@
 from magnoliapier.reasons import RunState
 from magnoliapier.registry import Registry
 from magnoliapier.request_policies import policies
-from magnoliapier.request_replay import percentile, replay_requests
+from magnoliapier.request_replay.driver import replay_requests
+from magnoliapier.request_replay.records import percentile
 from magnoliapier.request_tables import (
     Dispatch,
     EndpointEntry,
--- a/magnoliapier/observed_replay.py
+++ b/magnoliapier/observed_replay.py
@@ -9,7 +9,7 @@
 from magnoliapier.fleet_state import HostState
 from magnoliapier.outcomes.observations import Observation, ReplayReport
 from magnoliapier.planner_tables import hosts_required
-from magnoliapier.request_replay import RequestReplay
+from magnoliapier.request_replay.driver import RequestReplay
 from magnoliapier.traces import Fault
 
 CANCELLED = "cancelled"
--- /dev/null
+++ b/magnoliapier/request_replay/callers.py
@@ -0,0 +1,128 @@
+"""The callers of a request replay: arrivals, claims of keys, cancels and answers."""
+
+from magnoliapier.reasons import RefusalReason, RunState
+from magnoliapier.request_replay.records import RequestRecord
+from magnoliapier.request_tables import RequestEntry, WorkClass
+
+
+def make_request(arrival, arrived, deadline):
+    """Return the RequestEntry of an Arrival; both instants are virtual seconds."""
+    return RequestEntry(
+        request_id=arrival.request_id,
+        service=arrival.service,
+        organisation=arrival.organisation,
+        kind=arrival.kind,
+        declared_class=WorkClass(arrival.work_class),
+        idempotent=arrival.idempotent,
+        arrived=arrived,
+        deadline=deadline,
+        body_bytes=arrival.body_bytes,
+        declared_s=arrival.declared_s,
+        key=arrival.key,
+        payload=arrival,
+    )
+
+
+class CallersMixin:
+    """The part of RequestReplay that takes a request in and answers its caller."""
+
+    def _arrive(self, arrival):
+        record = RequestRecord(
+            request_id=arrival.request_id,
+            entry=arrival.entry,
+            service=arrival.service,
+            organisation=arrival.organisation,
+            kind=arrival.kind,
+            work_class=arrival.work_class,
+            idempotent=arrival.idempotent,
+            key=arrival.key,
+            arrived=self.now,
+            run_s=arrival.run_s,
+            deadline_s=arrival.deadline_s,
+        )
+        self.report.records.append(record)
+        self._records[arrival.request_id] = record
+        self._open_requests += 1
+        self._admit(arrival, record)
+        if arrival.cancel_s is not None:
+            self.schedule(self.now + arrival.cancel_s, self._cancel, arrival.request_id)
+
+    def _balance(self, name):
+        """Return the entry host that the load balancer picks in place of ``name``."""
+        entry = self._entries[name]
+        if entry.up:
+            return entry
+        others = [other for other in self._entries.values() if other.up]
+        near = [other for other in others if other.data_centre == entry.data_centre]
+        return self._random.choice(near or others) if others else None
+
+    def _admit(self, arrival, record):
+        entry = self._balance(arrival.entry)
+        if entry is None:
+            self._end(arrival.request_id, "entry_lost", RunState.NOT_RUN)
+            return
+        if record.ended is not None:
+            return
+        if self._defer(entry, self._admit, arrival, record):
+            return
+        record.entry = entry.name
+        entry.open[arrival.request_id] = None
+        if not self._claim(arrival, record):
+            return
+        deadline = record.arrived + arrival.deadline_s
+        request = make_request(arrival, self.now, deadline)
+        self._carry_out(entry, entry.decisions.arrive(request))
+
+    def _claim(self, arrival, record):
+        """Claim the key of a non-idempotent request; return whether it may go on."""
+        if arrival.idempotent or arrival.key is None:
+            return True
+        name = (arrival.service, arrival.organisation, arrival.key)
+        service = self.manifest.services.get(arrival.service)
+        if self.faults["store_down"]:
+            if service is not None and service.deduplicates:
+                return True
+            self._refuse(record, RefusalReason.CLAIMS_UNAVAILABLE, RunState.NOT_RUN)
+            return False
+        holder = self._claims.setdefault(name, record)
+        if holder is record:
+            return True
+        if holder.end == "ok":
+            self._end(record.request_id, "repeat", RunState.RAN)
+        elif holder.ended is None:
+            self._refuse(record, RefusalReason.IN_PROGRESS, RunState.UNKNOWN)
+        else:
+            self._refuse(record, RefusalReason.OUTCOME_UNKNOWN, RunState.UNKNOWN)
+        return False
+
+    def _cancel(self, request_id):
+        record = self._records[request_id]
+        if record.ended is not None:
+            return
+        entry = self._entries[record.entry]
+        if self._defer(entry, self._cancel, request_id):
+            return
+        state = RunState.UNKNOWN if record.sends else RunState.NOT_RUN
+        self._end(request_id, "cancelled", state)
+        if entry.up:
+            self._carry_out(entry, entry.decisions.cancel(request_id))
+
+    def _refuse(self, record, reason, run_state, retry_after_s=None):
+        record.retry_after_s = retry_after_s
+        self._end(record.request_id, reason.value, run_state)
+
+    def _end(self, request_id, end, run_state):
+        record = self._records[request_id]
+        if record.ended is not None:
+            return
+        self._open_requests -= 1
+        record.ended = self.now
+        record.end = end
+        record.run_state = run_state
+        if record.sends == 0:
+            record.wait_s = self.now - record.arrived
+        self._entries[record.entry].open.pop(request_id, None)
+        if run_state is RunState.NOT_RUN and end != "repeat":
+            name = (record.service, record.organisation, record.key)
+            if self._claims.get(name) is record:
+                del self._claims[name]
--- a/magnoliapier/store_replay.py
+++ b/magnoliapier/store_replay.py
@@ -39,7 +39,7 @@
 from magnoliapier.planner_tables import PlannerInputs, PlanTables, SenderRow
 from magnoliapier.platform_api import HostStatus, ListedHost
 from magnoliapier.registry import Registry
-from magnoliapier.request_replay import make_request
+from magnoliapier.request_replay.callers import make_request
 from magnoliapier.traces import Arrival, Commit, Drain, Fault
 
 store_faults = Registry("store fault")
