--- /dev/null
+++ b/magnoliapier/platform/program.py
@@ -0,0 +1,178 @@
+"""The program that the platform starts on each of its machines."""
+
+import asyncio
+import signal
+
+import msgspec
+
+from magnoliapier.exceptions import MagnoliapierError, MessageError
+from magnoliapier.logs import configure_bounded_logs, get_logger
+from magnoliapier.metrics import Metrics
+from magnoliapier.platform import wire
+from magnoliapier.platform.boot import load_boot_settings
+from magnoliapier.platform.endpoints import HttpEndpointClient
+from magnoliapier.platform.http import open_session
+from magnoliapier.platform.ingress import Ingress
+from magnoliapier.platform.machines import CALL_TIMEOUT_MS, MachineClient
+from magnoliapier.platform.store import TableStore
+from magnoliapier.service.clock import boottime
+from magnoliapier.service.node import Node
+from magnoliapier.service.watch import TableWatcher
+from magnoliapier.state.rows import Put
+
+OPERATOR_WAIT_S = 1.5
+ENDPOINT_LEASE_MS = 5500  # outlasts a takeover; work of a lost endpoint waits as long
+DRAIN_S = 2.6  # two missed probes a second apart, and the requests under way
+DRAIN_STEP_S = 0.05
+LOG_LINES_PER_S = 1500
+KEEP_FINAL_FACTOR = 2  # repeats of a submission may arrive after its state expired
+
+log = get_logger(__name__)
+
+
+class Clients(msgspec.Struct):
+    """The clients that the product uses."""
+
+    http: object
+    store: TableStore
+    endpoint_client: HttpEndpointClient
+    machines: MachineClient
+    endpoint_table: str
+    decode_endpoint: object
+    wave_status: object
+
+
+class NodeSettings(msgspec.Struct):
+    """The product's settings of a node."""
+
+    name: str
+    peer_address: str
+    endpoint_lease_ms: int
+    keep_final_s: float
+    weak: bool
+    host_order_gap_s: float
+
+
+def decode_endpoint(endpoint_id, data):
+    """Return the record in an endpoint's row; raise MessageError for a foreign one."""
+    return wire.decode(wire.ServerBody, data).record(endpoint_id)
+
+
+def wave_status(number, completed):
+    """Return the row that tells the operator how far a wave has come."""
+    body = wire.WaveStatusBody("completed" if completed else "running")
+    key = f"{wire.WAVE_PREFIX}{number}"
+    return Put(wire.STATUS_TABLE, "", key, wire.encode(body))
+
+
+class Program:
+    """The adapter around one node."""
+
+    def __init__(self, boot):
+        self._boot = boot
+        self._stop = asyncio.Event()
+        self._metrics = Metrics()
+        self._session = open_session()
+        self._machines_session = open_session(CALL_TIMEOUT_MS)
+        store = TableStore(
+            self._session, boot.platform.address, boottime, self._metrics
+        )
+        clients = Clients(
+            self._session,
+            store,
+            HttpEndpointClient(self._session, self._metrics),
+            MachineClient(
+                self._machines_session,
+                boot.cloud_api.address,
+                boot.node_name,
+                self._metrics,
+            ),
+            wire.SERVERS_TABLE,
+            decode_endpoint,
+            wave_status,
+        )
+        settings = NodeSettings(
+            boot.node_name,
+            f"{boot.ip}:{boot.internal_ports[0]}",
+            min(boot.bounds.hold_max_ms, ENDPOINT_LEASE_MS),
+            boot.bounds.status_s * KEEP_FINAL_FACTOR,
+            boot.limits.weak,
+            boot.bounds.lease_ms / 1000,
+        )
+        self._node = Node(clients, settings, self._metrics)
+        self._ingress = Ingress(self._node, boot.listen, self._metrics)
+        self._operator = TableWatcher(
+            store,
+            wire.OPERATOR_TABLE,
+            self._apply_operator_rows,
+            wait_s=OPERATOR_WAIT_S,
+            latest_only=True,
+        )
+
+    async def run(self):
+        """Serve until SIGTERM."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        log.info("started", node=self._boot.node_name)
+        self._operator.start()
+        await self._node.start()
+        await self._ingress.start()
+        await self._stop.wait()
+        await self._drain()
+
+    async def _drain(self):
+        """Hand over the shards while callers are still answered, then stop."""
+        log.info("stopping", node=self._boot.node_name)
+        drained_at = boottime() + DRAIN_S
+        await self._node.close()
+        while boottime() < drained_at or self._ingress.in_flight:
+            await asyncio.sleep(DRAIN_STEP_S)
+        await self._operator.close()
+        await self._ingress.close()
+        await self._session.close()
+        await self._machines_session.close()
+        log.info("stopped", node=self._boot.node_name)
+
+    def _reload(self):
+        try:
+            self._boot = load_boot_settings()
+        except MagnoliapierError as error:
+            log.error("reload_failed", error=error)
+        else:
+            log.info("reloaded", node=self._boot.node_name)
+
+    def _apply_operator_rows(self, rows, complete):
+        for row in rows:
+            try:
+                self._apply_operator_row(row)
+            except MessageError as error:
+                log.error("unreadable_operator_row", key=row.key, error=error)
+
+    def _apply_operator_row(self, row):
+        if row.removed:
+            return
+        if row.key == wire.CONFIG_KEY:
+            self._node.configure(
+                wire.decode(wire.ConfigBody, row.value).configuration()
+            )
+        elif row.key.startswith(wire.WAVE_PREFIX):
+            wave = wire.decode(wire.WaveBody, row.value).maintenance_wave()
+            self._node.fleet.apply_wave(wave)
+
+
+def main():
+    """Run the program and return its exit status."""
+    configure_bounded_logs(LOG_LINES_PER_S)
+    try:
+        boot = load_boot_settings()
+    except MagnoliapierError as error:
+        log.error("not_started", error=error)
+        return error.exit_code
+    asyncio.run(run(boot))
+    return 0
+
+
+async def run(boot):
+    """Run the program inside an event loop."""
+    await Program(boot).run()
