--- a/magnoliapier/platform/program.py
+++ b/magnoliapier/platform/program.py
@@ -43,7 +43,11 @@
 
 
 class NodeSettings(msgspec.Struct):
-    """The product's settings of a node."""
+    """
+    The product's settings of a node.
+
+    ``host_order_gap_s`` is the least time between two holders' orders for one host.
+    """
 
     name: str
     peer_address: str
@@ -92,12 +96,12 @@
             wave_status,
         )
         settings = NodeSettings(
-            boot.node_name,
-            f"{boot.ip}:{boot.internal_ports[0]}",
-            min(boot.bounds.hold_max_ms, ENDPOINT_LEASE_MS),
-            boot.bounds.status_s * KEEP_FINAL_FACTOR,
-            boot.limits.weak,
-            boot.bounds.lease_ms / 1000,
+            name=boot.node_name,
+            peer_address=f"{boot.ip}:{boot.internal_ports[0]}",
+            endpoint_lease_ms=min(boot.bounds.hold_max_ms, ENDPOINT_LEASE_MS),
+            keep_final_s=boot.bounds.status_s * KEEP_FINAL_FACTOR,
+            weak=boot.limits.weak,
+            host_order_gap_s=boot.bounds.lease_ms / 1000,
         )
         self._node = Node(clients, settings, self._metrics)
         self._ingress = Ingress(self._node, boot.listen, self._metrics)
--- a/magnoliapier/service/leases.py
+++ b/magnoliapier/service/leases.py
@@ -148,10 +148,8 @@
             self._identity.holder, self._identity.process, self._identity.address, token
         )
         sent_at = self._clock()
-        details = {
-            "previous": view.record.holder if view.record else "",
-            "unchanged_ms": view.unchanged_ms(sent_at),
-        }
+        previous = view.record.holder if view.record else ""
+        unchanged_ms = view.unchanged_ms(sent_at)
         try:
             version = await self._write(shard, record, view.version)
         except (StoreUnavailableError, StoreOutcomeUnknownError) as error:
@@ -165,7 +163,13 @@
         view.observe(record, version, self._clock())
         self._held.add(shard)
         self._taken_at = self._clock()
-        log.info("shard_taken", shard=shard, token=token, **details)
+        log.info(
+            "shard_taken",
+            shard=shard,
+            token=token,
+            previous=previous,
+            unchanged_ms=unchanged_ms,
+        )
         self._on_taken(shard, lease)
         return True
 
