Ask an endpoint for its runs before stopping an unanswered start

Cause: a start order without an answer was followed by a stop order, so a run whose answer alone was lost was thrown away and started elsewhere. For a long-running task that is also an interruption that its step may not allow. Change: the endpoint is asked to list its runs first; a run that it lists is kept, any other is stopped as before. The shard's test expected a second start; it now expects exactly one start and one run, which is stricter.

Also: time without progress is counted between consecutive listings only. Cause: it was the time since the last progress, so after a pause of the controller or a silent endpoint every run of an idle session counted as stalled and was started elsewhere. STALL_S is 2.2 s, so that a run is found stalled as soon as before.

--- a/magnoliapier/placement/health.py
+++ b/magnoliapier/placement/health.py
@@ -7,12 +7,14 @@
 
 from collections import deque
 
+from magnoliapier.submissions.progress import FULL_PERCENT
+
 FAILURE_WINDOW_S = 6.0
 SUSPECT_FAILURES = 3  # failures of different submissions within the window
 SUSPECT_S = 4.0  # after the last failure or stall
 SLOW_RATIO = 3.0  # of actual to expected duration
 RATIO_SMOOTHING = 0.25
-STALL_S = 2.4  # without progress; covers at least two listings of the runs
+STALL_S = 2.2  # without progress; covers at least two listings of the runs
 
 
 class EndpointHealth:
@@ -54,13 +56,13 @@
         return now < self._suspect_until or self._ratio >= SLOW_RATIO
 
 
-def is_stalled(live, now):
+def is_stalled(live):
     """
-    Return whether a run has made no progress for ``STALL_S``.
+    Return whether listings have shown no progress of a run for ``STALL_S``.
 
     Long-running and best-effort tasks never count as stalled.
     """
     run = live.run
     if live.step.long_running or live.step.fills:
         return False
-    return run.percent < 100 and now - run.advanced_at > STALL_S
+    return run.percent < FULL_PERCENT and run.unchanged_s > STALL_S
--- a/magnoliapier/service/run_events.py
+++ b/magnoliapier/service/run_events.py
@@ -47,10 +47,7 @@
         run = live.run
         if listed_run.checkpoint:
             live.task.checkpoint = listed_run.checkpoint
-        if listed_run.percent != run.percent or run.state == RunState.ORDERED:
-            run.advanced_at = now
-        run.listed_at = now
-        run.percent = listed_run.percent
+        run.record_listing(listed_run.percent, now)
         run.reading = listed_run.reading
         if run.state == RunState.ORDERED:
             run.state = RunState.CONFIRMED
--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -235,7 +235,7 @@
         except EndpointUnreachableError as error:
             log.warning("start_unanswered", task=name, run=live.run.number, error=error)
             self.blocked_until = self._clock() + UNHEALTHY_BACKOFF_S
-            self._spawn(self._stop_unanswered_start(live))
+            self._spawn(self._resolve_unanswered_start(live))
         else:
             now = self._clock()
             self._endpoint_clock.observe(clock_ms, now)
@@ -263,8 +263,20 @@
         )
         self._owner.run_gone(self, live, str(reason))
 
-    async def _stop_unanswered_start(self, live):
-        """Stop a run whose start order got no answer, so that it cannot start later."""
+    async def _resolve_unanswered_start(self, live):
+        """
+        Keep a run whose start order got no answer if it runs; stop it otherwise.
+
+        The order may have been carried out, so that only its answer was lost. A run
+        that is not listed may still start later, which a stop order prevents.
+        """
+        try:
+            await self._inspect(wait_ms=0)
+        except (OrderRefusedError, EndpointUnreachableError) as error:
+            log.info("start_unresolved", task=live.task.name, error=error)
+        key = (str(live.task.name), live.run.number)
+        if key not in self.live or live.run.state != RunState.ORDERED:
+            return
         live.run.state = RunState.STOPPING
         live.run.stop_reason = "start_unanswered"
         await self._stop(live)
@@ -347,12 +359,20 @@
         except TimeoutError:
             return
 
-    async def _inspect(self):
+    async def _inspect(self, wait_ms=None):
+        """
+        List the endpoint's runs and apply the answer.
+
+        ``wait_ms`` is how long the endpoint may hold back its answer, by default as
+        long as nothing ends there.
+        """
         sent_at = self._clock()
         deadline_ms = None
         if self._endpoint_clock.known and self.failing_since is None:
             deadline_ms = self._extend_deadline(sent_at)
-        wait_ms = INSPECT_WAIT_MS if self.live and self.opened and deadline_ms else 0
+        if wait_ms is None:
+            can_wait = self.live and self.opened and deadline_ms
+            wait_ms = INSPECT_WAIT_MS if can_wait else 0
         acknowledged = self._last_stored_end
         inspection = await self._client.inspect(
             self.record, self._token, deadline_ms, acknowledged, wait_ms
--- a/magnoliapier/service/shard.py
+++ b/magnoliapier/service/shard.py
@@ -276,7 +276,7 @@
             if session.failing_since is not None:
                 continue
             for live in list(session.live.values()):
-                if live.run.state == RunState.CONFIRMED and is_stalled(live, now):
+                if live.run.state == RunState.CONFIRMED and is_stalled(live):
                     session.health.task_stalled(now)
                     live.task.failed_on.add(session.endpoint_id)
                     session.order_stop(live, "stalled")
--- a/magnoliapier/submissions/progress.py
+++ b/magnoliapier/submissions/progress.py
@@ -27,6 +27,7 @@
 
     ``reading`` is the tail latency in ms of a latency-sensitive task, or the CPU in use
     in millicores of any other task. ``pace`` is in percent of full speed.
+    ``unchanged_s`` is for how long consecutive listings have shown the same progress.
     """
 
     __slots__ = (
@@ -36,7 +37,7 @@
         "percent",
         "reading",
         "ordered_at",
-        "advanced_at",
+        "unchanged_s",
         "listed_at",
         "stop_reason",
         "pace",
@@ -49,11 +50,26 @@
         self.percent = 0
         self.reading = 0
         self.ordered_at = ordered_at
-        self.advanced_at = ordered_at
+        self.unchanged_s = 0.0
         self.listed_at = ordered_at
         self.stop_reason = ""
         self.pace = FULL_PERCENT
 
+    def record_listing(self, percent, now):
+        """
+        Record the progress that the endpoint lists at ``now``.
+
+        Time between two listings that are further apart than ``LISTING_MAX_AGE_S`` does
+        not count as time without progress: endpoint or controller may have been paused.
+        """
+        gap_s = now - self.listed_at
+        if percent != self.percent:
+            self.unchanged_s = 0.0
+        elif gap_s <= LISTING_MAX_AGE_S:
+            self.unchanged_s += gap_s
+        self.percent = percent
+        self.listed_at = now
+
 
 class Task:
     """A task with its attempts and its live runs."""
--- a/tests/placement/test_health.py
+++ b/tests/placement/test_health.py
@@ -33,11 +33,38 @@
             health.task_done(6000, 1000)
         self.assertTrue(health.is_suspect(1.0))
 
+
+class StalledRunTests(unittest.TestCase):
+    """Runs whose progress is known only from the listings of their endpoint."""
+
+    def setUp(self):
+        task = Task(TaskName("a" * 16, 0, 0, 0), Step(1))
+        self.run = Run(1, "e1", ordered_at=10.0)
+        self.live = LiveRun(None, task, self.run)
+        self.run.record_listing(40, now=10.0)
+
+    def list_until(self, end, percent, interval_s=0.5):
+        """List the run at regular intervals until ``end``, always with ``percent``."""
+        while self.run.listed_at < end:
+            self.run.record_listing(percent, self.run.listed_at + interval_s)
+
     def test_run_is_stalled_only_after_time_without_progress(self):
         """Guards against unnoticed hanging tasks and restarts of tasks that advance."""
-        task = Task(TaskName("a" * 16, 0, 0, 0), Step(1))
-        run = Run(1, "e1", ordered_at=10.0)
-        run.percent = 40
-        live = LiveRun(None, task, run)
-        self.assertFalse(is_stalled(live, 10.0 + STALL_S / 2))
-        self.assertTrue(is_stalled(live, 10.1 + STALL_S))
+        self.list_until(10.0 + STALL_S / 2, percent=40)
+        self.assertFalse(is_stalled(self.live))
+        self.list_until(10.5 + STALL_S, percent=40)
+        self.assertTrue(is_stalled(self.live))
+        self.run.record_listing(41, self.run.listed_at + 0.5)
+        self.assertFalse(is_stalled(self.live))
+
+    def test_silence_is_not_a_stall(self):
+        """
+        Guards against restarts of work that was only not heard of for some seconds.
+
+        An endpoint that was cut off, or a controller that was paused, has not seen the
+        run stand still: it has not seen it at all.
+        """
+        self.run.record_listing(40, now=10.0 + 2 * STALL_S)
+        self.assertFalse(is_stalled(self.live))
+        self.list_until(10.5 + 3 * STALL_S, percent=40)
+        self.assertTrue(is_stalled(self.live))
--- a/tests/service/fakes.py
+++ b/tests/service/fakes.py
@@ -153,7 +153,8 @@
 
     ``running`` maps tasks to run numbers, ``highest_blocked_run`` maps tasks to the
     highest run number that may not start any more. ``silent`` makes all calls fail;
-    ``unanswered_starts`` is how many starts are carried out without an answer.
+    ``unanswered_starts`` is how many starts are carried out without an answer, and
+    ``lost_starts`` how many are not carried out and get no answer.
     """
 
     def __init__(self):
@@ -166,6 +167,7 @@
         self.next_end_number = 1
         self.silent = False
         self.unanswered_starts = 0
+        self.lost_starts = 0
         self.clock_ms = 5000
 
     def end(self, task, reason="done"):
@@ -200,6 +202,9 @@
     async def start(self, record, order):
         await asyncio.sleep(0)
         endpoint = self._reach(record, order.token)
+        if endpoint.lost_starts:
+            endpoint.lost_starts -= 1
+            raise EndpointUnreachableError("no answer")
         if order.run <= endpoint.highest_blocked_run.get(order.task, 0):
             raise OrderRefusedError(OrderRefusal.SUPERSEDED)
         endpoint.starts.append((order.task, order.run))
--- a/tests/service/test_session.py
+++ b/tests/service/test_session.py
@@ -5,7 +5,7 @@
 from magnoliapier.service.session import EndpointSession
 from magnoliapier.submissions.configuration import Queue
 from magnoliapier.submissions.model import Resources, Step, Submission
-from magnoliapier.submissions.progress import LiveRun, Progress
+from magnoliapier.submissions.progress import LiveRun, Progress, RunState
 from tests.service.fakes import FakeClock, FakeEndpoints
 
 STEPS = (Step(task_count=1, resources=Resources(100, 100, 0)),)
@@ -24,8 +24,35 @@
         session.drop(live)
         self.gone_reasons.append(reason)
 
+    def run_listed(self, session, live, listed_run, now):
+        if live.run.state == RunState.ORDERED:
+            live.run.state = RunState.CONFIRMED
 
-class UnwantedStartTests(unittest.IsolatedAsyncioTestCase):
+    def session_opened(self, session):
+        pass
+
+
+class SessionTestCase(unittest.IsolatedAsyncioTestCase):
+    """Has a session with one endpoint, and one task to run on it."""
+
+    async def asyncSetUp(self):
+        self.endpoints = FakeEndpoints()
+        self.endpoint = self.endpoints.add("e1")
+        self.owner = FakeOwner()
+        record = EndpointRecord("e1", "s", "e1:1", "dc", False, Resources(1000, 1000))
+        self.session = EndpointSession(
+            record, self.endpoints, self.owner, 1, 5500, FakeClock()
+        )
+        self.addAsyncCleanup(self.session.close)
+        submission = Submission("00000000000000aa", "q", "x", STEPS, 0)
+        progress = Progress(submission, Queue("q", "h", "/", "s"))
+        progress.open_occurrences(0)
+        task = next(progress.tasks())
+        self.live = LiveRun(progress, task, task.begin_run("e1", 0.0))
+        self.session.reserve(self.live)
+
+
+class UnwantedStartTests(SessionTestCase):
     """Runs that became unwanted after their commit and before their start order."""
 
     async def test_stopped_run_is_not_started(self):
@@ -36,20 +63,42 @@
         run is committed, the late end of another run arrives, and then the start order
         would be sent.
         """
-        endpoints = FakeEndpoints()
-        endpoint = endpoints.add("e1")
-        record = EndpointRecord("e1", "s", "e1:1", "dc", False, Resources(1000, 1000))
-        owner = FakeOwner()
-        session = EndpointSession(record, endpoints, owner, 1, 5500, FakeClock())
-        submission = Submission("00000000000000aa", "q", "x", STEPS, 0)
-        progress = Progress(submission, Queue("q", "h", "/", "s"))
-        progress.open_occurrences(0)
-        task = next(progress.tasks())
-        live = LiveRun(progress, task, task.begin_run("e1", 0.0))
-        session.reserve(live)
-        session.order_start(live)
-        session.order_stop(live, "not_wanted")
+        self.session.order_start(self.live)
+        self.session.order_stop(self.live, "not_wanted")
         await asyncio.sleep(0.02)
-        await session.close()
-        self.assertEqual(endpoint.starts, [])
-        self.assertEqual(owner.gone_reasons, ["not_sent"])
+        self.assertEqual(self.endpoint.starts, [])
+        self.assertEqual(self.owner.gone_reasons, ["not_sent"])
+
+
+class UnansweredStartTests(SessionTestCase):
+    """An endpoint carries out start orders, or not, and their answers are lost."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.session.start()
+        await asyncio.sleep(0.02)
+        self.assertTrue(self.session.opened)
+
+    async def test_run_that_started_is_kept(self):
+        """Guards against stopping and repeating work that only lacked an answer."""
+        self.endpoint.unanswered_starts = 1
+        self.session.order_start(self.live)
+        await asyncio.sleep(0.05)
+        self.assertEqual(list(self.endpoint.running.values()), [1])
+        self.assertEqual(self.live.run.state, RunState.CONFIRMED)
+
+    async def test_run_that_did_not_start_is_stopped(self):
+        """Guards against a start order that is carried out after its task moved."""
+        self.endpoint.lost_starts = 1
+        self.session.order_start(self.live)
+        await asyncio.sleep(0.05)
+        self.assertEqual(list(self.endpoint.highest_blocked_run.values()), [1])
+
+    async def test_run_on_a_silent_endpoint_is_stopped_once_it_answers(self):
+        """Guards against an order whose outcome nobody asks for after a partition."""
+        self.endpoint.silent = True
+        self.session.order_start(self.live)
+        await asyncio.sleep(0.05)
+        self.endpoint.silent = False
+        await asyncio.sleep(0.4)
+        self.assertEqual(list(self.endpoint.highest_blocked_run.values()), [1])
--- a/tests/service/test_shard.py
+++ b/tests/service/test_shard.py
@@ -253,14 +253,16 @@
 
 class FailureTests(ShardTestCase):
     async def test_unanswered_start_that_ran_is_not_started_twice(self):
-        """Guards against two runs of a task after the answer to a start was lost."""
+        """Guards against a second run of a task after the answer to a start was lost."""
         first = self.add_endpoint("e1")
         second = self.add_endpoint("e2")
         first.unanswered_starts = second.unanswered_starts = 1
         await self.start_shard()
         await self.submit(submission("1" * 16, short_step()))
-        await self.wait_until(lambda: len(first.starts) + len(second.starts) == 2)
-        self.assertLessEqual(len(first.running) + len(second.running), 1)
+        await self.wait_until(lambda: first.starts or second.starts)
+        await asyncio.sleep(0.5)
+        self.assertEqual(len(first.starts) + len(second.starts), 1)
+        self.assertEqual(len(first.running) + len(second.running), 1)
 
     async def test_successor_repeats_no_finished_task(self):
         """Guards against a second run of a task whose end the first holder stored."""
