Supervise the background tasks of a node, and survive unreadable messages

Cause: one unreadable answer or unexpected error ended a task for good: the store probe (the host refused submissions until its restart), the controller of a shard (each holder in turn), the session of an endpoint, the watcher of a table and the lease taker. Nothing said so in the logs. Change: each long-lived task is supervised: the error is logged, counted (task_failures_total) and the task runs again after a growing delay. Unreadable pool reports, end reasons and store answers are handled where they are read. Submit and cancel ask the store again with a back-off and jitter.

--- a/magnoliapier/service/entry.py
+++ b/magnoliapier/service/entry.py
@@ -5,17 +5,19 @@
 been accepted, so it is given only if the store has certainly written nothing.
 """
 
+import asyncio
 from enum import StrEnum
 
 import msgspec
 
 from magnoliapier.exceptions import (
     ConflictError,
-    PlatformError,
+    MagnoliapierError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
 from magnoliapier.logs import get_logger
+from magnoliapier.service.background import Backoff
 from magnoliapier.state.rows import ABSENT, Expect, Put
 from magnoliapier.state.tables import (
     CANCEL_SUFFIX,
@@ -29,6 +31,8 @@
 STORE_RETRY_AFTER_S = 1  # short, as another host may reach the store
 # Leaves callers with the shortest deadline enough time to ask another host.
 WRITE_RETRY_LIMIT_S = 1.6
+FIRST_RETRY_DELAY_S = 0.05
+MAX_RETRY_DELAY_S = 0.4
 
 log = get_logger(__name__)
 
@@ -85,6 +89,7 @@
         put = Put(table, part, key, encode(submission))
         retry_until = self._clock() + WRITE_RETRY_LIMIT_S
         may_be_stored = False
+        backoff = Backoff(FIRST_RETRY_DELAY_S, MAX_RETRY_DELAY_S)
         while True:
             try:
                 version = await self._store.commit(expects, [put])
@@ -104,6 +109,7 @@
                 self._metrics.count("uncertain_submissions_total")
                 log.warning("acceptance_unknown", id=key, queue=queue.name)
                 return Answer(AnswerKind.UNKNOWN, reason="store")
+            await asyncio.sleep(backoff.next_s())
 
     def _refuse(self, submission, reason, retry_after_s, cause=""):
         self._metrics.count("refusals_total", reason=reason)
@@ -124,6 +130,7 @@
         part = intake_part(service, submission_id)
         put = Put(table, part, submission_id + CANCEL_SUFFIX, b"")
         retry_until = self._clock() + WRITE_RETRY_LIMIT_S
+        backoff = Backoff(FIRST_RETRY_DELAY_S, MAX_RETRY_DELAY_S)
         while True:
             try:
                 rows = await self._read_rows(table, part, submission_id)
@@ -135,10 +142,11 @@
                 await self._store.commit([expect], [put])
             except ConflictError:
                 continue
-            except PlatformError as error:
+            except MagnoliapierError as error:
                 if self._clock() >= retry_until:
                     log.warning("cancel_unknown", id=submission_id, error=error)
                     return Answer(AnswerKind.UNKNOWN, reason="store")
+                await asyncio.sleep(backoff.next_s())
             else:
                 log.info("cancel_stored", id=submission_id, queue=queue.name)
                 return Answer(AnswerKind.OK)
@@ -159,7 +167,7 @@
                 return Answer(AnswerKind.OK, state=SubmissionState.QUEUED)
             # If the row is a tombstone, progress has been stored since the first read.
             return await self._stored_state(queue.service, submission_id)
-        except PlatformError as error:
+        except MagnoliapierError as error:
             log.info("state_unavailable", id=submission_id, error=error)
             return Answer(AnswerKind.UNAVAILABLE, retry_after_s=1)
 
--- a/magnoliapier/service/fleet.py
+++ b/magnoliapier/service/fleet.py
@@ -15,7 +15,7 @@
 from magnoliapier.pools.handover import END_UNKNOWN, RecentHostOrders
 from magnoliapier.pools.planner import FleetPlanner, Maintain
 from magnoliapier.pools.report import PLAN_KEY, FleetPlan, decode_plan, encode
-from magnoliapier.service.background import cancel_tasks
+from magnoliapier.service.background import cancel_tasks, supervise
 from magnoliapier.service.host_orders import HostOrderOutcome, HostOrderSender
 from magnoliapier.service.leases import FLEET_SHARD
 from magnoliapier.service.wave_status import WaveStatusWriter
@@ -46,6 +46,7 @@
         self.service = FLEET_SHARD
         self.lease = lease
         self._machines = deps.machines
+        self._metrics = deps.metrics
         self._store = deps.store
         self._clock = deps.boottime
         self._sender = HostOrderSender(
@@ -66,7 +67,7 @@
 
     def start(self):
         """Start the controller."""
-        self._task = asyncio.create_task(self._run())
+        self._task = supervise("fleet", self._run, metrics=self._metrics)
 
     async def close(self):
         """Stop the controller."""
--- a/magnoliapier/service/intake.py
+++ b/magnoliapier/service/intake.py
@@ -43,7 +43,12 @@
         return self._watcher is not None and self._watcher.loaded.is_set()
 
     async def load(self):
-        """Read the stored progress and all submissions, then follow the submissions."""
+        """
+        Read the stored progress and all submissions, then follow the submissions.
+
+        May be called again after it has failed.
+        """
+        await self.close()
         self._stored_progress = await self._read_progress()
         for key, progress in self._stored_progress.items():
             if not progress.tasks and progress.state in FINAL_STATES:
--- a/magnoliapier/service/leases.py
+++ b/magnoliapier/service/leases.py
@@ -5,11 +5,11 @@
 
 from magnoliapier.exceptions import (
     ConflictError,
+    PlatformError,
     StoreOutcomeUnknownError,
-    StoreUnavailableError,
 )
 from magnoliapier.logs import get_logger
-from magnoliapier.service.background import cancel_tasks
+from magnoliapier.service.background import cancel_tasks, supervise
 from magnoliapier.state.lease import (
     CONTROL_TABLE,
     LEASE_KEY,
@@ -87,7 +87,7 @@
 
     def start(self):
         """Start to watch for free shards."""
-        self._task = asyncio.create_task(self._run())
+        self._task = supervise("lease_taker", self._run)
 
     async def close(self):
         """Stop taking shards."""
@@ -153,7 +153,7 @@
         unchanged_ms = view.unchanged_ms(sent_at)
         try:
             version = await self._write(shard, record, view.version)
-        except (StoreUnavailableError, StoreOutcomeUnknownError) as error:
+        except PlatformError as error:
             log.info("take_failed", shard=shard, error=error)
             return False
         self._free_since.pop(shard, None)
@@ -199,7 +199,7 @@
     put = Put(CONTROL_TABLE, shard, LEASE_KEY, encode_lease(record))
     try:
         await store.commit([expect], [put])
-    except (ConflictError, StoreUnavailableError, StoreOutcomeUnknownError) as error:
+    except PlatformError as error:
         log.info("release_failed", shard=shard, error=error)
     else:
         log.info("shard_released", shard=shard)
--- a/magnoliapier/service/node.py
+++ b/magnoliapier/service/node.py
@@ -15,6 +15,7 @@
     decode_plan,
     decode_report,
 )
+from magnoliapier.service.background import report_failure
 from magnoliapier.service.clock import boottime, unix_ms
 from magnoliapier.service.directory import EndpointDirectory
 from magnoliapier.service.entry import Entry
@@ -119,6 +120,9 @@
                     self._apply_plan(decode_plan(row.value))
             except MessageError as error:
                 log.warning("unreadable_control_row", key=row.key, error=error)
+                # Hosts that an older report released may be in use again.
+                if row.key == REPORT_KEY:
+                    self._reports.pop(row.part, None)
 
     def _apply_plan(self, plan):
         self.plan = plan
@@ -244,14 +248,14 @@
         """Start all parts."""
         await self._peer_server.start()
         self._control_watcher.start()
-        self._spawn(self._start_taking_shards())
+        self._spawn("start_taking_shards", self._start_taking_shards())
 
     async def _start_taking_shards(self):
         await self._control_watcher.loaded.wait()
         self._endpoint_watcher.start()
         await self._endpoint_watcher.loaded.wait()
         self._lease_taker.start()
-        self._spawn(self._balance())
+        self._spawn("balance", self._balance())
 
     async def _balance(self):
         """Offer shards to other hosts while this one holds several."""
@@ -359,13 +363,18 @@
             del self._shards[shard.service]
             self._lease_taker.mark_released(shard.service)
             self._set_intervals()
-        self._spawn(shard.close())
+        self._spawn("close_shard", shard.close())
 
     def _apply_control(self, rows, complete):
         self.leases.apply(rows, complete)
         self.fleet.apply(rows, complete)
 
-    def _spawn(self, coroutine):
-        task = asyncio.create_task(coroutine)
+    def _spawn(self, name, coroutine):
+        task = asyncio.create_task(coroutine, name=name)
         self._background_tasks.add(task)
-        task.add_done_callback(self._background_tasks.discard)
+        task.add_done_callback(self._background_task_ended)
+
+    def _background_task_ended(self, task):
+        self._background_tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            report_failure(task.get_name(), task.exception(), self.metrics)
--- a/magnoliapier/service/run_events.py
+++ b/magnoliapier/service/run_events.py
@@ -76,12 +76,11 @@
             self._handle_unmatched_end(session, end)
             return
         session.drop(live)
-        self._metrics.count("ends_total", reason=end.reason)
         progress = live.progress
-        self._record_outcome(session, live, end.reason)
-        attempt_used = progress.record_end(
-            live.task, live.run, EndReason(end.reason), end.checkpoint
-        )
+        reason = self._end_reason(session, end)
+        self._metrics.count("ends_total", reason=reason)
+        self._record_outcome(session, live, reason)
+        attempt_used = progress.record_end(live.task, live.run, reason, end.checkpoint)
         if not progress.started:
             self._mark_started(progress)
         if attempt_used:
@@ -100,6 +99,19 @@
             self._tables.stop_unwanted_runs(progress, live.task)
         self._tables.mark_dirty(progress)
 
+    def _end_reason(self, session, end):
+        """Return the EndReason of an end; an unknown one uses up no attempt."""
+        try:
+            return EndReason(end.reason)
+        except ValueError:
+            log.warning(
+                "unknown_end_reason",
+                task=end.task,
+                endpoint=session.endpoint_id,
+                reason=end.reason,
+            )
+            return EndReason.STOPPED
+
     def _record_outcome(self, session, live, reason):
         """Record how long a task took, or that it failed, for later placements."""
         now = self._clock()
--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -15,7 +15,11 @@
 from magnoliapier.logs import get_logger
 from magnoliapier.placement.endpoint import FreeResources
 from magnoliapier.placement.health import EndpointHealth
-from magnoliapier.service.background import cancel_tasks
+from magnoliapier.service.background import (
+    cancel_tasks,
+    report_failure,
+    supervise,
+)
 from magnoliapier.service.clock import SLOWEST_CLOCK_RATE, EndpointClock
 from magnoliapier.service.orders import OrderRefusal, StartOrder
 from magnoliapier.submissions.progress import RunState
@@ -116,7 +120,7 @@
 
     def start(self):
         """Start to inspect the endpoint."""
-        self._task = asyncio.create_task(self._run())
+        self._task = supervise("session", self._run)
 
     async def close(self):
         """Cancel all calls to the endpoint."""
@@ -132,7 +136,10 @@
         self._add(live)
 
     def _add(self, live):
-        self.live[(str(live.task.name), live.run.number)] = live
+        key = (str(live.task.name), live.run.number)
+        if key in self.live:
+            return
+        self.live[key] = live
         self.room.allocate(live.step)
         self._wake.set()
 
@@ -185,7 +192,7 @@
 
     def order_start(self, live):
         """Send the start order of a reserved run."""
-        self._spawn(self._start(live))
+        self._spawn(self._start_or_resolve(live))
 
     def order_stop(self, live, reason):
         """Send a stop order; the run stays live until it has ended or is gone."""
@@ -201,7 +208,12 @@
     def _spawn(self, coroutine):
         task = asyncio.create_task(coroutine)
         self._orders.add(task)
-        task.add_done_callback(self._orders.discard)
+        task.add_done_callback(self._order_ended)
+
+    def _order_ended(self, task):
+        self._orders.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            report_failure("order", task.exception())
 
     def update(self, record):
         """Apply a new directory record of the endpoint."""
@@ -215,6 +227,13 @@
         self._deadline_ms = max(self._deadline_ms, deadline)
         return self._deadline_ms
 
+    async def _start_or_resolve(self, live):
+        try:
+            await self._start(live)
+        except Exception as error:
+            report_failure("start_order", error)
+            await self._resolve_unanswered_start(live)
+
     async def _start(self, live):
         name = str(live.task.name)
         if not self._owner.may_act() or live.run.state != RunState.ORDERED:
@@ -293,6 +312,8 @@
                         return
                 except EndpointUnreachableError as error:
                     log.info("stop_unanswered", task=key[0], run=key[1], error=error)
+                except Exception as error:
+                    report_failure("stop_order", error)
                 else:
                     live.settled_at = self._clock()
                     self._wake.set()
--- a/magnoliapier/service/shard.py
+++ b/magnoliapier/service/shard.py
@@ -10,6 +10,8 @@
 
 from magnoliapier.exceptions import (
     FencedError,
+    MagnoliapierError,
+    MessageError,
     PlatformError,
 )
 from magnoliapier.logs import get_logger
@@ -23,7 +25,7 @@
     decode_report,
     encode as encode_report,
 )
-from magnoliapier.service.background import cancel_tasks
+from magnoliapier.service.background import cancel_tasks, supervise
 from magnoliapier.service.cleanup import FinishedRows
 from magnoliapier.service.clock import unix_ms
 from magnoliapier.service.intake import Intake
@@ -100,7 +102,7 @@
 
     def start(self):
         """Start to load the shard and then to run it."""
-        self._tasks.append(asyncio.create_task(self._run()))
+        self._supervise("load", self._run)
 
     async def close(self):
         """Stop all work on the shard; its stored rows stay for the next holder."""
@@ -114,13 +116,20 @@
             try:
                 await self._load()
                 break
-            except PlatformError as error:
+            except MagnoliapierError as error:
                 log.warning("load_failed", shard=self.service, error=error)
                 await asyncio.sleep(LOAD_RETRY_S)
-        self._tasks.append(asyncio.create_task(self._tick()))
+        self._supervise("tick", self._tick)
+        self._supervise("cycles", self._run_cycles)
+
+    async def _run_cycles(self):
         while not self._lost:
             await self._cycle()
 
+    def _supervise(self, part, run):
+        name = f"shard_{part}"
+        self._tasks.append(supervise(name, run, metrics=self._metrics))
+
     # Loading
 
     async def _load(self):
@@ -140,8 +149,12 @@
         changes = await self._deps.store.read(
             CONTROL_TABLE, self.service, REPORT_KEY, REPORT_KEY + "\x00"
         )
-        if changes.rows:
+        if not changes.rows:
+            return
+        try:
             self._pool.restore(decode_report(changes.rows[0].value))
+        except MessageError as error:
+            log.error("unreadable_pool_report", shard=self.service, error=error)
 
     def _on_submission_arrived(self, progress):
         submission = progress.submission
--- a/magnoliapier/service/store_probe.py
+++ b/magnoliapier/service/store_probe.py
@@ -9,9 +9,9 @@
 
 import asyncio
 
-from magnoliapier.exceptions import PlatformError
+from magnoliapier.exceptions import MagnoliapierError
 from magnoliapier.logs import get_logger
-from magnoliapier.service.background import cancel_tasks
+from magnoliapier.service.background import cancel_tasks, supervise
 from magnoliapier.service.leases import FLEET_SHARD
 from magnoliapier.state.lease import CONTROL_TABLE, LEASE_KEY
 
@@ -66,7 +66,7 @@
         """Record that a call got no answer, and probe the store until it answers."""
         if self._recovery_probe is None:
             log.warning("store_silent")
-            self._recovery_probe = asyncio.create_task(self._probe_until_answered())
+            self._recovery_probe = supervise("store_probe", self._probe_until_answered)
 
     async def _probe_once(self):
         try:
@@ -88,7 +88,7 @@
         call = self._store.read(CONTROL_TABLE, FLEET_SHARD, LEASE_KEY, end_key)
         try:
             await asyncio.wait_for(call, PROBE_TIMEOUT_S)
-        except (PlatformError, TimeoutError) as error:
+        except (MagnoliapierError, TimeoutError) as error:
             log.info("probe_unanswered", error=repr(error))
             return False
         return True
--- a/magnoliapier/service/watch.py
+++ b/magnoliapier/service/watch.py
@@ -10,7 +10,7 @@
     StoreOutcomeUnknownError,
 )
 from magnoliapier.logs import get_logger
-from magnoliapier.service.background import cancel_tasks
+from magnoliapier.service.background import cancel_tasks, supervise
 from magnoliapier.service.clock import boottime
 
 RETRY_DELAY_S = 0.2
@@ -67,7 +67,7 @@
 
     def start(self):
         """Start following the table."""
-        self._task = asyncio.create_task(self._run())
+        self._task = supervise(f"watch_{self._table}", self._run)
 
     async def close(self):
         """Stop following."""
--- a/tests/service/test_entry.py
+++ b/tests/service/test_entry.py
@@ -1,6 +1,12 @@
 import asyncio
+import time
 import unittest
 
+from magnoliapier.exceptions import (
+    MessageError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
 from magnoliapier.service.entry import AnswerKind, Entry
 from magnoliapier.service.store_probe import StoreProbe
 from magnoliapier.submissions.model import SubmissionState
@@ -118,3 +124,52 @@
         self.store.last_answer_at = self.clock.now - 0.1
         answer = await self.entry.submit(QUEUE, self.item)
         self.assertEqual(answer.kind, AnswerKind.OK)
+
+
+class BadStoreAnswerTests(EntryTestCase):
+    """The store refuses calls or sends answers that cannot be read."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.reads = 0
+        self.error = StoreUnavailableError("503")
+
+        async def read(*args):
+            self.reads += 1
+            self.clock.now = self.started_at + time.monotonic() - self.started
+            raise self.error
+
+        self.started = time.monotonic()
+        self.started_at = self.clock.now
+        self.store.last_answer_at = self.clock.now
+        self.store.read = read
+
+    async def test_refused_reads_are_repeated_with_a_delay(self):
+        """Guards against thousands of calls in a second to a store that refuses."""
+        answer = await self.entry.cancel(QUEUE, "6" * 16)
+        self.assertEqual(answer.kind, AnswerKind.UNKNOWN)
+        self.assertLess(self.reads, 40)
+
+    async def test_refused_writes_are_repeated_with_a_delay(self):
+        """Guards against the same load while a submission's outcome is unknown."""
+        commits = []
+
+        async def commit(*args):
+            commits.append(args)
+            self.clock.now = self.started_at + time.monotonic() - self.started
+            if len(commits) == 1:
+                raise StoreOutcomeUnknownError("lost")
+            raise StoreUnavailableError("503")
+
+        self.store.commit = commit
+        answer = await self.entry.submit(QUEUE, self.item)
+        self.assertEqual(answer.kind, AnswerKind.UNKNOWN)
+        self.assertLess(len(commits), 40)
+
+    async def test_unreadable_answer_is_an_answer_to_the_caller(self):
+        """Guards against a request that ends with an internal error."""
+        self.error = MessageError("no JSON")
+        answer = await self.entry.state(QUEUE, "6" * 16)
+        self.assertEqual(answer.kind, AnswerKind.UNAVAILABLE)
+        answer = await self.entry.cancel(QUEUE, "6" * 16)
+        self.assertEqual(answer.kind, AnswerKind.UNKNOWN)
--- a/tests/service/test_leases.py
+++ b/tests/service/test_leases.py
@@ -1,6 +1,7 @@
 import asyncio
 import unittest
 
+from magnoliapier.exceptions import PlatformError
 from magnoliapier.service.leases import (
     OFFERED_DELAY_S,
     OUTAGE_GRACE_S,
@@ -56,6 +57,14 @@
         self.taker.start()
         self.addAsyncCleanup(self.taker.close)
 
+    async def test_unexpected_store_error_does_not_end_the_taker(self):
+        """Guards against a host that never takes a shard again after one error."""
+        self.store.fail_error = PlatformError("400")
+        self.store.fail_next = 1
+        await self.pass_time(2 * LEASE_TTL_S)
+        await asyncio.sleep(1.0)
+        self.assertEqual(self.taken, [SHARD])
+
     async def pass_time(self, seconds):
         """Advance the clock in two steps, each followed by checks of the taker."""
         self.clock.now += seconds
--- a/tests/service/test_shard.py
+++ b/tests/service/test_shard.py
@@ -251,9 +251,48 @@
         self.assertEqual(len(endpoint.running), 8)
 
 
+class MalformedMessageTests(ShardTestCase):
+    """Stored rows and answers that cannot be read."""
+
+    async def test_unreadable_pool_report_does_not_end_the_controller(self):
+        """Guards against one bad row that stops every holder of a service."""
+        endpoint = self.add_endpoint("e1")
+        await self.store.commit([], [Put(CONTROL_TABLE, SERVICE, "pool", b"\xc1")])
+        await self.start_shard()
+        await self.submit(submission("a" * 16, short_step()))
+        await self.wait_until(lambda: endpoint.starts)
+
+    async def test_end_with_an_unknown_reason_does_not_end_the_session(self):
+        """Guards against an endpoint whose runs are never heard of again."""
+        endpoint = self.add_endpoint("e1")
+        await self.start_shard()
+        await self.submit(submission("b" * 16, short_step(2)))
+        await self.wait_until(lambda: len(endpoint.running) == 2)
+        endpoint.end(f"{'b' * 16}.0.0.0", "exploded")
+        await self.wait_until(lambda: len(endpoint.starts) == 3)
+        self.assertEqual(self.stored("b" * 16).tasks[0].failures, 0)
+
+    async def test_unexpected_error_in_a_cycle_does_not_end_the_controller(self):
+        """Guards against a service that stands still while its lease is renewed."""
+        endpoint = self.add_endpoint("e1")
+        shard = await self.start_shard()
+        await self.wait_until(lambda: shard.loaded)
+        errors = [ValueError("unexpected")]
+        adjust_pace = shard._adjust_pace
+
+        def fail_once(now):
+            if errors:
+                raise errors.pop()
+            adjust_pace(now)
+
+        shard._adjust_pace = fail_once
+        await self.submit(submission("c" * 16, short_step()))
+        await self.wait_until(lambda: endpoint.starts)
+
+
 class FailureTests(ShardTestCase):
     async def test_unanswered_start_that_ran_is_not_started_twice(self):
-        """Guards against a second run of a task after the answer to a start was lost."""
+        """Guards against a second run when the answer to a start was lost."""
         first = self.add_endpoint("e1")
         second = self.add_endpoint("e2")
         first.unanswered_starts = second.unanswered_starts = 1
--- a/tests/service/test_watch.py
+++ b/tests/service/test_watch.py
@@ -75,3 +75,22 @@
                 return
             await asyncio.sleep(0.005)
         self.fail("condition not met in time")
+
+    async def test_error_of_a_receiver_does_not_end_the_watcher(self):
+        """Guards against one bad row after which no change is seen any more."""
+        await self.follow()
+        failures = [ValueError("unexpected")]
+        record_rows = self.record_rows
+
+        def fail_once(rows, complete):
+            if failures:
+                raise failures.pop()
+            record_rows(rows, complete)
+
+        self.watcher._on_rows = fail_once
+        await self.store.commit([], [Put("op", "", "config", b"1")])
+        for _ in range(200):
+            if self.seen[-1][1] == [b"1"]:
+                break
+            await asyncio.sleep(0.01)
+        self.assertEqual(self.seen[-1], (True, [b"1"]))
