Keep released endpoints out of use after their rows vanish briefly

Cause: a released endpoint was forgotten as soon as its row was gone. Change: the pool remembers a released endpoint for 10 s after it was unlisted. Also: a host that is seen in maintenance while its order has no answer counts as maintained, so that it is not emptied a second time.

--- a/magnoliapier/pools/planner.py
+++ b/magnoliapier/pools/planner.py
@@ -71,9 +71,21 @@
         self._barred = barred
         for name, pending in list(self._pending.items()):
             host = self._hosts.get(name)
+            if host is not None:
+                self._record_seen_maintenance(host, pending.order)
             if host is None or self._is_settled(host, pending, now):
                 del self._pending[name]
 
+    def _record_seen_maintenance(self, host, order):
+        """
+        Count the maintenance of a host as started if the host list shows it.
+
+        The answer to the order may have been lost. A host that is up again with another
+        endpoint proves nothing, because it may have crashed.
+        """
+        if host.state == HostState.UPKEEP and isinstance(order, Maintain):
+            self.record_maintenance_start(order)
+
     def _is_settled(self, host, pending, now):
         if now - pending.ordered_at > ORDER_TIMEOUT_S:
             return True
--- a/magnoliapier/service/pool.py
+++ b/magnoliapier/service/pool.py
@@ -6,6 +6,8 @@
 use.
 """
 
+import msgspec
+
 from magnoliapier.logs import get_logger
 from magnoliapier.pools.demand import (
     ArrivalRate,
@@ -19,18 +21,28 @@
 
 FIRST_SETTLING_S = 16.0  # keeps hosts until a first burst shows the need
 SETTLING_S = 3.0  # after a takeover, which loses the recent arrivals
+# A released endpoint that is unlisted for so long has left: the row of one that lives
+# is written again sooner, and the platform has carried out all orders for its host.
+RELEASE_MEMORY_S = 10.0
 
 log = get_logger(__name__)
 
 
+class UnlistedRelease(msgspec.Struct, frozen=True):
+    """The host of a released endpoint, unlisted since a monotonic time in seconds."""
+
+    host: str
+    since: float
+
+
 class PoolManager:
     """
     Decides which endpoints of a pool are evacuated and released.
 
     ``durations`` estimates how long tasks take. ``first_holder`` is whether no other
-    host has held the shard before. ``released`` maps endpoint ids to hosts; an entry
-    stays until the endpoint is no longer listed, because the fleet controller may act
-    on it at any moment.
+    host has held the shard before. ``released`` maps the ids of listed endpoints to
+    their hosts; an endpoint that was released is not used again, because the fleet
+    controller may act on its host at any moment.
     """
 
     def __init__(self, service, durations, first_holder):
@@ -42,6 +54,7 @@
         self._host_capacity = None
         self._first_update_at = None
         self.released = {}
+        self._unlisted = {}
         self._wanted = 0
         self._hosts = 0
 
@@ -74,7 +87,7 @@
         ``sessions`` are those of listed endpoints, ``to_maintain`` holds host names.
         ``others_want_hosts`` is whether another pool wants hosts.
         """
-        self._forget_departed(sessions)
+        self._track_released(sessions, now)
         staying = []
         evacuating = []
         for session in sessions:
@@ -98,11 +111,22 @@
         self._release_idle([*evacuating, *self._choose_surplus(staying, min_kept)])
         return evacuating
 
-    def _forget_departed(self, sessions):
+    def _track_released(self, sessions, now):
+        """
+        Take released endpoints that are not listed out of the report, and back again.
+
+        The row of an endpoint may expire and come back while the fleet controller acts
+        on an earlier report.
+        """
         present = {session.endpoint_id for session in sessions}
-        for endpoint_id in list(self.released):
-            if endpoint_id not in present:
-                del self.released[endpoint_id]
+        for endpoint_id in self.released.keys() - present:
+            host = self.released.pop(endpoint_id)
+            self._unlisted[endpoint_id] = UnlistedRelease(host, now)
+        for endpoint_id, release in list(self._unlisted.items()):
+            if endpoint_id in present:
+                self.released[endpoint_id] = release.host
+            if endpoint_id in present or now - release.since >= RELEASE_MEMORY_S:
+                del self._unlisted[endpoint_id]
 
     def _hosts_needed(self, staying, progresses, now):
         """Return how many hosts the pool needs now."""
--- a/tests/pools/test_planner.py
+++ b/tests/pools/test_planner.py
@@ -48,6 +48,30 @@
         self.planner.update(hosts, {}, [wave], STANDBY, 4.0)
         self.assertEqual(self.planner.orders(), [Maintain("h1", 1)])
 
+    def test_restart_during_an_unanswered_order_is_not_maintenance(self):
+        """
+        Guards against a wave that is reported complete without a host's maintenance.
+
+        The host may have crashed and come back with another endpoint, while the order
+        had no effect. Repeating an order that was carried out does nothing.
+        """
+        wave = Wave(1, ("h1",), 20.0, 1)
+        self.update([host(1, STANDBY)], waves=[wave])
+        self.planner.record_order(self.planner.orders()[0], 0.0)
+        after = Host("h1", STANDBY, HostState.UP, endpoint_id="e2")
+        self.update([after], waves=[wave], now=3.0)
+        self.assertFalse(self.planner.wave_completed(wave))
+        self.assertEqual(self.planner.orders(), [Maintain("h1", 1)])
+
+    def test_maintenance_that_is_seen_to_run_counts_as_started(self):
+        """Guards against emptying a host a second time after an answer was lost."""
+        wave = Wave(1, ("h1",), 20.0, 1)
+        self.update([host(1, STANDBY)], waves=[wave])
+        self.planner.record_order(self.planner.orders()[0], 0.0)
+        self.update([host(1, STANDBY, HostState.UPKEEP)], waves=[wave], now=1.0)
+        self.update([host(1, STANDBY)], waves=[wave], now=9.0)
+        self.assertEqual(self.planner.orders(), [])
+
     def test_pool_with_fewest_hosts_comes_first(self):
         """Guards against a pool that takes all spare hosts before others get any."""
         reports = {
--- /dev/null
+++ b/tests/service/test_pool.py
@@ -0,0 +1,63 @@
+import unittest
+
+from magnoliapier.placement.durations import DurationModel
+from magnoliapier.placement.endpoint import EndpointRecord
+from magnoliapier.pools.report import PoolReport
+from magnoliapier.service.pool import RELEASE_MEMORY_S, PoolManager
+from magnoliapier.service.session import EndpointSession
+from magnoliapier.submissions.model import Resources
+from tests.service.fakes import FakeClock, FakeEndpoints
+
+SERVICE = "desk"
+
+
+def make_session(endpoint_id, started_ms=1):
+    """Return an opened session of an endpoint that runs nothing."""
+    record = EndpointRecord(
+        endpoint_id,
+        SERVICE,
+        "e:1",
+        "dc",
+        False,
+        Resources(1000, 1000),
+        host=f"host-{endpoint_id}",
+        started_ms=started_ms,
+    )
+    session = EndpointSession(record, FakeEndpoints(), None, 1, 5500, FakeClock())
+    session.opened = True
+    return session
+
+
+class ReleasedEndpointTests(unittest.TestCase):
+    """Endpoints whose hosts the fleet controller may move at any moment."""
+
+    def setUp(self):
+        self.pool = PoolManager(SERVICE, DurationModel(), first_holder=True)
+        self.pool.restore(PoolReport({"e1": "host-e1"}))
+
+    def update(self, sessions, now):
+        self.pool.update(sessions, [], (), False, now)
+
+    def test_released_endpoint_that_vanished_briefly_stays_released(self):
+        """
+        Guards against work on a host that is about to be moved.
+
+        The row of an endpoint expires while the store is away and comes back; the fleet
+        controller may still act on the report that released it.
+        """
+        self.update([make_session("e1")], now=0.0)
+        self.update([], now=1.0)
+        self.assertEqual(self.pool.report().released, {})
+        returned = make_session("e1")
+        self.update([returned], now=4.0)
+        self.assertTrue(returned.released)
+        self.assertEqual(self.pool.report().released, {"e1": "host-e1"})
+
+    def test_released_endpoint_that_has_left_is_forgotten(self):
+        """Guards against an endpoint that is never used after its host's last move."""
+        self.update([make_session("e1")], now=0.0)
+        self.update([], now=1.0)
+        self.update([], now=1.1 + RELEASE_MEMORY_S)
+        returned = make_session("e1")
+        self.update([returned], now=2.0 + RELEASE_MEMORY_S)
+        self.assertFalse(returned.released)
