Tell the stages of a start apart, and keep room in the logs for outcomes

Change: the latency summary start_delay_seconds{service,stage}; routine lines (starts, ends, endpoints listed) take at most 70 % of the bound. Losing contact with a released endpoint is expected and no warning. A host without a shard reads the changes of the endpoints every 10 s instead of 2 s.

--- a/magnoliapier/logs.py
+++ b/magnoliapier/logs.py
@@ -11,6 +11,7 @@
     "time={record.time:%Y-%m-%dT%H:%M:%S.%fZ} level={record.level_name} "
     "module={record.channel} {record.message}"
 )
+ROUTINE_SHARE = 0.7  # of the lines in a second
 
 
 class EventLogger:
@@ -32,6 +33,10 @@
         """Log an event that is only needed to diagnose a fault."""
         self._logger.debug("{}", EventLine(event, fields))
 
+    def routine(self, event, **fields):
+        """Log an expected event that comes many times for each request."""
+        self._logger.info("{}", EventLine(event, fields, routine=True))
+
     def info(self, event, **fields):
         """Log an expected event."""
         self._logger.info("{}", EventLine(event, fields))
@@ -48,11 +53,12 @@
 class EventLine:
     """An event that is formatted only if a handler writes it."""
 
-    __slots__ = ("_event", "_fields")
+    __slots__ = ("_event", "_fields", "routine")
 
-    def __init__(self, event, fields):
+    def __init__(self, event, fields, routine=False):
         self._event = event
         self._fields = fields
+        self.routine = routine
 
     def __str__(self):
         pairs = [f"event={self._event}"]
@@ -77,8 +83,10 @@
     """
     Writes lines to a file descriptor without ever waiting for its reader.
 
-    At most ``lines_per_s`` lines are written in a second. Further lines, and lines for
-    which a pipe has no room, are dropped; the next line that is written says how many.
+    At most ``lines_per_s`` lines are written in a second, of which routine ones may
+    take ``ROUTINE_SHARE``, so that they don't displace the lines that tell what became
+    of a request. Further lines, and lines for which a pipe has no room, are dropped;
+    the next line that is written says how many.
     """
 
     def __init__(self, descriptor, lines_per_s, level="INFO", clock=time.monotonic):
@@ -98,7 +106,7 @@
         second = int(self._clock())
         if second != self._current_second:
             self._current_second, self._lines_in_second = second, 0
-        if self._lines_in_second >= self._lines_per_s:
+        if self._lines_in_second >= self._limit_for(record):
             self.dropped += 1
             return
         line = self._format_line(record, self)
@@ -110,6 +118,11 @@
         else:
             self.dropped += 1
 
+    def _limit_for(self, record):
+        """Return how many lines a second may hold before ``record`` is dropped."""
+        routine = any(getattr(value, "routine", False) for value in record.args)
+        return self._lines_per_s * ROUTINE_SHARE if routine else self._lines_per_s
+
     def _write(self, data):
         """
         Write the rest of a partly written line, then ``data``.
--- a/magnoliapier/service/directory.py
+++ b/magnoliapier/service/directory.py
@@ -45,7 +45,7 @@
             return
         known = self._records.get(row.key)
         if known is None or known.draining != record.draining:
-            log.info(
+            log.routine(
                 "endpoint_listed",
                 endpoint=row.key,
                 service=record.service,
@@ -77,4 +77,4 @@
             if now - since >= RETURN_GRACE_S:
                 del self._missing_since[endpoint_id]
                 if self._records.pop(endpoint_id, None) is not None:
-                    log.info("endpoint_unlisted", endpoint=endpoint_id)
+                    log.routine("endpoint_unlisted", endpoint=endpoint_id)
--- a/magnoliapier/service/node.py
+++ b/magnoliapier/service/node.py
@@ -37,7 +37,9 @@
 CONTROL_GAP_S = 0.6
 HOLDER_CONTROL_GAP_S = 0.25  # what a pool releases depends on other pools' needs
 FLEET_CONTROL_GAP_S = 0.1  # pools that want hosts are waiting
-ENDPOINT_GAP_S = 2.0  # a host without a service's shard starts no runs
+# A host without a service's shard starts no runs. It reads what has changed when it
+# takes one.
+ENDPOINT_GAP_S = 10.0
 HOLDER_ENDPOINT_GAP_S = 0.15  # endpoints of moved hosts are needed at once
 BALANCE_INTERVAL_S = 4.0  # between offers of a shard to hosts with fewer shards
 # A shard that this host has to take back after an offer is not offered again: no other
--- a/magnoliapier/service/run_events.py
+++ b/magnoliapier/service/run_events.py
@@ -17,9 +17,19 @@
 
     ``may_act()`` returns whether orders are allowed now. ``on_endpoint_gone(session)``
     is called with the session of an endpoint that is unlisted and runs nothing.
+    ``start_delays`` is the StartDelays of the shard.
     """
 
-    def __init__(self, service, tables, durations, deps, may_act, on_endpoint_gone):
+    def __init__(
+        self,
+        service,
+        tables,
+        durations,
+        deps,
+        may_act,
+        on_endpoint_gone,
+        start_delays,
+    ):
         self.may_act = may_act
         self.endpoint_gone = on_endpoint_gone
         self._service = service
@@ -27,6 +37,7 @@
         self._durations = durations
         self._clock = deps.boottime
         self._metrics = deps.metrics
+        self._start_delays = start_delays
 
     def fenced(self, session):
         """Log and count an order that was refused for a higher fencing token."""
@@ -39,9 +50,15 @@
 
     def session_opened(self, session):
         """Wake the controller, because it can use another endpoint now."""
-        log.info("endpoint_opened", endpoint=session.endpoint_id, shard=self._service)
+        log.routine(
+            "endpoint_opened", endpoint=session.endpoint_id, shard=self._service
+        )
         self._tables.wake.set()
 
+    def start_confirmed(self, sent_at, now):
+        """Record how long an endpoint took to confirm a start order."""
+        self._start_delays.run_confirmed(sent_at, now)
+
     def run_listed(self, session, live, listed_run, now):
         """Apply what an endpoint lists about a live run."""
         run = live.run
@@ -87,7 +104,7 @@
             live.task.not_before = self._clock() + (
                 LONG_RUNNING_RETRY_S if live.step.long_running else SHORT_TASK_RETRY_S
             )
-        log.info(
+        log.routine(
             "run_ended",
             task=end.task,
             run=end.run,
@@ -149,7 +166,7 @@
         if live.run in live.task.runs:
             live.task.runs.remove(live.run)
         self._metrics.count("runs_gone_total", reason=reason)
-        log.info(
+        log.routine(
             "run_gone",
             task=live.task.name,
             run=live.run.number,
--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -239,11 +239,12 @@
         if not self._owner.may_act() or live.run.state != RunState.ORDERED:
             self._owner.run_gone(self, live, "not_sent")
             return
+        sent_at = self._clock()
         order = StartOrder(
             name,
             live.run.number,
             live.progress.submission.spec,
-            self._extend_deadline(self._clock()),
+            self._extend_deadline(sent_at),
             self._token,
             live.task.checkpoint,
         )
@@ -258,6 +259,7 @@
         else:
             now = self._clock()
             self._endpoint_clock.observe(clock_ms, now)
+            self._owner.start_confirmed(sent_at, now)
             live.settled_at = now
             if live.run.state == RunState.ORDERED:
                 live.run.state = RunState.CONFIRMED
@@ -480,7 +482,9 @@
     def _mark_failing(self, cause):
         if self.failing_since is None:
             self.failing_since = self._clock()
-            log.warning("endpoint_lost", endpoint=self.endpoint_id, cause=cause)
+            # The host of a released endpoint is moved or maintained.
+            report = log.routine if self.released else log.warning
+            report("endpoint_lost", endpoint=self.endpoint_id, cause=cause)
 
     @property
     def lease_lapsed(self):
--- a/magnoliapier/service/shard.py
+++ b/magnoliapier/service/shard.py
@@ -33,6 +33,7 @@
 from magnoliapier.service.run_events import RunEvents
 from magnoliapier.service.session import EndpointSession
 from magnoliapier.service.shard_tables import ShardTables
+from magnoliapier.service.start_delays import StartDelays
 from magnoliapier.state.commit import FencedCommitter
 from magnoliapier.state.lease import CONTROL_TABLE, FIRST_TOKEN
 from magnoliapier.state.rows import MAX_TRANSACTION_ENTRIES, Put
@@ -75,6 +76,7 @@
         self._gauges_set_at = 0.0
         self._durations = DurationModel()
         self._pool = PoolManager(service, self._durations, lease.token == FIRST_TOKEN)
+        self._start_delays = StartDelays(service, deps.metrics)
         self._last_report = None
         self._last_report_at = 0.0
         self._finished_rows = FinishedRows(
@@ -88,6 +90,7 @@
             deps,
             self.may_act,
             self._remove_endpoint,
+            self._start_delays,
         )
         self._lost = False
 
@@ -160,7 +163,13 @@
         submission = progress.submission
         for step in submission.steps:
             self._durations.add_estimate(submission.queue, step.estimated_ms)
-        self._pool.submission_arrived(progress, self._clock())
+        now = self._clock()
+        self._pool.submission_arrived(progress, now)
+        if not progress.started and not submission.repeat_count:
+            accepted_ago_s = (unix_ms() - submission.accepted_ms) / 1000
+            self._start_delays.submission_known(
+                progress.submission_id, accepted_ago_s, now
+            )
 
     def _adopt_runs(self):
         for progress in self.tables.progresses.values():
@@ -220,7 +229,7 @@
     def _remove_endpoint(self, session):
         """Close the session of an endpoint that is unlisted and runs nothing."""
         if self.tables.sessions.pop(session.endpoint_id, None) is not None:
-            log.info("endpoint_gone", endpoint=session.endpoint_id)
+            log.routine("endpoint_gone", endpoint=session.endpoint_id)
             self._tasks.append(asyncio.create_task(session.close()))
 
     def _check_crashed_endpoints(self):
@@ -321,6 +330,7 @@
         scheduler = Scheduler(self.tables.sessions.values(), now)
         for session, live in scheduler.place(ordered):
             submission_id = live.progress.submission_id
+            self._start_delays.run_placed(submission_id, now)
             self._uncommitted_starts.setdefault(submission_id, []).append(
                 (session, live)
             )
@@ -405,10 +415,12 @@
         return [Put(CONTROL_TABLE, self.service, REPORT_KEY, encode_report(report))]
 
     def _send_starts(self, ids):
+        now = self._clock()
         for submission_id in ids:
             for session, live in self._uncommitted_starts.pop(submission_id, ()):
                 if live.run.state == RunState.ORDERED:
-                    log.info(
+                    self._start_delays.run_stored(live.run.ordered_at, now)
+                    log.routine(
                         "run_ordered",
                         task=live.task.name,
                         run=live.run.number,
@@ -422,6 +434,7 @@
     def _finish_submissions(self, final_submissions):
         for submission_id, state in final_submissions:
             self.tables.final_states[submission_id] = state
+            self._start_delays.submission_ended(submission_id)
             progress = self.tables.progresses.get(submission_id)
             if progress is not None and not progress.has_live_runs:
                 del self.tables.progresses[submission_id]
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -29,6 +29,16 @@
         self.assertEqual(len(lines), LINES_PER_S + 1)
         self.assertIn("lines_dropped=80", lines[-1])
 
+    def test_routine_lines_leave_room_for_the_fate_of_a_request(self):
+        """Guards against a refusal that is missing because many runs ended as usual."""
+        with self.handler.applicationbound():
+            for number in range(100):
+                self.log.routine("run_ended", number=number)
+            self.log.info("refused")
+        lines = os.read(self.reader, 1_000_000).decode().splitlines()
+        self.assertIn("event=refused", lines[-1])
+        self.assertLess(len(lines), LINES_PER_S)
+
     def test_full_pipe_never_blocks(self):
         """Guards against a process that blocks because its log reader has stopped."""
         handler = BoundedHandler(self.writer, 10**9, clock=lambda: self.now)
