Count pauses that follow each other as one

Cause: rule R5 looked at each pause by itself, so a process that was paused three times for 15 s still held its view, although its sender record could be removed after 30 s without a listing. Change: one PauseMeter, used by the entry process and the control node, adds up pauses until the process has run for LIST_READ_GAP_S.

--- a/magnoliapier/entry.py
+++ b/magnoliapier/entry.py
@@ -22,7 +22,7 @@
 from magnoliapier.memory_budget import MemoryBudget
 from magnoliapier.messages import Demand, EntryReport
 from magnoliapier.metrics import Metrics
-from magnoliapier.ownership import DROP_GRANTS_GAP_S, STALE_GAP_S
+from magnoliapier.ownership import DROP_GRANTS_GAP_S, STALE_GAP_S, PauseMeter
 from magnoliapier.platform_http import connect_platform
 from magnoliapier.request_path import RequestPath
 from magnoliapier.request_trace import RequestTrace
@@ -195,16 +195,14 @@
             self._clock.sleep(DRAIN_POLL_S)
 
     def _run_ticks(self):
-        last = self._clock.monotonic()
+        meter = PauseMeter(self._clock)
         while not self._stopped.wait(TICK_INTERVAL_S):
-            now = self._clock.monotonic()
             try:
-                self._tick(now, now - last)
+                self._tick(self._clock.monotonic(), meter.tick())
             except Exception as error:
                 # Continues, because deadlines and grants depend on later ticks.
                 self._metrics.count("worker_errors_total")
                 log.error("tick_failed", error=repr(error))
-            last = now
 
     def _tick(self, now, gap_s):
         if gap_s > DROP_GRANTS_GAP_S:
--- a/magnoliapier/ownership.py
+++ b/magnoliapier/ownership.py
@@ -407,21 +407,59 @@
     STALE = "stale"
 
 
-class GapDetector:
-    """Measures the time between ticks; call :meth:`tick` every TICK_S."""
+class PauseMeter:
+    """
+    Measures how long a process was paused; call :meth:`tick` every TICK_S.
+
+    Pauses with little time between them add up: the host list is not read often enough
+    to show the host between them, so the sender's record may be removed as if it had
+    been away all the while.
+
+    Example::
+
+        meter = PauseMeter(clock)
+        clock.advance(15.0)
+        assert meter.tick() == 15.0
+        clock.advance(15.0)
+        assert meter.tick() == 30.0
+    """
 
     def __init__(self, clock):
         self._clock = clock
-        self._previous = clock.monotonic()
+        self._previous = self._resumed_at = clock.monotonic()
+        self._paused_s = 0.0
 
     def tick(self):
-        """Return the :class:`Gap` for the time since the last tick."""
+        """
+        Return the seconds since the last tick or, after a pause, those of all pauses.
+
+        A gap of more than DROP_GRANTS_GAP_S is a pause. The sum starts again once the
+        process has run for LIST_READ_GAP_S, in which the host list is read.
+        """
         now = self._clock.monotonic()
-        gap = now - self._previous
+        gap_s = now - self._previous
         self._previous = now
-        if gap > STALE_GAP_S:
+        if gap_s <= DROP_GRANTS_GAP_S:
+            if now - self._resumed_at >= LIST_READ_GAP_S:
+                self._paused_s = 0.0
+            return gap_s
+        self._paused_s += gap_s
+        self._resumed_at = now
+        return self._paused_s
+
+
+class GapDetector:
+    """Tells what a process must do after a pause; call :meth:`tick` every TICK_S."""
+
+    def __init__(self, clock):
+        self._meter = PauseMeter(clock)
+
+    def tick(self):
+        """Return the :class:`Gap` for the time since the last tick."""
+        gap_s = self._meter.tick()
+        if gap_s > STALE_GAP_S:
             return Gap.STALE
-        if gap > DROP_GRANTS_GAP_S:
+        if gap_s > DROP_GRANTS_GAP_S:
             return Gap.DROP_GRANTS
         return Gap.NONE
 
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -9,6 +9,7 @@
     HeldGrant,
     HeldGrants,
     IssuedGrants,
+    PauseMeter,
     Registration,
     SenderRecord,
     SenderTable,
@@ -174,6 +175,19 @@
             clock.advance(seconds)
             self.assertIs(gaps.tick(), gap)
 
+    def test_pauses_add_up_until_the_host_list_was_read(self):
+        """Guards against a stale sender whose pauses were each too short to count."""
+        clock = VirtualClock()
+        meter = PauseMeter(clock)
+        for expected_s in (15, 30):
+            clock.advance(15)
+            self.assertEqual(meter.tick(), expected_s)
+        for _ in range(6):
+            clock.advance(1)
+            meter.tick()
+        clock.advance(15)
+        self.assertEqual(meter.tick(), 15)
+
     def test_record_is_removed_only_after_the_lag(self):
         """Guards against removal of a sender only because the list was not read."""
         clock = VirtualClock()
--- a/tests/test_stateful_ownership.py
+++ b/tests/test_stateful_ownership.py
@@ -22,6 +22,7 @@
 from magnoliapier.ownership import (
     SENDER_PREFIX,
     STALE_GAP_S,
+    PauseMeter,
     SenderRecord,
     SenderTable,
     missing_consents,
@@ -73,6 +74,7 @@
         self.incarnation += 1
         self.requests = []
         self.view = FleetView(CENTRES[self.name], self.machine.clock, Metrics())
+        self.pauses = PauseMeter(self.machine.clock)
         ignore = lambda *values: None  # noqa: E731
         self.view.attach(
             SimpleNamespace(set_fleet=ignore, set_peers=ignore, mark_leaving=ignore)
@@ -114,11 +116,12 @@
         view = self.node.peer_view(self.name)
         self.view.apply_view(view, asked, view.eligible)
 
-    def resume(self, gap):
-        """Do what the entry process does first after a pause."""
-        if gap > STALE_GAP_S:
+    def tick_entry(self):
+        """Do what the entry process does at each tick."""
+        gap_s = self.pauses.tick()
+        if gap_s > STALE_GAP_S:
             self.incarnation += 1
-        self.view.refresh(gap)
+        self.view.refresh(gap_s)
 
 
 @seed(OWNERSHIP_SEED)
@@ -165,6 +168,7 @@
             self.sends_are_for_the_owner()
 
     def step(self, entry):
+        entry.tick_entry()
         actions = entry.node.tick()
         for address, heartbeat in actions.heartbeats:
             self.deliver_heartbeat(entry.name, address, heartbeat)
@@ -227,7 +231,7 @@
             self.drain()
         self.run_for(seconds)
         entry.paused = False
-        entry.resume(seconds)
+        entry.tick_entry()
 
     @rule(name=NAMES)
     def restart_control(self, name):
@@ -352,8 +356,6 @@
 
 
 class RepeatedPauseTests(unittest.TestCase):
-    # Listed in KNOWN-RED.txt; an unexpected success as soon as the fault is fixed.
-    @unittest.expectedFailure
     def test_pauses_in_a_row_do_not_keep_a_stale_view(self):
         """Guards against pauses that are each shorter than STALE_GAP_S but add up."""
         machine = OwnershipMachine()
