--- a/magnoliapier/control_node.py
+++ b/magnoliapier/control_node.py
@@ -485,10 +485,23 @@
         ]
         if before.seq:
             self._leaving.clear(returned)
-        for entry in self._follower.entries_after(before.seq, self.state.seq) or ():
+        entries = self._follower.entries_after(before.seq, self.state.seq)
+        if entries is None and before.seq:
+            self._register_again()
+        for entry in entries or ():
             if entry.kind == "sender_removed":
                 self._on_sender_removed(entry.body)
 
+    def _register_again(self):
+        """
+        Register all senders again whose records may have been removed unseen.
+
+        That is so after a long pause, and after a state that came as a snapshot and not
+        as entries.
+        """
+        for session in self._sessions.values():
+            self._restart_registration(session, session.registration.incarnation)
+
     def _on_sender_removed(self, body):
         for session in self._sessions.values():
             session.issued_grants.forget(body["name"])
@@ -506,8 +519,7 @@
         log.warning("process_paused", effect=gap.value)
         self._held.drop()
         if gap is Gap.STALE:
-            for session in self._sessions.values():
-                self._restart_registration(session, session.registration.incarnation)
+            self._register_again()
 
     def _fresh_session(self, name):
         session = self._sessions.get(name)
--- a/tests/test_control_node.py
+++ b/tests/test_control_node.py
@@ -132,17 +132,32 @@
         self.fleet.run(2, report)
         self.assertEqual(self.missing(), [])
 
+    def remove_sender(self, name):
+        """Remove the record of a sender, as an operator's forget does."""
+        key = SENDER_PREFIX + name
+        row = self.fleet.platform.table.read([key])[key]
+        body = {"name": name, "incarnation": row.value["incarnation"]}
+        state = self.fleet.log.catch_up(FleetState())
+        delete = Write(row.key, None, row.version)
+        self.fleet.log.append(state, [("sender_removed", body)], writes=[delete])
+
+    def test_removal_that_came_with_a_snapshot_is_not_missed(self):
+        """Guards against a removed sender that goes on sending without the table."""
+        host = self.fleet.hosts["a"]
+        host.store_cut = True
+        host.node._follower.entries_after = lambda first, last=None: None
+        self.assertTrue(host.eligible)
+        self.remove_sender("a")
+        self.fleet.run(2)
+        self.assertFalse(host.eligible)
+
     def test_removed_sender_no_longer_counts(self):
         """Guards against a dead entry host whose missing consent blocks every drain."""
         self.fleet.hosts["b"].paused = True
         self.drain()
         self.fleet.run(40)
         self.assertIn("b", self.missing())
-        row = self.fleet.platform.table.read([SENDER_PREFIX + "b"])[SENDER_PREFIX + "b"]
-        body = {"name": "b", "incarnation": row.value["incarnation"]}
-        state = self.fleet.log.catch_up(FleetState())
-        delete = Write(row.key, None, row.version)
-        self.fleet.log.append(state, [("sender_removed", body)], writes=[delete])
+        self.remove_sender("b")
         self.fleet.run(3)
         self.assertEqual(self.missing(), [])
 
