Name changed settings at SIGHUP, read escaped log values, check operators' answers

Cause: a reload looked as if it applied changed settings; the log search cut values with escaped quotes; a JSON answer that is no object ended the command line with a traceback. Change: one line for each setting that needs a restart, and errors that name the remedy.

--- a/magnoliapier/log_search.py
+++ b/magnoliapier/log_search.py
@@ -1,5 +1,6 @@
 """Searches the logs of several hosts for a submission, task, endpoint or host."""
 
+import json
 import re
 from collections.abc import Iterable
 
@@ -23,9 +24,19 @@
         return self.event in FINAL_EVENTS
 
 
+def unquote(value):
+    """Return a value as it was before ``logs.quote``."""
+    if not value.startswith('"'):
+        return value
+    try:
+        return json.loads(value)
+    except ValueError:
+        return value.strip('"')
+
+
 def parse_line(line, source):
     """Return a LogEntry, or None for a line of another format."""
-    fields = {key: value.strip('"') for key, value in KEY_VALUE_PATTERN.findall(line)}
+    fields = {key: unquote(value) for key, value in KEY_VALUE_PATTERN.findall(line)}
     if "time" not in fields or "event" not in fields:
         return None
     time, event = fields.pop("time"), fields.pop("event")
--- a/magnoliapier/operator_client.py
+++ b/magnoliapier/operator_client.py
@@ -134,6 +134,11 @@
                 f"{self._url} did not return JSON; "
                 "give a control process's operator_address with --server."
             ) from None
+        if not isinstance(values, dict):
+            raise MagnoliapierError(
+                f"{self._url} did not return a JSON object; "
+                "give a control process's operator_address with --server."
+            )
         if response.status != 200:
             raise error_from_response(response.status, values)
         return values
--- a/magnoliapier/platform/boot.py
+++ b/magnoliapier/platform/boot.py
@@ -71,6 +71,15 @@
     limits: Limits = Limits()
 
 
+def changed_settings(before, after):
+    """Return the names of the settings that differ, in the order of their fields."""
+    return [
+        name
+        for name in BootSettings.__struct_fields__
+        if getattr(before, name) != getattr(after, name)
+    ]
+
+
 def load_boot_settings(path=None):
     """
     Read the settings file at ``path``, by default the one named by SETTINGS_VARIABLE.
--- a/magnoliapier/platform/program.py
+++ b/magnoliapier/platform/program.py
@@ -9,7 +9,7 @@
 from magnoliapier.logs import configure_bounded_logs, get_logger
 from magnoliapier.metrics import Metrics
 from magnoliapier.platform import wire
-from magnoliapier.platform.boot import load_boot_settings
+from magnoliapier.platform.boot import changed_settings, load_boot_settings
 from magnoliapier.platform.endpoints import HttpEndpointClient
 from magnoliapier.platform.http import open_session
 from magnoliapier.platform.ingress import Ingress
@@ -150,11 +150,15 @@
 
     def _reload(self):
         try:
-            self._boot = load_boot_settings()
+            settings = load_boot_settings()
         except MagnoliapierError as error:
             log.error("reload_failed", error=error)
-        else:
-            log.info("reloaded", node=self._boot.node_name)
+            return
+        log.info("reloaded", node=self._boot.node_name)
+        for name in changed_settings(self._boot, settings):
+            log.warning(
+                "setting_not_applied", setting=name, remedy="restart the process"
+            )
 
     def _apply_operator_rows(self, rows, complete):
         for row in rows:
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 
 from magnoliapier.exceptions import SettingsError
-from magnoliapier.platform.boot import load_boot_settings
+from magnoliapier.platform.boot import changed_settings, load_boot_settings
 
 SETTINGS = {
     "node_name": "n",
@@ -34,3 +34,11 @@
         settings = {k: v for k, v in SETTINGS.items() if k != "platform"}
         with self.assertRaisesRegex(SettingsError, "platform"):
             self.load(json.dumps(settings))
+
+    def test_changed_settings_are_named(self):
+        """Guards against a reload that seems to apply a setting and doesn't."""
+        before = self.load(json.dumps(SETTINGS))
+        changed = {**SETTINGS, "platform": {"address": "127.0.0.1:9"}, "zone": "y"}
+        after = self.load(json.dumps(changed))
+        self.assertEqual(changed_settings(before, after), ["platform"])
+        self.assertEqual(changed_settings(before, before), [])
--- a/tests/test_log_search.py
+++ b/tests/test_log_search.py
@@ -1,6 +1,7 @@
 import unittest
 
 from magnoliapier.log_search import parse_line, search_logs
+from magnoliapier.logs import quote
 
 ID = "9cdc25f25566cd49"
 FIRST = [
@@ -30,3 +31,11 @@
         """Guards against quoted values that are cut at their first space."""
         entry = parse_line(SECOND[0], "b")
         self.assertEqual(entry.fields["cause"], "no room")
+
+    def test_escaped_quotes_are_read_as_written(self):
+        """Guards against an error message that a search shows garbled or cut."""
+        cause = 'the store answered "busy"\n'
+        line = f"time=t event=refused id={ID} cause={quote(cause)} code=1"
+        entry = parse_line(line, "a")
+        self.assertEqual(entry.fields["cause"], cause)
+        self.assertEqual(entry.fields["code"], "1")
