Bound the numbers of all messages, and answer callers after internal errors

Cause: a fuzz test over every message of other programs found that a number beyond 64 bits is decoded and then cannot be stored: one such wave row would stop the fleet controller, one such submission ended with an internal error, which says neither that it was accepted nor that it was not. Change: numbers on the wire are bounded; an unexpected error in a request is logged and counted, and answered 504 for a submission and 503 otherwise.

--- a/magnoliapier/platform/ingress.py
+++ b/magnoliapier/platform/ingress.py
@@ -8,6 +8,7 @@
 from magnoliapier.exceptions import MessageError
 from magnoliapier.logs import get_logger
 from magnoliapier.platform import wire
+from magnoliapier.service.background import report_failure
 from magnoliapier.service.clock import unix_ms
 from magnoliapier.service.entry import AnswerKind
 
@@ -93,6 +94,11 @@
         started_at = time.monotonic()
         try:
             response = await self._route(request)
+        except Exception as error:
+            report_failure("answer", error, self._metrics)
+            # A submission may have been stored; other requests change nothing.
+            status = 504 if request.method == "POST" else 503
+            response = error_response(status, "Ask again; an internal error.")
         finally:
             self._in_flight -= 1
         if self._node.stopping:
--- a/magnoliapier/platform/wire.py
+++ b/magnoliapier/platform/wire.py
@@ -6,6 +6,8 @@
 a queue a route and the maintenance of a host its upkeep.
 """
 
+from typing import Annotated
+
 import msgspec
 from msgspec import field
 
@@ -26,6 +28,11 @@
 CONFIG_KEY = "config"
 WAVE_PREFIX = "wave/"
 
+# Integers up to here are exact in every JSON reader, and fit the stored form.
+MAX_NUMBER = 2**53
+Whole = Annotated[int, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+Measure = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+
 MAX_SPEC_BYTES = 4000
 MAX_TASKS = 20_000  # of one submission, over all its steps and occurrences
 
@@ -33,9 +40,9 @@
 class CapacityBody(msgspec.Struct, frozen=True):
     """Resources of a host or endpoint."""
 
-    cpu: int = 0  # millicores
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Whole = 0  # millicores
+    mem_mb: Whole = 0
+    gpu: Whole = 0
 
     def resources(self):
         """Return the product's resources."""
@@ -45,25 +52,25 @@
 class StepBody(msgspec.Struct):
     """One step of a submission."""
 
-    task_count: int = field(name="count", default=0)
-    cpu: int = 0  # millicores
-    mem_mb: int = 0
-    gpu: int = 0
-    estimated_ms: float = 0
+    task_count: Whole = field(name="count", default=0)
+    cpu: Whole = 0  # millicores
+    mem_mb: Whole = 0
+    gpu: Whole = 0
+    estimated_ms: Measure = 0
     after: tuple[int, ...] = ()  # indexes of the steps that must be done first
     checkpointing: bool = False
     gang: bool = False
     same_rack: bool = False
     required_label: str = ""
     data_rack: str = ""
-    max_per_endpoint: int = field(name="max_per_server", default=0)
+    max_per_endpoint: Whole = field(name="max_per_server", default=0)
     speculative: bool = False
     long_running: bool = False
     image: str = ""
     # The latency that the step's own users should see, not a deadline of the step.
-    latency_target_ms: int = field(name="target_ms", default=0)
+    latency_target_ms: Whole = field(name="target_ms", default=0)
     fills: bool = False  # best-effort: uses the CPU that other tasks leave idle
-    may_miss: int = 0  # number of long-running tasks that may be unavailable at once
+    may_miss: Whole = 0  # number of long-running tasks that may be unavailable at once
 
     def step(self):
         """Return the product's step."""
@@ -92,9 +99,9 @@
 
     spec: str
     steps: tuple[StepBody, ...]
-    repeat_count: int = 0
-    start_at_ms: int = 0
-    interval_ms: int = 0
+    repeat_count: Whole = 0
+    start_at_ms: Whole = 0
+    interval_ms: Whole = 0
 
     def submission(self, submission_id, queue, accepted_ms):
         """Return the product's submission; raise MessageError if it is invalid."""
@@ -137,13 +144,13 @@
     host: str  # as in the Host header of requests
     path_prefix: str
     service: str  # the pool whose endpoints run the tasks
-    priority: int = 0
-    max_attempts: int = 1
+    priority: Whole = 0
+    max_attempts: Whole = 1
     # A submission should complete within ``stretch`` times the duration of its critical
     # path plus ``target_completion_ms``.
-    stretch: float = 1.0
-    target_completion_ms: int = 0
-    timeout_ms: int = 0
+    stretch: Measure = 1.0
+    target_completion_ms: Whole = 0
+    timeout_ms: Whole = 0
     advice: msgspec.Raw | None = None  # only its presence is read
 
     def queue(self):
@@ -173,13 +180,13 @@
 class LimitsBody(msgspec.Struct, frozen=True):
     """Limits on callers' requests."""
 
-    max_body_bytes: int = 262_144
+    max_body_bytes: Whole = 262_144
 
 
 class ConfigBody(msgspec.Struct):
     """The operator's configuration, always complete."""
 
-    version: int
+    version: Whole
     routes: tuple[RouteBody, ...]
     services: tuple[ServiceBody, ...] = ()
     limits: LimitsBody = LimitsBody()
@@ -199,10 +206,10 @@
 class WaveBody(msgspec.Struct):
     """A wave of maintenance that the operator requests."""
 
-    wave: int  # number of the wave
+    wave: Whole  # number of the wave
     machines: tuple[str, ...]
-    duration_s: float = 0
-    maximum: int = 1  # number of hosts that may be down for the wave at once
+    duration_s: Measure = 0
+    maximum: Whole = 1  # number of hosts that may be down for the wave at once
 
     def maintenance_wave(self):
         """Return the product's wave."""
@@ -219,7 +226,7 @@
     capacity: CapacityBody = CapacityBody()
     labels: tuple[str, ...] = ()  # the first two are its kind and its rack
     machine: str = ""  # the host that it runs on
-    born: int = 0  # Unix ms when this incarnation of the endpoint started
+    born: Whole = 0  # Unix ms when this incarnation of the endpoint started
 
     def record(self, endpoint_id):
         """Return the product's record; raise MessageError for an unknown state."""
@@ -279,30 +286,30 @@
     """The order to take a host down for its maintenance in a wave."""
 
     machine: str  # name of the host
-    wave: int  # number of the wave
+    wave: Whole  # number of the wave
 
 
 class ReasonBody(msgspec.Struct):
     """The reason for a refusal; ``clock_ms`` is set if an endpoint refused."""
 
     reason: str = ""
-    clock_ms: int = 0
+    clock_ms: Whole = 0
 
 
 class ClockBody(msgspec.Struct):
     """An endpoint's response to an order: a reading of its clock."""
 
-    clock_ms: int
+    clock_ms: Whole
 
 
 class StartBody(msgspec.Struct, omit_defaults=True):
     """The order to start a run."""
 
     task: str
-    run: int
+    run: Whole
     spec: str
-    deadline_ms: int  # end of the endpoint's lease, on its clock
-    fencing_token: int
+    deadline_ms: Whole  # end of the endpoint's lease, on its clock
+    fencing_token: Whole
     checkpoint: str = ""
     ticket: str = ""  # permission by the advice service
 
@@ -311,44 +318,44 @@
     """The order to stop a run."""
 
     task: str
-    run: int
-    fencing_token: int
+    run: Whole
+    fencing_token: Whole
 
 
 class PaceBody(msgspec.Struct):
     """The order to throttle a run to ``percent`` of its full speed."""
 
     task: str
-    run: int
-    percent: int
-    fencing_token: int
+    run: Whole
+    percent: Whole
+    fencing_token: Whole
 
 
 class HoldBody(msgspec.Struct, omit_defaults=True):
     """The order to list the runs and, with a deadline, to extend the lease."""
 
-    fencing_token: int
-    acked_through: int  # number of the last ended run that is stored
-    wait_ms: int = 0  # how long the endpoint may hold back its response
-    deadline_ms: int | None = None  # new end of the lease, on the endpoint's clock
+    fencing_token: Whole
+    acked_through: Whole  # number of the last ended run that is stored
+    wait_ms: Whole = 0  # how long the endpoint may hold back its response
+    deadline_ms: Whole | None = None  # new end of the lease, on the endpoint's clock
 
 
 class RunningRow(msgspec.Struct, array_like=True):
     """A running task; see ``service.orders.ListedRun``."""
 
     task: str
-    run: int
+    run: Whole
     saved: str  # the newest checkpoint
-    percent: float  # progress
-    reading: float = 0  # tail latency in ms, or CPU in use in millicores
+    percent: Measure  # progress
+    reading: Measure = 0  # tail latency in ms, or CPU in use in millicores
 
 
 class EndedRow(msgspec.Struct, array_like=True):
     """An ended run."""
 
-    number: int  # increases within one incarnation of the endpoint
+    number: Whole  # increases within one incarnation of the endpoint
     task: str
-    run: int
+    run: Whole
     how: str  # an EndReason
     saved: str = ""  # the newest checkpoint
 
@@ -356,10 +363,10 @@
 class HoldAnswer(msgspec.Struct):
     """An endpoint's response to a HoldBody."""
 
-    clock_ms: int
+    clock_ms: Whole
     running: tuple[RunningRow, ...] = ()
     ended: tuple[EndedRow, ...] = ()  # those that are not acknowledged yet
-    born: int = 0  # Unix ms when this incarnation of the endpoint started
+    born: Whole = 0  # Unix ms when this incarnation of the endpoint started
 
     def inspection(self):
         """Return the product's inspection."""
@@ -380,7 +387,7 @@
     table: str
     part: str
     key: str
-    ver: int  # 0 if the row must not exist
+    ver: Whole  # 0 if the row must not exist
 
 
 class RowPut(msgspec.Struct):
@@ -420,7 +427,7 @@
     key: str
     part: str = ""
     value: str = ""
-    ver: int = 0  # version
+    ver: Whole = 0  # version
     removed: bool = False
 
 
@@ -433,8 +440,8 @@
 
     rows: list[RowBody] = []
     more_pages: bool = False
-    ver: int = 0  # version of the transaction, or version to follow changes from
-    now_ms: int = 0  # reading of the table's monotonic clock, 0 for none
+    ver: Whole = 0  # version of the transaction, or version to follow changes from
+    now_ms: Whole = 0  # reading of the table's monotonic clock, 0 for none
 
 
 class PartsAnswer(msgspec.Struct):
@@ -442,7 +449,7 @@
 
     parts: list[str] = []
     more_pages: bool = False
-    ver: int = 0  # version to follow the table's changes from
+    ver: Whole = 0  # version to follow the table's changes from
 
 
 class StateBody(msgspec.Struct):
@@ -454,7 +461,7 @@
 class PendingBody(msgspec.Struct):
     """The number of accepted submissions that have not started, for callers."""
 
-    pending: int
+    pending: Whole
 
 
 class WaveStatusBody(msgspec.Struct):
--- /dev/null
+++ b/tests/platform/test_fuzz_wire.py
@@ -0,0 +1,132 @@
+import json
+import unittest
+
+from hypothesis import given, settings, strategies as st
+
+from magnoliapier.exceptions import MessageError
+from magnoliapier.platform import wire
+from magnoliapier.platform.machines import decode_hosts
+from magnoliapier.platform.store import decode_row
+from magnoliapier.pools.report import FleetPlan, encode as encode_plan
+from magnoliapier.submissions.codec import encode
+
+EXAMPLES = 300
+
+numbers = st.one_of(
+    st.integers(-(2**70), 2**70),
+    st.floats(allow_nan=False, allow_infinity=False),
+    st.just(1e308),
+)
+values = st.recursive(
+    st.one_of(st.none(), st.booleans(), numbers, st.text(max_size=12)),
+    lambda inner: st.one_of(
+        st.lists(inner, max_size=4),
+        st.dictionaries(st.text(max_size=8), inner, max_size=4),
+    ),
+    max_leaves=8,
+)
+
+# What the process does with each message that other programs send. What it stores of
+# them must fit the stored form.
+CONVERSIONS = {
+    wire.SubmissionBody: lambda body: encode(body.submission("0" * 16, "q", 0)),
+    wire.ConfigBody: lambda body: [
+        encode(queue.terms) for queue in body.configuration().queues
+    ],
+    wire.WaveBody: lambda body: encode_plan(
+        FleetPlan(maintained={body.maintenance_wave().number: ()})
+    ),
+    wire.ServerBody: lambda body: body.record("i-1"),
+    wire.MachinePage: lambda body: list(decode_hosts(body)),
+    wire.HoldAnswer: lambda body: body.inspection(),
+    wire.ClockBody: lambda body: body.clock_ms,
+    wire.ReasonBody: lambda body: body.reason,
+    wire.RowsAnswer: lambda body: [decode_row(row) for row in body.rows],
+    wire.PartsAnswer: lambda body: body.parts,
+}
+VALID = {
+    wire.SubmissionBody: {"spec": "x", "steps": [{"count": 1, "after": []}]},
+    wire.ConfigBody: {
+        "version": 1,
+        "routes": [{"name": "q", "host": "h", "path_prefix": "/", "service": "s"}],
+        "services": [{"name": "s"}],
+    },
+    wire.WaveBody: {"wave": 1, "machines": ["m"], "duration_s": 1.5, "maximum": 1},
+    wire.ServerBody: {
+        "service": "s",
+        "address": "10.0.0.1:1",
+        "zone": "z",
+        "state": "ready",
+        "capacity": {"cpu": 1},
+        "born": 1,
+    },
+    wire.MachinePage: {"machines": [{"machine": "m", "pool": "s", "state": "up"}]},
+    wire.HoldAnswer: {
+        "clock_ms": 1,
+        "running": [["a.0.0.0", 1, "", 10, 5]],
+        "ended": [[1, "a.0.0.0", 1, "done", ""]],
+    },
+    wire.ClockBody: {"clock_ms": 1},
+    wire.ReasonBody: {"reason": "room"},
+    wire.RowsAnswer: {"rows": [{"table": "t", "key": "k", "value": "AA=="}]},
+    wire.PartsAnswer: {"parts": ["p"], "ver": 1},
+}
+
+
+def replace_one(draw, message):
+    """Return ``message`` with one of its values replaced, at any depth."""
+    if isinstance(message, dict) and message and draw(st.integers(0, 3)):
+        key = draw(st.sampled_from(sorted(message)))
+        return {**message, key: replace_one(draw, message[key])}
+    if isinstance(message, list) and message and draw(st.integers(0, 3)):
+        index = draw(st.integers(0, len(message) - 1))
+        changed = replace_one(draw, message[index])
+        return [*message[:index], changed, *message[index + 1 :]]
+    return draw(values)
+
+
+@st.composite
+def damaged_messages(draw):
+    """Return a message type, and bytes that are almost a message of that type."""
+    message_type = draw(st.sampled_from(sorted(VALID, key=lambda t: t.__name__)))
+    data = json.dumps(replace_one(draw, VALID[message_type])).encode()
+    if draw(st.booleans()):
+        data = data[: draw(st.integers(0, len(data)))]
+    return message_type, data
+
+
+class DamagedMessageTests(unittest.TestCase):
+    def convert(self, message_type, data):
+        """Decode and convert ``data``; only MessageError may be raised."""
+        try:
+            CONVERSIONS[message_type](wire.decode(message_type, data))
+        except MessageError as error:
+            self.assertTrue(str(error))
+
+    def test_valid_messages_are_read(self):
+        """Guards against a fuzz test that never gets past the decoder."""
+        for message_type, message in VALID.items():
+            body = wire.decode(message_type, json.dumps(message).encode())
+            CONVERSIONS[message_type](body)
+
+    @settings(max_examples=EXAMPLES, deadline=None)
+    @given(damaged_messages())
+    def test_damaged_message_is_a_message_error(self, damaged):
+        """Guards against a message of another writer that ends a task."""
+        self.convert(*damaged)
+
+    @settings(max_examples=EXAMPLES, deadline=None)
+    @given(st.sampled_from(sorted(CONVERSIONS, key=str)), st.binary(max_size=60))
+    def test_random_bytes_are_a_message_error(self, message_type, data):
+        """Guards against bytes that are no JSON at all."""
+        self.convert(message_type, data)
+
+    def test_numbers_outside_the_range_are_message_errors(self):
+        """Guards against numbers that the decoder takes and a conversion does not."""
+        for number in ("1e999", "-1e999", "1e308", "123456789012345678901234567890"):
+            row = f'["a.0.0.0", 1, "", {number}, {number}]'
+            answer = f'{{"clock_ms": 1, "running": [{row}]}}'
+            self.convert(wire.HoldAnswer, answer.encode())
+            step = f'{{"count": 1, "estimated_ms": {number}}}'
+            submission = f'{{"spec": "x", "steps": [{step}]}}'
+            self.convert(wire.SubmissionBody, submission.encode())
