Ask for hosts on which the widest waiting tasks fit

Once all of its hosts held long-running tasks, one wide task fitted on none of them and no host was asked for. Change: hosts_for_wide_tasks counts the hosts that long-running tasks occupy and those that the wide tasks need besides.

--- a/magnoliapier/placement/endpoint.py
+++ b/magnoliapier/placement/endpoint.py
@@ -48,6 +48,10 @@
         self.memory_mb = capacity.memory_mb
         self.accelerators = capacity.accelerators
 
+    def as_resources(self):
+        """Return what is free now as Resources."""
+        return Resources(self.cpu_millicores, self.memory_mb, self.accelerators)
+
     def fits(self, step):
         """Return whether there is room for a task of ``step``."""
         required = step.resources
--- a/magnoliapier/pools/demand.py
+++ b/magnoliapier/pools/demand.py
@@ -8,6 +8,10 @@
 import math
 from collections import deque
 
+import msgspec
+
+from magnoliapier.submissions.model import Resources
+
 USABLE_HOST_SHARE = 0.85  # of each host; tasks of mixed sizes cannot fill it all
 # Keeping a host for so long costs as much as releasing it and getting it back.
 SURPLUS_HOLD_S = 1.3
@@ -27,6 +31,15 @@
     )
 
 
+def fits(required, available):
+    """Return whether ``required`` is within ``available``, for every resource."""
+    return (
+        required.cpu_millicores <= available.cpu_millicores
+        and required.memory_mb <= available.memory_mb
+        and required.accelerators <= available.accelerators
+    )
+
+
 def min_endpoints_for(progress):
     """Return how many endpoints the long-running tasks of a submission need."""
     min_endpoints = 0
@@ -104,6 +117,39 @@
     return max(1, min_hosts, math.ceil(share / USABLE_HOST_SHARE))
 
 
+class WaitingTasks(msgspec.Struct, frozen=True):
+    """Waiting tasks of one kind; ``duration_s`` is the expected duration of each."""
+
+    resources: Resources
+    count: int
+    duration_s: float
+
+
+def hosts_for_wide_tasks(waiting, free, capacity):
+    """
+    Return how many hosts a pool needs so that its widest waiting tasks fit.
+
+    ``waiting`` holds WaitingTasks. ``free`` holds, for each host of the pool, what
+    long-running tasks leave of it. A task that fits on none of the hosts where these
+    run would wait for good, however much is free in all. The result counts those hosts
+    and the ones that the wide tasks need besides; it is 0 if every task fits.
+    """
+    occupied = [resources for resources in free if resources != capacity]
+    wide = [
+        tasks
+        for tasks in waiting
+        if fits(tasks.resources, capacity)
+        and not any(fits(tasks.resources, resources) for resources in occupied)
+    ]
+    if not wide:
+        return 0
+    host_seconds = 0.0
+    for tasks in wide:
+        per_host = math.floor(1 / host_share(tasks.resources, capacity))
+        host_seconds += tasks.count * tasks.duration_s / per_host
+    return len(occupied) + max(1, math.ceil(host_seconds / CATCH_UP_S))
+
+
 class SlidingMaximum:
     """
     The highest of the values that were observed in the last ``window_s`` seconds.
--- a/magnoliapier/service/pool.py
+++ b/magnoliapier/service/pool.py
@@ -6,13 +6,17 @@
 use.
 """
 
+from collections import Counter
+
 import msgspec
 
 from magnoliapier.logs import get_logger
 from magnoliapier.pools.demand import (
     ArrivalRate,
     SlidingMaximum,
+    WaitingTasks,
     host_share,
+    hosts_for_wide_tasks,
     hosts_needed,
     min_endpoints_for,
 )
@@ -135,6 +139,7 @@
             break
         long_running_share = waiting_work = 0.0
         min_endpoints = 1
+        waiting = Counter()
         for progress in progresses:
             if progress.cancelled or progress.failed:
                 continue
@@ -147,16 +152,32 @@
                     for task in progress.tasks()
                 )
             else:
-                waiting_work += sum(
-                    self._host_seconds(progress, task.step)
-                    for task in progress.startable_tasks()
-                )
-        return hosts_needed(
+                for task in progress.startable_tasks():
+                    waiting_work += self._host_seconds(progress, task.step)
+                    duration_ms = self._durations.task_ms(
+                        progress.queue.name, task.step
+                    )
+                    waiting[(task.step.resources, duration_ms)] += 1
+        needed = hosts_needed(
             long_running_share,
             self._arrivals.per_second(now),
             waiting_work,
             min_endpoints,
         )
+        return max(needed, self._hosts_for_wide_tasks(staying, waiting))
+
+    def _hosts_for_wide_tasks(self, staying, waiting):
+        """Return the need for ``waiting``: {(resources, duration in ms): tasks}."""
+        if not waiting:
+            return 0
+        return hosts_for_wide_tasks(
+            [
+                WaitingTasks(resources, count, duration_ms / 1000)
+                for (resources, duration_ms), count in waiting.items()
+            ],
+            [session.left_by_long_running() for session in staying],
+            self._host_capacity,
+        )
 
     def _choose_surplus(self, staying, min_kept):
         """Mark surplus endpoints with the fewest runs as leaving and return them."""
--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -97,6 +97,14 @@
         """Return whether the endpoint runs a long-running task."""
         return any(live.step.long_running for live in self.live.values())
 
+    def left_by_long_running(self):
+        """Return the Resources that long-running tasks leave of the endpoint."""
+        left = FreeResources(self.record.capacity)
+        for live in self.live.values():
+            if live.step.long_running:
+                left.allocate(live.step)
+        return left.as_resources()
+
     def usable(self, now):
         """Return whether new runs may be placed on the endpoint."""
         return (
--- a/tests/pools/test_demand.py
+++ b/tests/pools/test_demand.py
@@ -3,7 +3,9 @@
 from magnoliapier.pools.demand import (
     ArrivalRate,
     SlidingMaximum,
+    WaitingTasks,
     host_share,
+    hosts_for_wide_tasks,
     hosts_needed,
 )
 from magnoliapier.submissions.model import Resources
@@ -60,3 +62,35 @@
         self.assertEqual(window.highest, 8)
         window.observe(3, 2.5)
         self.assertEqual(window.highest, 3)
+
+
+class WideTaskTests(unittest.TestCase):
+    """
+    Tasks of most of a host wait beside long-running tasks that hold a part of each.
+
+    The pattern is the end of a queue's turn: the pool has shrunk to the hosts that
+    long-running tasks keep, and a last step needs more of a host than these have free.
+    """
+
+    wide = WaitingTasks(Resources(26_400, 28_400), count=1, duration_s=1.0)
+    occupied = [Resources(20_000, 80_000)] * 4
+
+    def test_wide_task_gets_a_host_beside_the_occupied_ones(self):
+        """Guards against a task that waits for good while hosts stand by."""
+        self.assertEqual(hosts_for_wide_tasks([self.wide], self.occupied, CAPACITY), 5)
+
+    def test_task_that_fits_beside_long_running_ones_needs_no_host(self):
+        """Guards against hosts that are asked for and stay empty."""
+        narrow = WaitingTasks(Resources(4000, 8000), count=30, duration_s=0.5)
+        self.assertEqual(hosts_for_wide_tasks([narrow], self.occupied, CAPACITY), 0)
+
+    def test_many_wide_tasks_are_not_run_one_after_another(self):
+        """Guards against one host for a step of many wide tasks."""
+        step = WaitingTasks(Resources(26_400, 28_400), count=24, duration_s=1.0)
+        needed = hosts_for_wide_tasks([step], self.occupied, CAPACITY)
+        self.assertGreaterEqual(needed, 4 + 12)
+
+    def test_task_that_no_host_can_hold_gets_none(self):
+        """Guards against hosts moved in vain for work that can never run."""
+        giant = WaitingTasks(Resources(64_000, 1000), count=1, duration_s=1.0)
+        self.assertEqual(hosts_for_wide_tasks([giant], self.occupied, CAPACITY), 0)
--- a/tests/service/test_pool.py
+++ b/tests/service/test_pool.py
@@ -5,10 +5,13 @@
 from magnoliapier.pools.report import PoolReport
 from magnoliapier.service.pool import RELEASE_MEMORY_S, PoolManager
 from magnoliapier.service.session import EndpointSession
-from magnoliapier.submissions.model import Resources
+from magnoliapier.submissions.configuration import Queue
+from magnoliapier.submissions.model import Resources, Step, Submission
+from magnoliapier.submissions.progress import LiveRun, Progress
 from tests.service.fakes import FakeClock, FakeEndpoints
 
 SERVICE = "desk"
+QUEUE = Queue("filings", "desk.example", "/f/", SERVICE)
 
 
 def make_session(endpoint_id, started_ms=1):
@@ -28,6 +31,18 @@
     return session
 
 
+def long_running_step(count, cpu_millicores):
+    return Step(count, Resources(cpu_millicores, 100), long_running=True)
+
+
+def open_progress(submission_id, step):
+    """Return the progress of a submission of one step whose tasks may start."""
+    submission = Submission(submission_id, QUEUE.name, "spec", (step,), accepted_ms=1)
+    progress = Progress(submission, QUEUE)
+    progress.open_occurrences(1)
+    return progress
+
+
 class ReleasedEndpointTests(unittest.TestCase):
     """Endpoints whose hosts the fleet controller may move at any moment."""
 
@@ -61,3 +76,16 @@
         returned = make_session("e1")
         self.update([returned], now=2.0 + RELEASE_MEMORY_S)
         self.assertFalse(returned.released)
+
+
+class WideTaskTests(unittest.TestCase):
+    def test_pool_asks_for_a_host_on_which_a_wide_task_fits(self):
+        """Guards against a step that never starts beside long-running tasks."""
+        pool = PoolManager(SERVICE, DurationModel(), first_holder=False)
+        serving = open_progress("a" * 16, long_running_step(2, 500))
+        sessions = [make_session("e1"), make_session("e2")]
+        for session, task in zip(sessions, serving.tasks(), strict=True):
+            session.reserve(LiveRun(serving, task, task.begin_run("e", 0.0)))
+        wide = open_progress("b" * 16, Step(1, Resources(800, 100), 1000))
+        pool.update(sessions, [serving, wide], (), False, now=10.0)
+        self.assertEqual(pool.report().wanted, 1)
