--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -463,8 +463,13 @@
                 self._owner.run_gone(self, live, live.run.stop_reason or "unlisted")
 
     def stop_unknown_run(self, listed_run):
-        """Send one stop order for a listed run that the shard has no record of."""
-        self._spawn(self._stop_once(listed_run))
+        """
+        Send one stop order for a listed run that the shard has no record of.
+
+        Nothing is sent without the lease, as the run may be a successor's.
+        """
+        if self._owner.may_act():
+            self._spawn(self._stop_once(listed_run))
 
     async def _stop_once(self, listed_run):
         try:
--- a/tests/service/test_session.py
+++ b/tests/service/test_session.py
@@ -2,6 +2,7 @@
 import unittest
 
 from magnoliapier.placement.endpoint import EndpointRecord
+from magnoliapier.service.orders import ListedRun
 from magnoliapier.service.session import EndpointSession
 from magnoliapier.submissions.configuration import Queue
 from magnoliapier.submissions.model import Resources, Step, Submission
@@ -16,9 +17,10 @@
 
     def __init__(self):
         self.gone_reasons = []
+        self.holds_lease = True
 
     def may_act(self):
-        return True
+        return self.holds_lease
 
     def run_gone(self, session, live, reason):
         session.drop(live)
@@ -102,3 +104,24 @@
         self.endpoint.silent = False
         await asyncio.sleep(0.4)
         self.assertEqual(list(self.endpoint.highest_blocked_run.values()), [1])
+
+
+class FormerHolderTests(SessionTestCase):
+    """The shard's lease runs out while a call to the endpoint waits for its answer."""
+
+    async def test_unknown_run_is_not_stopped_without_the_lease(self):
+        """
+        Guards against a former holder that stops what its successor has started.
+
+        The endpoint refuses the order only if it still knows the successor's token.
+        """
+        listed = ListedRun("00000000000000bb.0.0.0", 1, "", 0)
+        self.endpoint.running[listed.task] = listed.run
+        self.owner.holds_lease = False
+        self.session.stop_unknown_run(listed)
+        await asyncio.sleep(0.02)
+        self.assertEqual(list(self.endpoint.running), [listed.task])
+        self.owner.holds_lease = True
+        self.session.stop_unknown_run(listed)
+        await asyncio.sleep(0.02)
+        self.assertEqual(list(self.endpoint.running), [])
