--- a/benchmarks/request.py
+++ b/benchmarks/request.py
@@ -26,11 +26,11 @@
 from magnoliapier.clock import VirtualClock
 from magnoliapier.dispatcher import Dispatcher
 from magnoliapier.manifest import validate_manifest
+from magnoliapier.measures import percentile
 from magnoliapier.reasons import RunState
 from magnoliapier.registry import Registry
 from magnoliapier.request_policies import policies
 from magnoliapier.request_replay.driver import replay_requests
-from magnoliapier.request_replay.records import percentile
 from magnoliapier.request_tables import (
     Dispatch,
     EndpointEntry,
--- a/magnoliapier/measures.py
+++ b/magnoliapier/measures.py
@@ -10,6 +10,11 @@
     return ordered[max(rank, 1) - 1]
 
 
+def percentile(values, percent):
+    """Return the nearest-rank percentile of ``values``, 0.0 if empty."""
+    return nearest_rank(values, percent) if values else 0.0
+
+
 def overlap(start, end, low, high):
     """Return the length of the part of start..end that lies inside low..high."""
     return max(0.0, min(end, high) - max(start, low))
--- a/magnoliapier/request_replay/records.py
+++ b/magnoliapier/request_replay/records.py
@@ -4,7 +4,6 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
-from magnoliapier.measures import nearest_rank
 from magnoliapier.reasons import RunState
 
 
@@ -139,8 +138,3 @@
             len(set(record.endpoints)) < len(record.endpoints)
             for record in self.records
         )
-
-
-def percentile(values, percent):
-    """Return the nearest-rank percentile of ``values``, 0.0 if empty."""
-    return nearest_rank(values, percent) if values else 0.0
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -18,23 +18,28 @@
 PUT = Put("t", "p", "k", b"value")
 
 
-class TableStoreTests(unittest.IsolatedAsyncioTestCase):
-    """Tests the client against a server that answers as the platform specifies."""
+class StoreTestCase(unittest.IsolatedAsyncioTestCase):
+    """Has a client of a server that passes each request to ``answer``."""
 
     async def asyncSetUp(self):
-        self.answers = []
-        self.requests = []
         self.runner = web.ServerRunner(web.Server(self.answer))
         await self.runner.setup()
         site = web.TCPSite(self.runner, "127.0.0.1", 0)
         await site.start()
         port = site._server.sockets[0].getsockname()[1]
         self.session = RenewableSession(open_session)
+        self.addAsyncCleanup(self.runner.cleanup)
+        self.addAsyncCleanup(self.session.close)
         self.store = TableStore(self.session, f"127.0.0.1:{port}", boottime, Metrics())
 
-    async def asyncTearDown(self):
-        await self.session.close()
-        await self.runner.cleanup()
+
+class TableStoreTests(StoreTestCase):
+    """Tests the client against a server that answers as the platform specifies."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.answers = []
+        self.requests = []
 
     async def test_damaged_answers_leave_the_outcome_open(self):
         """Guards against an unknown outcome that is reported as refused or as done."""
@@ -101,21 +106,13 @@
         self.assertEqual([row.key for row in changes.rows], ["b"])
 
 
-class SilentConnectionTests(unittest.IsolatedAsyncioTestCase):
+class SilentConnectionTests(StoreTestCase):
     """All open connections go silent for good, while new ones work."""
 
     async def asyncSetUp(self):
+        await super().asyncSetUp()
         self.silent = set()
         self.seen = set()
-        self.runner = web.ServerRunner(web.Server(self.answer))
-        await self.runner.setup()
-        site = web.TCPSite(self.runner, "127.0.0.1", 0)
-        await site.start()
-        port = site._server.sockets[0].getsockname()[1]
-        self.session = RenewableSession(open_session)
-        self.addAsyncCleanup(self.runner.cleanup)
-        self.addAsyncCleanup(self.session.close)
-        self.store = TableStore(self.session, f"127.0.0.1:{port}", boottime, Metrics())
 
     async def answer(self, request):
         self.seen.add(request.transport)
--- a/tests/test_request_policies.py
+++ b/tests/test_request_policies.py
@@ -1,9 +1,9 @@
 import random
 import unittest
 
+from magnoliapier.measures import percentile
 from magnoliapier.request_policies import policies
 from magnoliapier.request_replay.driver import replay_requests
-from magnoliapier.request_replay.records import percentile
 from magnoliapier.traces import Arrival, Fault, Header
 from tests.samples import sample_manifest
 
