Give throttled jobs their cores back within the quota of their team

Cause: while a job is throttled its team may start another one. The cores were given back without a look at the quota, so a team ran 64 cores of 56. Change: cores are restored only within the quota, and counted. Result: the new test failed before and passes.

--- a/magnoliapier/jobs.py
+++ b/magnoliapier/jobs.py
@@ -97,6 +97,16 @@
         """Subtract a share of a job's cores from its team's usage."""
         self._used[job.organisation, job.team][0] -= job.cores * share
 
+    def allocate_cores(self, job, share):
+        """Add a share of a job's cores to its team's usage."""
+        self._used[job.organisation, job.team][0] += job.cores * share
+
+    def allows_cores(self, job, cores):
+        """Return whether the job's team stays within its quota with more cores."""
+        team = self.team(job)
+        used = self._used[job.organisation, job.team][0]
+        return team is not None and used + cores <= team.cores
+
     def allows(self, job):
         """Whether the job's team stays within its quota if the job starts."""
         team = self.team(job)
@@ -571,7 +581,9 @@
             for run, other in worker.tasks:
                 share = run.task.detail.get("share", 1.0)
                 lacking = other.cores * (1.0 - share)
-                if share < 1.0 and worker.cores >= lacking:
+                if share == 1.0 or not self._quotas.allows_cores(other, lacking):
+                    continue
+                if worker.cores >= lacking:
                     task_id = run.task.task_id
                     if self._call_platform(
                         f"job/{run.job}",
@@ -581,6 +593,7 @@
                         self._epoch,
                     ):
                         worker.cores -= lacking
+                        self._quotas.allocate_cores(other, 1.0 - share)
 
     def _call_platform(self, subject, call, *arguments):
         """Call the platform and return whether it confirmed."""
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -106,6 +106,35 @@
             {t.detail.get("share", 1.0) for t in self.running().values()}, {1.0}
         )
 
+    def test_restored_cores_stay_within_the_quota(self):
+        """
+        Guards against a team that runs more than its quota after an urgent job.
+
+        While a task is throttled, its team may start another job with the cores that
+        the quota has free.
+        """
+        quota = 56
+        cores = {"first": 32, "now": 16, "second": 32}
+        first = {"first": job(cores=32)}
+        self.prepare(first, quota=quota, hosts=2)
+        self.tick()
+        urgent = {**first, "now": job(cores=16, urgent=True)}
+        self.listed = {name for name in self.listed if name != "archive-1"}
+        self.commit(urgent, quota=quota, hosts=2)
+        self.tick()
+        self.listed = set(self.state.manifest.hosts)
+        self.commit({**urgent, "second": job(cores=32)}, quota=quota, hosts=2)
+        self.tick()
+        self.assertEqual(set(self.running()), set(cores))
+        self.tasks.finish(self.running()["now"].task_id)
+        for _ in range(3):
+            self.tick()
+            used = sum(
+                cores[name] * task.detail.get("share", 1.0)
+                for name, task in self.running().items()
+            )
+            self.assertLessEqual(used, quota)
+
     def test_urgent_job_checkpoints_when_memory_is_short(self):
         """Guards against losing the work of the tasks that an urgent job displaces."""
         jobs = {f"j{n}": job(memory_gb=128) for n in range(4)}
