--- /dev/null
+++ b/review/2/case.py
@@ -0,0 +1,44 @@
+"""A runner that crashes and starts again under its id is never used again."""
+
+import asyncio
+
+from standin.world import World, main, route, service, trouble
+
+STEP = {"count": 4, "cpu": 2000, "mem_mb": 4000, "estimated_ms": 700}
+LASTING = {
+    "count": 4,
+    "cpu": 2600,
+    "mem_mb": 17000,
+    "long_running": True,
+    "max_per_server": 1,
+}
+WORK_S = 0.7
+DOWN_S = 3.0
+
+
+async def play(case):
+    """Play the case and return the breaks of LOST."""
+    routes = [route("filings", "desk"), route("archive", "desk")]
+    runners = [("desk", ["a", "r1-1"])] * 4
+    async with World(case, routes, [service("desk")], runners) as world:
+        lasting = await world.submit("archive", [LASTING], None)
+        if not await world.wait_for_starts(lasting, LASTING["count"], 10):
+            return None
+        first = await world.submit("filings", [STEP], WORK_S)
+        if not await world.wait_for_state(first, "completed", 10):
+            return None
+        await asyncio.sleep(2)
+        if trouble():
+            await asyncio.gather(*(runner.crash() for runner in world.runners))
+            await asyncio.sleep(DOWN_S)
+            await asyncio.gather(*(runner.start() for runner in world.runners))
+        else:
+            await asyncio.sleep(DOWN_S)
+        await asyncio.sleep(8)
+        for _ in range(3):
+            await world.submit("filings", [STEP], WORK_S)
+            await asyncio.sleep(1)
+        return await world.lost()
+
+
+main(play)
