--- a/review/standin/__init__.py
+++ b/review/standin/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-ins for the platform, its runners and consumers, and the checks of the cases."""
+"""Stand-ins for the platform, its runners and consumers, and the checks."""
--- a/review/standin/record.py
+++ b/review/standin/record.py
@@ -62,6 +62,10 @@
         """Return the names of a submission's subtasks that have been started."""
         return [task for task in self._runs if task.startswith(submission_id)]
 
+    def runs_of_task(self, task):
+        """Return all runs of a subtask."""
+        return self._runs.get(task, [])
+
     def runs_of(self, submission_id):
         """Return all runs of a submission."""
         return [
--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -28,6 +28,7 @@
 TIME_LIMIT_S = 3.0  # of a consumer's request
 RETRY_PAUSE_S = 0.3
 FINISH_S = 14.0
+MANY_PLACES = 1000  # of a step that requests nothing
 IDLE_S = 3.0  # for how long a submission must have nothing running to count as LOST
 READY_LIMIT_S = 20.0
 ENTRY_LIFE_S = 4.5  # three heartbeats
@@ -414,11 +415,15 @@
         await asyncio.sleep(FINISH_S)
         self.record.add("check", f"LOST is checked, {FINISH_S} s after the traffic")
         idle = {i: True for i, s in self.submissions.items() if s["accepted"]}
+        idle_tasks = {task: True for i in idle for task in self._lasting_tasks(i)}
         until = time.monotonic() + IDLE_S
         while time.monotonic() < until:
             for submission_id in idle:
                 if not self._idle_beside_room(submission_id):
                     idle[submission_id] = False
+            for task in idle_tasks:
+                if not self._task_idle_beside_room(task):
+                    idle_tasks[task] = False
             await asyncio.sleep(0.05)
         broken = []
         for submission_id, was_idle in idle.items():
@@ -430,8 +435,28 @@
                     f"{submission_id}: shown as {state}; nothing of it has run for "
                     f"{IDLE_S} s although its turn has come and there is room"
                 )
+        for task, was_idle in idle_tasks.items():
+            if was_idle and idle[task.split(".")[0]] is False:
+                broken.append(
+                    f"{task}: lasts and has not run for {IDLE_S} s although there is "
+                    f"room"
+                )
         return broken
 
+    def _lasting_tasks(self, submission_id):
+        """Return the names of a submission's subtasks that last."""
+        submission = self.submissions[submission_id]
+        if submission["seconds"] is not None:
+            return []
+        count = submission["steps"][0]["count"]
+        return [f"{submission_id}.0.0.{index}" for index in range(count)]
+
+    def _task_idle_beside_room(self, task):
+        """Return whether a subtask that lasts doesn't run although there is room."""
+        if any("end" not in run for run in self.record.runs_of_task(task)):
+            return False
+        return self._has_room(self.submissions[task.split(".")[0]])
+
     def _idle_beside_room(self, submission_id):
         """Return whether nothing of a submission runs although there is room."""
         submission = self.submissions[submission_id]
@@ -445,6 +470,11 @@
         done = {run["run"] for run in runs if run.get("how") == "done"}
         if submission["seconds"] is not None and len(started) == step["count"] and done:
             return False
+        return self._has_room(submission)
+
+    def _has_room(self, submission):
+        """Return whether there is room for a subtask twice over, and most is free."""
+        step = submission["steps"][0]
         runners = [r for r in self.runners if r.up and self._may_run(r, submission)]
         places = sum(self._places(runner, step) for runner in runners)
         used = sum(runner.cpu_in_use for runner in runners)
@@ -460,12 +490,16 @@
         return False
 
     def _places(self, runner, step):
-        places = 1000
+        places = MANY_PLACES
         for resource, room in runner.capacity.items():
             wanted = step.get(resource, 0)
             if wanted:
                 used = sum(r.step.get(resource, 0) for r in runner.running.values())
                 places = min(places, (room - used) // wanted)
+        most = step.get("max_per_server")
+        if most:
+            here = sum(run.step is step for run in runner.running.values())
+            places = min(places, most - here)
         return places
 
 
