--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,12 +1,13 @@
-"""A runner that crashes and starts again under its id is never used again."""
+"""Runners that crash and start again under their ids are never used again."""
 
 import asyncio
 
 from standin.world import World, main, route, service, trouble
 
 STEP = {"count": 4, "cpu": 2000, "mem_mb": 4000, "estimated_ms": 700}
+# One subtask on each of the eight runners.
 LASTING = {
-    "count": 4,
+    "count": 8,
     "cpu": 2600,
     "mem_mb": 17000,
     "long_running": True,
@@ -19,7 +20,7 @@
 async def play(case):
     """Play the case and return the breaks of LOST."""
     routes = [route("filings", "desk"), route("archive", "desk")]
-    runners = [("desk", ["a", "r1-1"])] * 4
+    runners = [("desk", ["a", "r1-1"])] * 4 + [("desk", ["a", "r1-2"])] * 4
     async with World(case, routes, [service("desk")], runners) as world:
         lasting = await world.submit("archive", [LASTING], None)
         if not await world.wait_for_starts(lasting, LASTING["count"], 10):
@@ -29,9 +30,10 @@
             return None
         await asyncio.sleep(2)
         if trouble():
-            await asyncio.gather(*(runner.crash() for runner in world.runners))
+            rack = world.runners[:4]
+            await asyncio.gather(*(runner.crash() for runner in rack))
             await asyncio.sleep(DOWN_S)
-            await asyncio.gather(*(runner.start() for runner in world.runners))
+            await asyncio.gather(*(runner.start() for runner in rack))
         else:
             await asyncio.sleep(DOWN_S)
         await asyncio.sleep(8)
