--- a/magnoliapier/service/directory.py
+++ b/magnoliapier/service/directory.py
@@ -44,17 +44,24 @@
             log.warning("unreadable_endpoint_row", key=row.key, error=error)
             return
         known = self._records.get(row.key)
-        if known is None or known.draining != record.draining:
+        if known is None or self._changed(known, record):
             log.routine(
                 "endpoint_listed",
                 endpoint=row.key,
                 service=record.service,
                 draining=record.draining,
+                born=record.started_ms,
                 version=row.version,
             )
         self._records[row.key] = record
         self._missing_since.pop(row.key, None)
 
+    def _changed(self, known, record):
+        """Return whether a record tells more than that its endpoint still runs."""
+        return (
+            known.draining != record.draining or known.started_ms != record.started_ms
+        )
+
     def records_of(self, service):
         """Return the records of a service's listed endpoints by endpoint id."""
         self._remove_expired()
--- a/magnoliapier/service/run_events.py
+++ b/magnoliapier/service/run_events.py
@@ -48,6 +48,10 @@
         """Count a refused start order."""
         self._metrics.count("start_refusals_total", reason=str(reason))
 
+    def count_restart(self):
+        """Count an endpoint that has started again under its id."""
+        self._metrics.count("endpoint_restarts_total", shard=self._service)
+
     def session_opened(self, session):
         """Wake the controller, because it can use another endpoint now."""
         log.routine(
@@ -171,6 +175,7 @@
             task=live.task.name,
             run=live.run.number,
             endpoint=session.endpoint_id,
+            born=session.started_ms,
             reason=reason,
         )
         self._tables.mark_dirty(live.progress)
@@ -182,5 +187,7 @@
             task=listed_run.task,
             run=listed_run.run,
             endpoint=session.endpoint_id,
+            born=session.started_ms,
         )
+        self._metrics.count("unknown_runs_total", shard=self._service)
         session.stop_unknown_run(listed_run)
--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -87,6 +87,11 @@
         """Return the endpoint's id."""
         return self.record.endpoint_id
 
+    @property
+    def started_ms(self):
+        """Return when the known incarnation started, in Unix ms, or 0 if unknown."""
+        return self._started_ms
+
     @property
     def last_handled_end(self):
         """Return the number of the last end that the owner was notified of."""
@@ -205,6 +210,13 @@
     def order_stop(self, live, reason):
         """Send a stop order; the run stays live until it has ended or is gone."""
         if live.run.state != RunState.STOPPING:
+            log.routine(
+                "run_stop_ordered",
+                task=live.task.name,
+                run=live.run.number,
+                endpoint=self.endpoint_id,
+                reason=reason,
+            )
             live.run.state = RunState.STOPPING
             live.run.stop_reason = reason
             self._spawn(self._stop(live))
@@ -268,6 +280,14 @@
             now = self._clock()
             self._endpoint_clock.observe(clock_ms, now)
             self._owner.start_confirmed(sent_at, now)
+            log.routine(
+                "run_confirmed",
+                task=name,
+                run=live.run.number,
+                endpoint=self.endpoint_id,
+                born=self._started_ms,
+                clock_ms=clock_ms,
+            )
             live.settled_at = now
             if live.run.state == RunState.ORDERED:
                 live.run.state = RunState.CONFIRMED
@@ -413,7 +433,7 @@
         self._last_answer_at = now
         self._mark_reachable()
         if self._started_ms and inspection.started_ms not in (0, self._started_ms):
-            self._handle_restart(inspection.started_ms)
+            self._handle_restart(inspection)
         elif not self._started_ms:
             self._started_ms = inspection.started_ms
         self._endpoint_clock.observe(inspection.clock_ms, now)
@@ -427,14 +447,23 @@
             log.info("endpoint_regained", endpoint=self.endpoint_id)
         self.failing_since = None
 
-    def _handle_restart(self, started_ms):
+    def _handle_restart(self, inspection):
         """
         Reset the session of an endpoint that restarted under the same id.
 
         The new incarnation holds none of the settled runs, so they are gone.
         """
-        log.warning("endpoint_restarted", endpoint=self.endpoint_id, born=started_ms)
-        self._started_ms = started_ms
+        log.warning(
+            "endpoint_restarted",
+            endpoint=self.endpoint_id,
+            born=inspection.started_ms,
+            previous=self._started_ms,
+            clock_ms=inspection.clock_ms,
+            runs=len(self.live),
+            listed=len(inspection.running),
+        )
+        self._owner.count_restart()
+        self._started_ms = inspection.started_ms
         self._endpoint_clock = EndpointClock()
         self._deadline_ms = 0
         self._last_handled_end = self._last_stored_end = self._last_acknowledged_end = 0
--- a/tests/service/fakes.py
+++ b/tests/service/fakes.py
@@ -21,6 +21,8 @@
 from magnoliapier.state.rows import Changes, Row
 
 FOREVER_MS = 10**12
+FIRST_CLOCK_MS = 5000
+HOLD_STEP_S = 0.002
 
 
 class FakeClock:
@@ -154,21 +156,30 @@
     ``running`` maps tasks to run numbers, ``highest_blocked_run`` maps tasks to the
     highest run number that may not start any more. ``silent`` makes all calls fail;
     ``unanswered_starts`` is how many starts are carried out without an answer, and
-    ``lost_starts`` how many are not carried out and get no answer.
+    ``lost_starts`` how many are not carried out and get no answer. With ``waits``, it
+    holds back a listing as long as it may while nothing has ended. ``starts`` lists all
+    started runs, also those of earlier incarnations.
     """
 
     def __init__(self):
+        self.starts = []
+        self.silent = False
+        self.waits = False
+        self.unanswered_starts = 0
+        self.lost_starts = 0
+        self.born = 0
+        self.restart()
+
+    def restart(self):
+        """Start again under the same id: what ran is gone and nothing is known."""
+        self.born += 1
         self.running = {}
         self.ended = []
         self.token = 0
         self.highest_blocked_run = {}
-        self.starts = []
         self.acknowledged = 0
         self.next_end_number = 1
-        self.silent = False
-        self.unanswered_starts = 0
-        self.lost_starts = 0
-        self.clock_ms = 5000
+        self.clock_ms = FIRST_CLOCK_MS
 
     def end(self, task, reason="done"):
         """End the run of a task and list the end."""
@@ -229,14 +240,24 @@
         return self._reach(record, token).clock_ms
 
     async def inspect(self, record, token, deadline_ms, acknowledged, wait_ms):
-        await asyncio.sleep(0.002)
+        await asyncio.sleep(HOLD_STEP_S)
         endpoint = self._reach(record, token)
         endpoint.acknowledged = max(endpoint.acknowledged, acknowledged)
         endpoint.ended = [e for e in endpoint.ended if e.number > acknowledged]
+        if endpoint.waits:
+            await self._wait_for_end(endpoint, wait_ms / 1000)
         running = [
             ListedRun(task, run, "", 100) for task, run in endpoint.running.items()
         ]
-        return Inspection(endpoint.clock_ms, running, list(endpoint.ended), 1)
+        return Inspection(
+            endpoint.clock_ms, running, list(endpoint.ended), endpoint.born
+        )
+
+    async def _wait_for_end(self, endpoint, wait_s):
+        for _ in range(int(wait_s / HOLD_STEP_S)):
+            if endpoint.ended:
+                return
+            await asyncio.sleep(HOLD_STEP_S)
 
 
 class FakeFleet:
--- a/tests/service/test_session.py
+++ b/tests/service/test_session.py
@@ -1,6 +1,8 @@
 import asyncio
 import unittest
 
+import logbook
+
 from magnoliapier.placement.endpoint import EndpointRecord
 from magnoliapier.service.orders import ListedRun
 from magnoliapier.service.session import EndpointSession
@@ -33,6 +35,12 @@
     def session_opened(self, session):
         pass
 
+    def start_confirmed(self, sent_at, now):
+        pass
+
+    def count_restart(self):
+        pass
+
 
 class SessionTestCase(unittest.IsolatedAsyncioTestCase):
     """Has a session with one endpoint, and one task to run on it."""
@@ -106,6 +114,28 @@
         self.assertEqual(list(self.endpoint.highest_blocked_run.values()), [1])
 
 
+class RestartLogTests(SessionTestCase):
+    """What the log shows of an endpoint that started again under its id."""
+
+    async def test_log_names_both_incarnations(self):
+        """
+        Guards against logs that do not show which incarnation confirmed a run.
+
+        Without it, a run that is taken for one of an earlier incarnation looks like one
+        that is given up because its host went down.
+        """
+        with logbook.TestHandler() as handler:
+            self.session.start()
+            await asyncio.sleep(0.02)
+            self.session.order_start(self.live)
+            await asyncio.sleep(0.02)
+            self.endpoint.restart()
+            await asyncio.sleep(0.2)
+        lines = "\n".join(handler.formatted_records)
+        self.assertRegex(lines, "event=run_confirmed .* born=1 clock_ms=500")
+        self.assertRegex(lines, "event=endpoint_restarted .* born=2 previous=1")
+
+
 class FormerHolderTests(SessionTestCase):
     """The shard's lease runs out while a call to the endpoint waits for its answer."""
 
