Test what a restart leaves of the former incarnation

A commit that began before the restart marks no end of the new incarnation as stored, an overtaken listing changes nothing, and a run that an earlier listing showed is gone.

--- a/tests/service/test_session.py
+++ b/tests/service/test_session.py
@@ -4,12 +4,12 @@
 import logbook
 
 from magnoliapier.placement.endpoint import EndpointRecord
-from magnoliapier.service.orders import ListedRun
+from magnoliapier.service.orders import Inspection, ListedRun
 from magnoliapier.service.session import EndpointSession
 from magnoliapier.submissions.configuration import Queue
 from magnoliapier.submissions.model import Resources, Step, Submission
 from magnoliapier.submissions.progress import LiveRun, Progress, RunState
-from tests.service.fakes import FakeClock, FakeEndpoints
+from tests.service.fakes import FIRST_CLOCK_MS, FakeClock, FakeEndpoints
 
 STEPS = (Step(task_count=1, resources=Resources(100, 100, 0)),)
 
@@ -136,6 +136,40 @@
         self.assertRegex(lines, "event=endpoint_restarted .* born=2 previous=1")
 
 
+class RestartTests(SessionTestCase):
+    """An endpoint starts again under its id while calls and commits are under way."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        await self.session._inspect()
+        self.former = self.session.incarnation
+        self.endpoint.restart()
+
+    async def test_commit_of_before_marks_no_ends_as_stored(self):
+        """Guards against new ends that are dropped for an earlier one's number."""
+        await self.session._inspect()
+        self.session.mark_ends_stored(self.former, 57)
+        self.assertIsNot(self.session.incarnation, self.former)
+        self.assertEqual(self.session.incarnation.end_to_acknowledge, 0)
+
+    async def test_overtaken_listing_is_ignored(self):
+        """Guards against a late answer of the former one that counts as a restart."""
+        clock = self.session._clock
+        late = Inspection(FIRST_CLOCK_MS, [], [], 1)
+        sent_at = clock()
+        clock.now += 1
+        await self.session._inspect()
+        current = self.session.incarnation
+        self.assertFalse(self.session._recognise_incarnation(late, sent_at, clock.now))
+        self.assertIs(self.session.incarnation, current)
+
+    async def test_run_that_an_earlier_listing_showed_is_gone(self):
+        """Guards against a run that is waited for after its endpoint crashed."""
+        self.live.incarnation = self.former
+        await self.session._inspect()
+        self.assertEqual(self.owner.gone_reasons, ["endpoint_restarted"])
+
+
 class FormerHolderTests(SessionTestCase):
     """The shard's lease runs out while a call to the endpoint waits for its answer."""
 
