Acknowledge no end to an incarnation that has not been listed

Callers would see: a short task on an endpoint that restarted while idle runs a second time after it ended done (TWICE).

Cause: each inspection repeated the number of the last stored end, so the first one after a restart told the new incarnation to forget its own first ends, which nobody had read.

Evidence: test_ends_of_a_new_incarnation_are_not_forgotten_unseen failed before, as the end of the second task was never listed.

Why it works: a number is sent only while stored ends are unacknowledged, and after a start only within 0.3 s of a listing. An endpoint that restarted in between holds no end yet, unless it crashed, started, ran and ended a task within that time.

--- a/magnoliapier/service/incarnation.py
+++ b/magnoliapier/service/incarnation.py
@@ -35,14 +35,11 @@
         return self._last_handled_end
 
     @property
-    def last_stored_end(self):
-        """Return the number of the last end that is stored, 0 for none."""
-        return self._last_stored_end
-
-    @property
-    def has_unacknowledged_ends(self):
-        """Return whether ends are stored that the endpoint still lists."""
-        return self._last_stored_end > self._last_acknowledged_end
+    def end_to_acknowledge(self):
+        """Return the number of the last stored end, 0 if all are acknowledged."""
+        if self._last_stored_end > self._last_acknowledged_end:
+            return self._last_stored_end
+        return 0
 
     def handle_end(self, number, now):
         """Return whether an end that is listed at ``now`` is new, and record it."""
--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -27,6 +27,9 @@
 INSPECT_WAIT_MS = 1000  # how long the endpoint may hold back its answer
 INSPECT_GAP_S = 0.14  # groups ends, so that many of them need few calls
 ACKNOWLEDGE_DELAY_S = 1.2  # before an idle endpoint is called to acknowledge ends
+# After a start, ends are acknowledged only so soon after a listing: in a longer time,
+# the endpoint might restart and end a run whose number is acknowledged unseen.
+ACKNOWLEDGE_LISTING_AGE_S = 0.3
 RETRY_DELAY_S = 0.25
 UNHEALTHY_BACKOFF_S = 0.6
 NO_ROOM_BACKOFF_S = 0.15
@@ -62,6 +65,8 @@
         self.released = False
         self.leaving = False
         self._last_answer_at = None
+        self._last_start_at = 0.0
+        self._last_listing_at = 0.0
         self._checked_crash_at = None
         self._client = client
         self._owner = owner
@@ -174,9 +179,7 @@
 
     async def _confirm_host_down(self):
         try:
-            await self._client.inspect(
-                self.record, self._token, None, self._incarnation.last_stored_end, 0
-            )
+            await self._client.inspect(self.record, self._token, None, 0, 0)
         except OrderRefusedError as error:
             log.info("host_not_down", endpoint=self.endpoint_id, reason=error.reason)
         except EndpointUnreachableError:
@@ -256,6 +259,7 @@
             self._token,
             live.task.checkpoint,
         )
+        self._last_start_at = sent_at
         try:
             clock_ms = await self._client.start(self.record, order)
         except OrderRefusedError as error:
@@ -384,7 +388,7 @@
         if self.live:
             return 0
         incarnation = self._incarnation
-        if incarnation.has_unacknowledged_ends:
+        if incarnation.end_to_acknowledge:
             due_at = incarnation.last_end_at + ACKNOWLEDGE_DELAY_S
             return max(0.0, due_at - self._clock())
         return None
@@ -411,12 +415,12 @@
         if wait_ms is None:
             can_wait = self.live and self.opened and deadline_ms
             wait_ms = INSPECT_WAIT_MS if can_wait else 0
-        acknowledged = incarnation.last_stored_end
+        acknowledged = self._end_to_acknowledge(sent_at)
         inspection = await self._client.inspect(
             self.record, self._token, deadline_ms, acknowledged, wait_ms
         )
         now = self._clock()
-        self._last_answer_at = now
+        self._last_answer_at = self._last_listing_at = now
         self._mark_reachable()
         if not self._recognise_incarnation(inspection, sent_at, now):
             return
@@ -428,6 +432,20 @@
             self.opened = True
             self._owner.session_opened(self)
 
+    def _end_to_acknowledge(self, now):
+        """
+        Return the number of the last end to acknowledge, 0 for none.
+
+        The endpoint forgets all ends up to the number, also if it has started again and
+        counts them anew. An incarnation that has not been listed must not get a number
+        once it may have ended a run.
+        """
+        listed_ago_s = now - self._last_listing_at
+        started_since = self._last_start_at > self._last_listing_at
+        if started_since and listed_ago_s > ACKNOWLEDGE_LISTING_AGE_S:
+            return 0
+        return self._incarnation.end_to_acknowledge
+
     def _mark_reachable(self):
         if self.failing_since is not None:
             log.info("endpoint_regained", endpoint=self.endpoint_id)
--- a/tests/service/fakes.py
+++ b/tests/service/fakes.py
@@ -157,14 +157,16 @@
     highest run number that may not start any more. ``silent`` makes all calls fail;
     ``unanswered_starts`` is how many starts are carried out without an answer, and
     ``lost_starts`` how many are not carried out and get no answer. With ``waits``, it
-    holds back a listing as long as it may while nothing has ended. ``starts`` lists all
-    started runs, also those of earlier incarnations.
+    holds back a listing as long as it may while nothing has ended. With ``instant``,
+    runs end as soon as they have started. ``starts`` lists all started runs, also those
+    of earlier incarnations.
     """
 
     def __init__(self):
         self.starts = []
         self.silent = False
         self.waits = False
+        self.instant = False
         self.unanswered_starts = 0
         self.lost_starts = 0
         self.born = 0
@@ -220,6 +222,8 @@
             raise OrderRefusedError(OrderRefusal.SUPERSEDED)
         endpoint.starts.append((order.task, order.run))
         endpoint.running[order.task] = order.run
+        if endpoint.instant:
+            endpoint.end(order.task)
         if endpoint.unanswered_starts:
             endpoint.unanswered_starts -= 1
             raise EndpointUnreachableError("no answer")
--- a/tests/service/test_shard.py
+++ b/tests/service/test_shard.py
@@ -314,6 +314,23 @@
         self.assertEqual(len(self.endpoint.starts), 2)
         self.assertEqual(sorted(self.endpoint.running.values()), [1, 1])
 
+    async def test_ends_of_a_new_incarnation_are_not_forgotten_unseen(self):
+        """Guards against an acknowledgement that was meant for the former ends."""
+        self.endpoint.instant = True
+        await self.submit(submission("2" * 16, short_step()))
+        await self.wait_until(lambda: self.endpoint.ended)
+        await self.wait_until(
+            lambda: self.shard.tables.state_of("2" * 16) == SubmissionState.COMPLETED
+        )
+        self.clock.now += 2
+        await self.wait_until(lambda: self.endpoint.acknowledged == 1)
+        self.endpoint.restart()
+        await self.submit(submission("3" * 16, short_step()))
+        await self.wait_until(
+            lambda: self.shard.tables.state_of("3" * 16) == SubmissionState.COMPLETED
+        )
+        self.assertEqual(len(self.endpoint.starts), 2)
+
 
 class FailureTests(ShardTestCase):
     async def test_unanswered_start_that_ran_is_not_started_twice(self):
