Wait for the longest lease where an unknown incarnation may run a task

Callers would see: a task runs twice, on an endpoint that restarted and was then cut off, and on another one (TWICE).

Cause: the deadline in an order is reckoned on the clock of the incarnation that was listed last. After a restart was noticed, the lease even counted as lapsed at once, and a successor assumed the short lease too.

Why it works: a run that no listing has shown, and any run after a restart, counts as gone only after the longest lease. A run that the known incarnation has listed still counts as gone after its own lease.

--- a/magnoliapier/platform/program.py
+++ b/magnoliapier/platform/program.py
@@ -16,6 +16,7 @@
 from magnoliapier.platform.machines import CALL_TIMEOUT_MS, MachineClient
 from magnoliapier.platform.store import TableStore
 from magnoliapier.service.clock import boottime
+from magnoliapier.service.incarnation import LeaseTerms
 from magnoliapier.service.node import Node
 from magnoliapier.service.watch import TableWatcher
 from magnoliapier.state.rows import Put
@@ -61,7 +62,7 @@
 
     name: str
     peer_address: str
-    endpoint_lease_ms: int
+    endpoint_lease: LeaseTerms
     final_retention_s: float
     low_capacity: bool
     host_order_gap_s: float
@@ -109,7 +110,10 @@
         settings = NodeSettings(
             name=boot.node_name,
             peer_address=f"{boot.ip}:{boot.internal_ports[0]}",
-            endpoint_lease_ms=min(boot.bounds.hold_max_ms, ENDPOINT_LEASE_MS),
+            endpoint_lease=LeaseTerms(
+                min(boot.bounds.hold_max_ms, ENDPOINT_LEASE_MS),
+                boot.bounds.hold_max_ms,
+            ),
             final_retention_s=boot.bounds.status_s * FINAL_RETENTION_FACTOR,
             low_capacity=boot.limits.low_capacity,
             host_order_gap_s=boot.bounds.lease_ms / 1000,
--- a/magnoliapier/service/incarnation.py
+++ b/magnoliapier/service/incarnation.py
@@ -1,9 +1,24 @@
 """What a session knows of one incarnation of an endpoint."""
 
+import msgspec
+
 from magnoliapier.placement.health import EndpointHealth
 from magnoliapier.service.clock import EndpointClock
 
 
+class LeaseTerms(msgspec.Struct, frozen=True):
+    """
+    How long endpoints run what they were told to run without another call.
+
+    ``extend_ms`` is how far each call moves the end of the lease. ``longest_ms`` is the
+    longest lease that an endpoint grants, as it does if the deadline in an order was
+    reckoned on the clock of an earlier incarnation.
+    """
+
+    extend_ms: int
+    longest_ms: int
+
+
 class EndpointIncarnation:
     """
     The clock, the lease, the ended runs and the health of one incarnation.
@@ -63,6 +78,10 @@
         self._deadline_ms = max(self._deadline_ms, deadline_ms)
         return self._deadline_ms
 
+    def assume_lease(self, clock_ms, lease_ms):
+        """Assume that a lease of ``lease_ms`` was given when the clock read that."""
+        self._deadline_ms = max(self._deadline_ms, clock_ms + lease_ms)
+
     def lease_lapsed(self, now):
         """Return whether the lease has certainly lapsed; it has if none was given."""
         if not self.clock.known:
--- a/magnoliapier/service/node.py
+++ b/magnoliapier/service/node.py
@@ -20,6 +20,7 @@
 from magnoliapier.service.directory import EndpointDirectory
 from magnoliapier.service.entry import Entry
 from magnoliapier.service.fleet import FleetController
+from magnoliapier.service.incarnation import LeaseTerms
 from magnoliapier.service.leases import (
     FLEET_SHARD,
     LeaseDirectory,
@@ -67,7 +68,7 @@
     """
     The dependencies of every shard controller.
 
-    ``lease_ms`` is the length of an endpoint's lease, and ``final_retention_s`` is how
+    ``endpoint_lease`` are the LeaseTerms of endpoints, and ``final_retention_s`` is how
     long final states of submissions are kept.
     """
 
@@ -79,7 +80,7 @@
     metrics: object
     queue_named: object
     fleet: object
-    lease_ms: int
+    endpoint_lease: LeaseTerms
     final_retention_s: float
 
 
@@ -234,7 +235,7 @@
             metrics,
             self._queue_named,
             self.fleet,
-            settings.endpoint_lease_ms,
+            settings.endpoint_lease,
             settings.final_retention_s,
         )
         self._fleet_dependencies = FleetDependencies(
--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -34,6 +34,7 @@
 UNHEALTHY_BACKOFF_S = 0.6
 NO_ROOM_BACKOFF_S = 0.15
 LAPSE_MARGIN_S = 0.1
+START_LIMIT_S = 1.0  # within which a start order has reached its endpoint or has failed
 
 log = get_logger(__name__)
 
@@ -51,10 +52,10 @@
     ``blocked_until`` is when new runs may be placed here again after a refused or
     unanswered start. ``leaving`` is set once the pool places nothing new here, and
     ``released`` once its host may be moved or maintained. Times are seconds on the
-    monotonic clock.
+    monotonic clock. ``lease`` are the LeaseTerms of endpoints.
     """
 
-    def __init__(self, record, client, owner, token, lease_ms, clock):
+    def __init__(self, record, client, owner, token, lease, clock):
         self.record = record
         self.room = FreeResources(record.capacity)
         self.live = {}
@@ -71,10 +72,11 @@
         self._client = client
         self._owner = owner
         self._token = token
-        self._lease_ms = lease_ms
+        self._lease = lease
+        self._longest_lease_s = lease.longest_ms / 1000 / SLOWEST_CLOCK_RATE
         self._clock = clock
         # By then, a lease that an earlier holder of the shard extended has lapsed.
-        self._earlier_lease_until = clock() + lease_ms / 1000 / SLOWEST_CLOCK_RATE
+        self._earlier_lease_until = clock() + self._longest_lease_s
         self._incarnation = EndpointIncarnation(record.started_ms)
         self._wake = asyncio.Event()
         self._task = None
@@ -255,11 +257,11 @@
             name,
             live.run.number,
             live.progress.submission.spec,
-            self._incarnation.extend_deadline(sent_at, self._lease_ms),
+            self._incarnation.extend_deadline(sent_at, self._lease.extend_ms),
             self._token,
             live.task.checkpoint,
         )
-        self._last_start_at = sent_at
+        self._last_start_at = live.sent_at = sent_at
         try:
             clock_ms = await self._client.start(self.record, order)
         except OrderRefusedError as error:
@@ -411,7 +413,7 @@
         incarnation = self._incarnation
         deadline_ms = None
         if incarnation.clock.known and self.failing_since is None:
-            deadline_ms = incarnation.extend_deadline(sent_at, self._lease_ms)
+            deadline_ms = incarnation.extend_deadline(sent_at, self._lease.extend_ms)
         if wait_ms is None:
             can_wait = self.live and self.opened and deadline_ms
             wait_ms = INSPECT_WAIT_MS if can_wait else 0
@@ -494,6 +496,7 @@
         )
         self._owner.count_restart()
         self._incarnation = EndpointIncarnation(inspection.started_ms, now)
+        self._incarnation.assume_lease(inspection.clock_ms, self._lease.longest_ms)
         for live in list(self.live.values()):
             if live.incarnation is not None:
                 self._owner.run_gone(self, live, "endpoint_restarted")
@@ -565,6 +568,20 @@
     def _check_lease_lapse(self):
         if self.live and self.failing_since is not None and self.lease_lapsed:
             for live in list(self.live.values()):
+                if self._may_run_unlisted(live):
+                    continue
                 self._owner.run_gone(self, live, "lease_lapsed")
         if not self.live and not self.listed and self.lease_lapsed:
             self._owner.endpoint_gone(self)
+
+    def _may_run_unlisted(self, live):
+        """
+        Return whether a run that was never listed may still run.
+
+        An incarnation that the session does not know may have started it, under a lease
+        that the clock of the known one does not bound.
+        """
+        if live.incarnation is not None or live.sent_at is None:
+            return False
+        lapsed_at = live.sent_at + START_LIMIT_S + self._longest_lease_s
+        return self._clock() < lapsed_at + LAPSE_MARGIN_S
--- a/magnoliapier/service/shard.py
+++ b/magnoliapier/service/shard.py
@@ -219,7 +219,7 @@
             self._deps.endpoint_client,
             self._events,
             self.lease.token,
-            self._deps.lease_ms,
+            self._deps.endpoint_lease,
             self._clock,
         )
         self.tables.sessions[record.endpoint_id] = session
--- a/magnoliapier/submissions/progress.py
+++ b/magnoliapier/submissions/progress.py
@@ -133,10 +133,19 @@
     A listing that is requested after ``settled_at`` and does not contain the run proves
     that it is gone. ``settled_at`` is None while its start order may still take effect.
     ``incarnation`` is the one of the endpoint that has listed the run, or None: a start
-    is confirmed without telling which incarnation did so.
+    is confirmed without telling which incarnation did so. ``sent_at`` is when the start
+    order was sent, or None if this holder has sent none. Times are monotonic seconds.
     """
 
-    __slots__ = ("progress", "task", "run", "settled_at", "step", "incarnation")
+    __slots__ = (
+        "progress",
+        "task",
+        "run",
+        "settled_at",
+        "step",
+        "incarnation",
+        "sent_at",
+    )
 
     def __init__(self, progress, task, run, settled_at=None):
         self.progress = progress
@@ -145,6 +154,7 @@
         self.step = task.step
         self.settled_at = settled_at
         self.incarnation = None
+        self.sent_at = None
 
     @property
     def latency_sensitive(self):
--- a/tests/service/test_pool.py
+++ b/tests/service/test_pool.py
@@ -3,6 +3,7 @@
 from magnoliapier.placement.durations import DurationModel
 from magnoliapier.placement.endpoint import EndpointRecord
 from magnoliapier.pools.report import PoolReport
+from magnoliapier.service.incarnation import LeaseTerms
 from magnoliapier.service.pool import RELEASE_MEMORY_S, PoolManager
 from magnoliapier.service.session import EndpointSession
 from magnoliapier.submissions.configuration import Queue
@@ -26,7 +27,8 @@
         host=f"host-{endpoint_id}",
         started_ms=started_ms,
     )
-    session = EndpointSession(record, FakeEndpoints(), None, 1, 5500, FakeClock())
+    lease = LeaseTerms(5500, 6000)
+    session = EndpointSession(record, FakeEndpoints(), None, 1, lease, FakeClock())
     session.opened = True
     return session
 
--- a/tests/service/test_session.py
+++ b/tests/service/test_session.py
@@ -4,6 +4,7 @@
 import logbook
 
 from magnoliapier.placement.endpoint import EndpointRecord
+from magnoliapier.service.incarnation import LeaseTerms
 from magnoliapier.service.orders import Inspection, ListedRun
 from magnoliapier.service.session import EndpointSession
 from magnoliapier.submissions.configuration import Queue
@@ -14,6 +15,9 @@
 STEPS = (Step(task_count=1, resources=Resources(100, 100, 0)),)
 
 
+LEASE = LeaseTerms(extend_ms=5500, longest_ms=10_000)
+
+
 class FakeOwner:
     """Stands for the controller; records why runs were reported as gone."""
 
@@ -49,9 +53,10 @@
         self.endpoints = FakeEndpoints()
         self.endpoint = self.endpoints.add("e1")
         self.owner = FakeOwner()
+        self.clock = FakeClock()
         record = EndpointRecord("e1", "s", "e1:1", "dc", False, Resources(1000, 1000))
         self.session = EndpointSession(
-            record, self.endpoints, self.owner, 1, 5500, FakeClock()
+            record, self.endpoints, self.owner, 1, LEASE, self.clock
         )
         self.addAsyncCleanup(self.session.close)
         submission = Submission("00000000000000aa", "q", "x", STEPS, 0)
@@ -154,13 +159,14 @@
 
     async def test_overtaken_listing_is_ignored(self):
         """Guards against a late answer of the former one that counts as a restart."""
-        clock = self.session._clock
         late = Inspection(FIRST_CLOCK_MS, [], [], 1)
-        sent_at = clock()
-        clock.now += 1
+        sent_at = self.clock()
+        self.clock.now += 1
         await self.session._inspect()
         current = self.session.incarnation
-        self.assertFalse(self.session._recognise_incarnation(late, sent_at, clock.now))
+        self.assertFalse(
+            self.session._recognise_incarnation(late, sent_at, self.clock())
+        )
         self.assertIs(self.session.incarnation, current)
 
     async def test_run_that_an_earlier_listing_showed_is_gone(self):
@@ -170,6 +176,46 @@
         self.assertEqual(self.owner.gone_reasons, ["endpoint_restarted"])
 
 
+class UnlistedRunTests(SessionTestCase):
+    """A run is confirmed, and its endpoint goes silent before a listing shows it."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        await self.session._inspect()
+
+    async def go_silent_for(self, seconds):
+        self.endpoint.silent = True
+        self.session.failing_since = self.clock()
+        self.clock.now += seconds
+        self.session._check_lease_lapse()
+
+    async def test_run_may_be_on_an_incarnation_with_the_longest_lease(self):
+        """Guards against a second run beside the first on a restarted endpoint."""
+        self.endpoint.restart()
+        await self.session._start(self.live)
+        await self.go_silent_for(10.0)
+        self.assertEqual(self.owner.gone_reasons, [])
+        await self.go_silent_for(1.5)
+        self.assertEqual(self.owner.gone_reasons, ["lease_lapsed"])
+
+    async def test_listed_run_is_gone_once_its_lease_has_lapsed(self):
+        """Guards against tasks that wait for the longest lease without need."""
+        await self.session._start(self.live)
+        await self.session._inspect()
+        await self.go_silent_for(6.0)
+        self.assertEqual(self.owner.gone_reasons, ["lease_lapsed"])
+
+    async def test_restart_leaves_the_longest_lease(self):
+        """Guards against a lease that is taken for lapsed as its endpoint restarts."""
+        self.endpoint.restart()
+        await self.session._start(self.live)
+        await self.session._inspect()
+        await self.go_silent_for(9.5)
+        self.assertEqual(self.owner.gone_reasons, [])
+        await self.go_silent_for(1.0)
+        self.assertEqual(self.owner.gone_reasons, ["lease_lapsed"])
+
+
 class FormerHolderTests(SessionTestCase):
     """The shard's lease runs out while a call to the endpoint waits for its answer."""
 
--- a/tests/service/test_shard.py
+++ b/tests/service/test_shard.py
@@ -4,6 +4,7 @@
 from magnoliapier.exceptions import PlatformError
 from magnoliapier.placement.endpoint import EndpointRecord
 from magnoliapier.service.directory import EndpointDirectory
+from magnoliapier.service.incarnation import LeaseTerms
 from magnoliapier.service.node import ShardDependencies
 from magnoliapier.service.shard import ShardController
 from magnoliapier.state.lease import (
@@ -113,7 +114,7 @@
             metrics(),
             lambda name: self.queue,
             self.fleet,
-            6000,
+            LeaseTerms(6000, 6000),
             240.0,
         )
         self.lost = []
