Send no start of a run that was given up during its commit

Callers would see: a task runs twice (TWICE), after its endpoint was out of reach, or its host reported down, while the store took seconds to answer.

Cause: a run is live from its placement on. If its endpoint's lease lapsed before the commit, the run was given up and its task placed elsewhere, but the start order still went out once the commit was through.

Evidence: test_run_that_was_given_up_is_not_started failed before; the endpoint got the start of a run that its session no longer held.

Why it works: a start is sent only for a run that the session still holds.

--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -156,6 +156,9 @@
         self.room.allocate(live.step)
         self._wake.set()
 
+    def _holds(self, live):
+        return (str(live.task.name), live.run.number) in self.live
+
     def drop(self, live):
         """Remove a run that is not on the endpoint any more and free its resources."""
         if self.live.pop((str(live.task.name), live.run.number), None) is not None:
@@ -249,6 +252,8 @@
 
     async def _start(self, live):
         name = str(live.task.name)
+        if not self._holds(live):
+            return  # given up while its commit was under way
         if not self._owner.may_act() or live.run.state != RunState.ORDERED:
             self._owner.run_gone(self, live, "not_sent")
             return
@@ -316,8 +321,7 @@
             await self._inspect(wait_ms=0)
         except (OrderRefusedError, EndpointUnreachableError) as error:
             log.info("start_unresolved", task=live.task.name, error=error)
-        key = (str(live.task.name), live.run.number)
-        if key not in self.live or live.run.state != RunState.ORDERED:
+        if not self._holds(live) or live.run.state != RunState.ORDERED:
             return
         live.run.state = RunState.STOPPING
         live.run.stop_reason = "start_unanswered"
--- a/tests/service/fakes.py
+++ b/tests/service/fakes.py
@@ -159,7 +159,8 @@
     ``lost_starts`` how many are not carried out and get no answer. With ``waits``, it
     holds back a listing as long as it may while nothing has ended. With ``instant``,
     runs end as soon as they have started. ``starts`` lists all started runs, also those
-    of earlier incarnations.
+    of earlier incarnations. ``listings`` counts the answered inspections, and
+    ``deadline_ms`` is that of the last start order.
     """
 
     def __init__(self):
@@ -169,6 +170,8 @@
         self.instant = False
         self.unanswered_starts = 0
         self.lost_starts = 0
+        self.listings = 0
+        self.deadline_ms = 0
         self.born = 0
         self.restart()
 
@@ -221,6 +224,7 @@
         if order.run <= endpoint.highest_blocked_run.get(order.task, 0):
             raise OrderRefusedError(OrderRefusal.SUPERSEDED)
         endpoint.starts.append((order.task, order.run))
+        endpoint.deadline_ms = order.deadline_ms
         endpoint.running[order.task] = order.run
         if endpoint.instant:
             endpoint.end(order.task)
@@ -246,6 +250,7 @@
     async def inspect(self, record, token, deadline_ms, acknowledged, wait_ms):
         await asyncio.sleep(HOLD_STEP_S)
         endpoint = self._reach(record, token)
+        endpoint.listings += 1
         endpoint.acknowledged = max(endpoint.acknowledged, acknowledged)
         endpoint.ended = [e for e in endpoint.ended if e.number > acknowledged]
         if endpoint.waits:
--- a/tests/service/test_session.py
+++ b/tests/service/test_session.py
@@ -176,6 +176,21 @@
         self.assertEqual(self.owner.gone_reasons, ["endpoint_restarted"])
 
 
+class IdleEndpointTests(SessionTestCase):
+    """A run is started on an endpoint that has not been called for a while."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        await self.session._inspect()
+        self.clock.now += 60
+
+    async def test_run_that_was_given_up_is_not_started(self):
+        """Guards against a start that its commit delayed until its task moved."""
+        self.session.drop(self.live)
+        await self.session._start(self.live)
+        self.assertEqual(self.endpoint.starts, [])
+
+
 class UnlistedRunTests(SessionTestCase):
     """A run is confirmed, and its endpoint goes silent before a listing shows it."""
 
