List an endpoint's runs before a start if it was not called lately

Callers would see: as for the restart itself, in the time until the next listing: deadlines of the former clock, and up to a second in which the holder takes an endpoint that restarted for one that still runs what it ran.

Cause: an endpoint without runs is not called, for any length of time, and its first call is the start order itself. The listing that is requested with it was held back for a second.

Evidence: test_restart_is_noticed_before_a_start failed before: the holder knew the former incarnation after the start, and its deadline was reckoned on the former clock.

Why it works: a start follows a listing of at most 1.5 s before. The listing that a placement wakes up is answered at once and shares its call with the starts, beside the commit. An endpoint that does not answer it gets no start, so that nothing has to be settled there.

--- a/magnoliapier/service/incarnation.py
+++ b/magnoliapier/service/incarnation.py
@@ -76,7 +76,7 @@
         """Return when a lease of ``lease_ms`` ends, on the endpoint's clock."""
         deadline_ms = self.clock.lower_bound_ms(now) + lease_ms
         self._deadline_ms = max(self._deadline_ms, deadline_ms)
-        return self._deadline_ms
+        return deadline_ms
 
     def assume_lease(self, clock_ms, lease_ms):
         """Assume that a lease of ``lease_ms`` was given when the clock read that."""
--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -30,6 +30,9 @@
 # After a start, ends are acknowledged only so soon after a listing: in a longer time,
 # the endpoint might restart and end a run whose number is acknowledged unseen.
 ACKNOWLEDGE_LISTING_AGE_S = 0.3
+# A start follows a listing of at most this age, so that a restart is noticed first. It
+# is longer than a listing that is held back, and the gap after it.
+START_LISTING_AGE_S = 1.5
 RETRY_DELAY_S = 0.25
 UNHEALTHY_BACKOFF_S = 0.6
 NO_ROOM_BACKOFF_S = 0.15
@@ -67,7 +70,7 @@
         self.leaving = False
         self._last_answer_at = None
         self._last_start_at = 0.0
-        self._last_listing_at = 0.0
+        self._last_listing_at = None
         self._checked_crash_at = None
         self._client = client
         self._owner = owner
@@ -79,6 +82,7 @@
         self._earlier_lease_until = clock() + self._longest_lease_s
         self._incarnation = EndpointIncarnation(record.started_ms)
         self._wake = asyncio.Event()
+        self._look_lock = asyncio.Lock()
         self._task = None
         self._orders = set()
 
@@ -252,9 +256,11 @@
 
     async def _start(self, live):
         name = str(live.task.name)
+        listed = await self._ensure_listed()
         if not self._holds(live):
             return  # given up while its commit was under way
-        if not self._owner.may_act() or live.run.state != RunState.ORDERED:
+        may_act = listed and self._owner.may_act()
+        if not may_act or live.run.state != RunState.ORDERED:
             self._owner.run_gone(self, live, "not_sent")
             return
         sent_at = self._clock()
@@ -291,6 +297,24 @@
                 live.run.state = RunState.CONFIRMED
             self._wake.set()
 
+    async def _ensure_listed(self):
+        """
+        List the runs of an endpoint that has not been listed lately.
+
+        Return whether it answered. Concurrent callers wait for one call.
+        """
+        async with self._look_lock:
+            if self._listed_lately():
+                return True
+            if self.failing_since is not None:
+                return False
+            return await self._try_inspection(wait_ms=0)
+
+    def _listed_lately(self):
+        if self._last_listing_at is None:
+            return False
+        return self._clock() - self._last_listing_at <= START_LISTING_AGE_S
+
     def _handle_start_refusal(self, live, reason):
         now = self._clock()
         self._owner.count_refusal(reason)
@@ -376,16 +400,12 @@
                 await asyncio.sleep(RETRY_DELAY_S)
                 self._check_lease_lapse()
                 continue
-            try:
-                await self._inspect()
-            except OrderRefusedError as error:
-                self._handle_inspection_refusal(error.reason)
-                await asyncio.sleep(RETRY_DELAY_S)
-            except EndpointUnreachableError as error:
-                self._handle_inspection_failure(error)
-                await asyncio.sleep(RETRY_DELAY_S)
+            if self._listed_lately():
+                answered = await self._try_inspection()
             else:
-                await asyncio.sleep(INSPECT_GAP_S)
+                async with self._look_lock:
+                    answered = await self._try_inspection(wait_ms=0)
+            await asyncio.sleep(INSPECT_GAP_S if answered else RETRY_DELAY_S)
 
     def _idle_delay(self):
         """Return the seconds until the next inspection, or None if none is needed."""
@@ -406,6 +426,18 @@
         except TimeoutError:
             return
 
+    async def _try_inspection(self, wait_ms=None):
+        """Inspect the endpoint; return whether it answered."""
+        try:
+            await self._inspect(wait_ms)
+        except OrderRefusedError as error:
+            self._handle_inspection_refusal(error.reason)
+        except EndpointUnreachableError as error:
+            self._handle_inspection_failure(error)
+        else:
+            return True
+        return False
+
     async def _inspect(self, wait_ms=None):
         """
         List the endpoint's runs and apply the answer.
@@ -446,11 +478,13 @@
         counts them anew. An incarnation that has not been listed must not get a number
         once it may have ended a run.
         """
-        listed_ago_s = now - self._last_listing_at
-        started_since = self._last_start_at > self._last_listing_at
-        if started_since and listed_ago_s > ACKNOWLEDGE_LISTING_AGE_S:
+        listed_at = self._last_listing_at
+        if listed_at is None:
             return 0
-        return self._incarnation.end_to_acknowledge
+        recent = now - listed_at <= ACKNOWLEDGE_LISTING_AGE_S
+        if recent or self._last_start_at <= listed_at:
+            return self._incarnation.end_to_acknowledge
+        return 0
 
     def _mark_reachable(self):
         if self.failing_since is not None:
--- a/tests/service/test_session.py
+++ b/tests/service/test_session.py
@@ -184,6 +184,26 @@
         await self.session._inspect()
         self.clock.now += 60
 
+    async def test_restart_is_noticed_before_a_start(self):
+        """Guards against a start whose deadline the former clock gives."""
+        self.endpoint.restart()
+        await self.session._start(self.live)
+        self.assertEqual(self.session.incarnation.started_ms, self.endpoint.born)
+        self.assertLess(self.endpoint.deadline_ms, FIRST_CLOCK_MS + 6000)
+
+    async def test_starts_of_one_cycle_share_a_look(self):
+        """Guards against a call more for each start on an idle endpoint."""
+        listings = self.endpoint.listings
+        await asyncio.gather(*(self.session._start(self.live) for _ in range(3)))
+        self.assertEqual(self.endpoint.listings, listings + 1)
+
+    async def test_nothing_is_started_on_an_endpoint_that_does_not_answer(self):
+        """Guards against a start that may be carried out after its task moved."""
+        self.endpoint.silent = True
+        await self.session._start(self.live)
+        self.assertEqual(self.owner.gone_reasons, ["not_sent"])
+        self.assertIsNotNone(self.session.failing_since)
+
     async def test_run_that_was_given_up_is_not_started(self):
         """Guards against a start that its commit delayed until its task moved."""
         self.session.drop(self.live)
