Let any answer of an endpoint outweigh an earlier report that its host is down

Callers would see: a task runs twice (TWICE) on an endpoint that restarted under its id while its host was still listed as down, if one call to it was lost then.

Cause: only listings counted as answers. A start that the endpoint confirmed after the report, or an answer that came while the deciding call was under way, did not, and the runs that it had just confirmed were given up.

Evidence: test_confirmed_start_outweighs_an_earlier_report and test_answer_beside_the_call_outweighs_the_report failed before.

Why it works: each answer is proof that the endpoint lives, at the time it arrived; a report counts only if nothing has been heard since it came and since the deciding call was sent.

--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -180,22 +180,26 @@
         The report may be older than a restart under the same id, so it only counts if
         the endpoint does not answer a call that was sent after it.
         """
-        answered = self._last_answer_at is not None and self._last_answer_at >= since
-        if answered or self._checked_crash_at == since:
+        if self._answered_since(since) or self._checked_crash_at == since:
             return
         self._checked_crash_at = since
         self._spawn(self._confirm_host_down())
 
     async def _confirm_host_down(self):
+        sent_at = self._clock()
         try:
             await self._client.inspect(self.record, self._token, None, 0, 0)
         except OrderRefusedError as error:
             log.info("host_not_down", endpoint=self.endpoint_id, reason=error.reason)
         except EndpointUnreachableError:
-            self._drop_settled_runs()
+            if not self._answered_since(sent_at):
+                self._drop_settled_runs()
         else:
             log.info("host_not_down", endpoint=self.endpoint_id, reason="answered")
 
+    def _answered_since(self, since):
+        return self._last_answer_at is not None and self._last_answer_at >= since
+
     def _drop_settled_runs(self):
         """
         Treat the settled runs of a crashed endpoint as gone.
@@ -282,7 +286,7 @@
             self.blocked_until = self._clock() + UNHEALTHY_BACKOFF_S
             self._spawn(self._resolve_unanswered_start(live))
         else:
-            now = self._clock()
+            now = self._last_answer_at = self._clock()
             self._owner.start_confirmed(sent_at, now)
             log.routine(
                 "run_confirmed",
--- a/tests/service/fakes.py
+++ b/tests/service/fakes.py
@@ -156,7 +156,8 @@
     ``running`` maps tasks to run numbers, ``highest_blocked_run`` maps tasks to the
     highest run number that may not start any more. ``silent`` makes all calls fail;
     ``unanswered_starts`` is how many starts are carried out without an answer, and
-    ``lost_starts`` how many are not carried out and get no answer. With ``waits``, it
+    ``lost_starts`` how many are not carried out and get no answer; ``lost_listings`` is
+    how many inspections get none. With ``waits``, it
     holds back a listing as long as it may while nothing has ended. With ``instant``,
     runs end as soon as they have started. ``starts`` lists all started runs, also those
     of earlier incarnations. ``listings`` counts the answered inspections, and
@@ -170,6 +171,7 @@
         self.instant = False
         self.unanswered_starts = 0
         self.lost_starts = 0
+        self.lost_listings = 0
         self.listings = 0
         self.deadline_ms = 0
         self.born = 0
@@ -250,6 +252,9 @@
     async def inspect(self, record, token, deadline_ms, acknowledged, wait_ms):
         await asyncio.sleep(HOLD_STEP_S)
         endpoint = self._reach(record, token)
+        if endpoint.lost_listings:
+            endpoint.lost_listings -= 1
+            raise EndpointUnreachableError("no answer")
         endpoint.listings += 1
         endpoint.acknowledged = max(endpoint.acknowledged, acknowledged)
         endpoint.ended = [e for e in endpoint.ended if e.number > acknowledged]
--- a/tests/service/test_session.py
+++ b/tests/service/test_session.py
@@ -211,6 +211,44 @@
         self.assertEqual(self.endpoint.starts, [])
 
 
+class HostDownTests(SessionTestCase):
+    """The host of an endpoint is reported down, and the endpoint is called."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        await self.session._inspect()
+        self.since = self.clock() + 0.2
+        self.clock.now += 0.5
+
+    async def test_confirmed_start_outweighs_an_earlier_report(self):
+        """Guards against a second run after a report that is older than a restart."""
+        await self.session._start(self.live)
+        self.endpoint.silent = True
+        self.session.check_host_down(self.since)
+        await asyncio.sleep(0.02)
+        self.assertEqual(self.owner.gone_reasons, [])
+
+    async def test_answer_beside_the_call_outweighs_the_report(self):
+        """Guards against a second run because one of two concurrent calls was lost."""
+        self.live.settled_at = 0.0
+        self.endpoint.silent = True
+        self.session.check_host_down(self.clock())
+        await asyncio.sleep(0)
+        self.endpoint.silent = False
+        self.endpoint.lost_listings = 1
+        await self.session._start(self.live)
+        await asyncio.sleep(0.02)
+        self.assertEqual(self.owner.gone_reasons, [])
+
+    async def test_settled_run_is_gone_if_nothing_answers(self):
+        """Guards against tasks of a crashed host that wait for its lease to lapse."""
+        self.live.settled_at = 0.0
+        self.endpoint.silent = True
+        self.session.check_host_down(self.since)
+        await asyncio.sleep(0.02)
+        self.assertEqual(self.owner.gone_reasons, ["host_down"])
+
+
 class UnlistedRunTests(SessionTestCase):
     """A run is confirmed, and its endpoint goes silent before a listing shows it."""
 
