Take the room of an endpoint from the record that its entry gives

Callers would see: tasks wait for good beside idle endpoints (LOST), or are refused for want of room after an endpoint came back smaller.

Cause: a session reckoned its room once, from the record that it was opened with. Where that was a placeholder, as the entry was missing at a takeover, the room stayed at nothing; where the endpoint started again with another capacity, it stayed that of the former incarnation.

Evidence: test_room_follows_the_capacity failed before.

Why it works: when a record gives another capacity, the room is reckoned anew from it and from the runs that the session holds.

--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -247,10 +247,18 @@
     def update(self, record):
         """Apply a new directory record of the endpoint."""
         self.listed = True
+        if record.capacity != self.record.capacity:
+            self.room = self._room_left_by_runs(record.capacity)
         if record.started_ms != self.record.started_ms:
             self._wake.set()
         self.record = record
 
+    def _room_left_by_runs(self, capacity):
+        room = FreeResources(capacity)
+        for live in self.live.values():
+            room.allocate(live.step)
+        return room
+
     async def _start_or_resolve(self, live):
         try:
             await self._start(live)
--- a/tests/service/test_session.py
+++ b/tests/service/test_session.py
@@ -2,6 +2,7 @@
 import unittest
 
 import logbook
+import msgspec
 
 from magnoliapier.placement.endpoint import EndpointRecord
 from magnoliapier.service.incarnation import LeaseTerms
@@ -211,6 +212,22 @@
         self.assertEqual(self.endpoint.starts, [])
 
 
+class DirectoryRecordTests(SessionTestCase):
+    """The directory has a new record of an endpoint."""
+
+    def record(self, **changes):
+        return msgspec.structs.replace(self.session.record, **changes)
+
+    async def test_room_follows_the_capacity(self):
+        """Guards against a session that keeps the room of a placeholder record."""
+        self.session.update(self.record(capacity=Resources(150, 1000)))
+        self.assertFalse(self.session.room.fits(self.live.step))
+        self.session.update(self.record(capacity=Resources(200, 1000)))
+        self.assertTrue(self.session.room.fits(self.live.step))
+        self.session.drop(self.live)
+        self.assertEqual(self.session.room.cpu_millicores, 200)
+
+
 class HostDownTests(SessionTestCase):
     """The host of an endpoint is reported down, and the endpoint is called."""
 
