Follow up a record of another incarnation, and place nothing until it is known

Callers would see: a restart that the endpoint's entry shows goes unnoticed until the next start, and tasks are placed by the capacity, the rack and the labels of the former incarnation.

Cause: a record that named another incarnation woke the session, but an idle one went to sleep again without a call. Nothing compared the record with what the endpoint had listed.

Evidence: test_record_of_a_new_incarnation_is_followed_up and test_nothing_is_placed_before_record_and_listing_agree failed before.

Why it works: a session that is told of another incarnation lists its runs at once, and an endpoint is usable only while its record is that of the incarnation that was listed last.

--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -69,6 +69,7 @@
         self.released = False
         self.leaving = False
         self._last_answer_at = None
+        self._restart_recorded_at = None
         self._last_start_at = 0.0
         self._last_listing_at = None
         self._checked_crash_at = None
@@ -119,6 +120,7 @@
         return (
             self.opened
             and self.listed
+            and self._record_is_current()
             and not self.record.draining
             and not self.released
             and not self.leaving
@@ -126,6 +128,10 @@
             and now >= self.blocked_until
         )
 
+    def _record_is_current(self):
+        """Return whether the record is that of the incarnation listed last."""
+        return self.record.started_ms in (0, self._incarnation.started_ms)
+
     def belongs_to_pool(self):
         """Return whether the endpoint counts as part of the pool, opened or not."""
         return (
@@ -249,9 +255,11 @@
         self.listed = True
         if record.capacity != self.record.capacity:
             self.room = self._room_left_by_runs(record.capacity)
-        if record.started_ms != self.record.started_ms:
-            self._wake.set()
+        known = (self.record.started_ms, self._incarnation.started_ms)
         self.record = record
+        if record.started_ms not in known:
+            self._restart_recorded_at = self._clock()
+            self._wake.set()
 
     def _room_left_by_runs(self, capacity):
         room = FreeResources(capacity)
@@ -421,9 +429,7 @@
 
     def _idle_delay(self):
         """Return the seconds until the next inspection, or None if none is needed."""
-        if not self.opened:
-            return 0
-        if self.live:
+        if not self.opened or self._restart_recorded_at is not None or self.live:
             return 0
         incarnation = self._incarnation
         if incarnation.end_to_acknowledge:
@@ -472,6 +478,9 @@
         now = self._clock()
         self._last_answer_at = self._last_listing_at = now
         self._mark_reachable()
+        recorded_at = self._restart_recorded_at
+        if recorded_at is not None and sent_at >= recorded_at:
+            self._restart_recorded_at = None
         if not self._recognise_incarnation(inspection, sent_at, now):
             return
         if self._incarnation is incarnation:
--- a/tests/service/test_session.py
+++ b/tests/service/test_session.py
@@ -218,6 +218,27 @@
     def record(self, **changes):
         return msgspec.structs.replace(self.session.record, **changes)
 
+    async def test_record_of_a_new_incarnation_is_followed_up(self):
+        """Guards against a restart that is only noticed at the next start."""
+        self.session.drop(self.live)
+        self.session.start()
+        await asyncio.sleep(0.2)
+        self.endpoint.restart()
+        self.session.update(self.record(started_ms=2))
+        await asyncio.sleep(0.2)
+        self.assertEqual(self.session.incarnation.started_ms, 2)
+
+    async def test_nothing_is_placed_before_record_and_listing_agree(self):
+        """Guards against a placement by the capacity of the former incarnation."""
+        self.session.update(self.record(started_ms=1))
+        await self.session._inspect()
+        self.assertTrue(self.session.usable(self.clock()))
+        self.endpoint.restart()
+        await self.session._inspect()
+        self.assertFalse(self.session.usable(self.clock()))
+        self.session.update(self.record(started_ms=2))
+        self.assertTrue(self.session.usable(self.clock()))
+
     async def test_room_follows_the_capacity(self):
         """Guards against a session that keeps the room of a placeholder record."""
         self.session.update(self.record(capacity=Resources(150, 1000)))
