Let no report of a crash end runs that may be of a later incarnation

Callers would see: a task runs twice (TWICE), if its endpoint restarts under its id, the report that its host was down comes after the start, and one call is lost; or if a session trusts its own lease although an order with a deadline of an earlier clock is still under way.

Cause: a report tells that a host was down some time ago, not which incarnation of the endpoint. Runs that no listing had shown, and runs of an endpoint that had restarted, were given up on it. The longest lease was reckoned from the start order, but each call moves it, and at a takeover the former holder's calls were left out.

Why it works: a report ends only runs that the known incarnation has listed, and adopted ones, and none after a restart; the others wait for the lease. An incarnation that is listed for the first time is taken to hold the longest lease, the time in which a call may arrive included.

--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -37,7 +37,7 @@
 UNHEALTHY_BACKOFF_S = 0.6
 NO_ROOM_BACKOFF_S = 0.15
 LAPSE_MARGIN_S = 0.1
-START_LIMIT_S = 1.0  # within which a start order has reached its endpoint or has failed
+CALL_LIMIT_S = 1.0  # within which an order has reached its endpoint or has failed
 
 log = get_logger(__name__)
 
@@ -71,13 +71,17 @@
         self._last_answer_at = None
         self._restart_recorded_at = None
         self._last_start_at = 0.0
+        self._last_extension_at = 0.0
+        self._has_restarted = False
         self._last_listing_at = None
         self._checked_crash_at = None
         self._client = client
         self._owner = owner
         self._token = token
         self._lease = lease
-        self._longest_lease_s = lease.longest_ms / 1000 / SLOWEST_CLOCK_RATE
+        self._longest_lease_s = (
+            CALL_LIMIT_S + lease.longest_ms / 1000 / SLOWEST_CLOCK_RATE
+        )
         self._clock = clock
         # By then, a lease that an earlier holder of the shard extended has lapsed.
         self._earlier_lease_until = clock() + self._longest_lease_s
@@ -199,23 +203,27 @@
             log.info("host_not_down", endpoint=self.endpoint_id, reason=error.reason)
         except EndpointUnreachableError:
             if not self._answered_since(sent_at):
-                self._drop_settled_runs()
+                self._drop_runs_of_crashed()
         else:
             log.info("host_not_down", endpoint=self.endpoint_id, reason="answered")
 
     def _answered_since(self, since):
         return self._last_answer_at is not None and self._last_answer_at >= since
 
-    def _drop_settled_runs(self):
+    def _drop_runs_of_crashed(self):
         """
-        Treat the settled runs of a crashed endpoint as gone.
+        Treat the runs that a crashed endpoint has listed as gone, and adopted ones.
 
-        A start order that is still in flight may be carried out after a restart under
-        the same id, so its run stays live until a stop settles it or the lease lapses.
+        The report may be of a crash before a restart under the same id. All other runs
+        stay live until a stop settles them or the lease lapses, and so do those of an
+        endpoint that has restarted before.
         """
         self._mark_failing("host_down")
+        if self._has_restarted:
+            return
         for live in list(self.live.values()):
-            if live.settled_at is not None:
+            adopted = live.settled_at is not None and live.sent_at is None
+            if adopted or live.incarnation is not None:
                 self._owner.run_gone(self, live, "host_down")
 
     def order_start(self, live):
@@ -292,7 +300,7 @@
             self._token,
             live.task.checkpoint,
         )
-        self._last_start_at = live.sent_at = sent_at
+        self._last_start_at = self._last_extension_at = live.sent_at = sent_at
         try:
             clock_ms = await self._client.start(self.record, order)
         except OrderRefusedError as error:
@@ -468,6 +476,7 @@
         deadline_ms = None
         if incarnation.clock.known and self.failing_since is None:
             deadline_ms = incarnation.extend_deadline(sent_at, self._lease.extend_ms)
+            self._last_extension_at = sent_at
         if wait_ms is None:
             can_wait = self.live and self.opened and deadline_ms
             wait_ms = INSPECT_WAIT_MS if can_wait else 0
@@ -535,6 +544,7 @@
             self._begin_incarnation(inspection, now)
         elif known.first_listed_at is None:
             known.first_listed_at = now
+            self._assume_longest_lease(inspection.clock_ms)
         return True
 
     def _begin_incarnation(self, inspection, now):
@@ -555,11 +565,22 @@
         )
         self._owner.count_restart()
         self._incarnation = EndpointIncarnation(inspection.started_ms, now)
-        self._incarnation.assume_lease(inspection.clock_ms, self._lease.longest_ms)
+        self._has_restarted = True
+        self._assume_longest_lease(inspection.clock_ms)
         for live in list(self.live.values()):
             if live.incarnation is not None:
                 self._owner.run_gone(self, live, "endpoint_restarted")
 
+    def _assume_longest_lease(self, clock_ms):
+        """
+        Assume the longest lease of an incarnation that is listed for the first time.
+
+        Orders of this or an earlier holder may have carried a deadline on the clock of
+        a former incarnation, and may still be under way.
+        """
+        longest_ms = self._lease.longest_ms + round(CALL_LIMIT_S * 1000)
+        self._incarnation.assume_lease(clock_ms, longest_ms)
+
     def _apply_inspection(self, inspection, sent_at, now):
         for end in inspection.ended:
             if self._incarnation.handle_end(end.number, now):
@@ -642,5 +663,5 @@
         """
         if live.incarnation is not None or live.sent_at is None:
             return False
-        lapsed_at = live.sent_at + START_LIMIT_S + self._longest_lease_s
+        lapsed_at = self._last_extension_at + self._longest_lease_s
         return self._clock() < lapsed_at + LAPSE_MARGIN_S
