Hold back an acknowledgement while a start may be under way

Callers would see: a task that ended done runs again (TWICE), if its start was carried out by a new incarnation after a listing of the former one had been requested.

Cause: it was enough that no start had been sent since the last listing. A start that was still unanswered at the time of the listing could be carried out later.

--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -74,6 +74,7 @@
         self._last_extension_at = 0.0
         self._has_restarted = False
         self._last_listing_at = None
+        self._listing_requested_at = 0.0
         self._checked_crash_at = None
         self._client = client
         self._owner = owner
@@ -486,6 +487,7 @@
         )
         now = self._clock()
         self._last_answer_at = self._last_listing_at = now
+        self._listing_requested_at = sent_at
         self._mark_reachable()
         recorded_at = self._restart_recorded_at
         if recorded_at is not None and sent_at >= recorded_at:
@@ -512,10 +514,20 @@
         if listed_at is None:
             return 0
         recent = now - listed_at <= ACKNOWLEDGE_LISTING_AGE_S
-        if recent or self._last_start_at <= listed_at:
+        if recent or self._starts_were_settled(self._listing_requested_at):
             return self._incarnation.end_to_acknowledge
         return 0
 
+    def _starts_were_settled(self, at):
+        """Return whether all starts were settled at a time, and none was sent since."""
+        if self._last_start_at > at:
+            return False
+        return all(
+            live.sent_at is None
+            or (live.settled_at is not None and live.settled_at <= at)
+            for live in self.live.values()
+        )
+
     def _mark_reachable(self):
         if self.failing_since is not None:
             log.info("endpoint_regained", endpoint=self.endpoint_id)
--- a/tests/service/test_session.py
+++ b/tests/service/test_session.py
@@ -177,6 +177,46 @@
         self.assertEqual(self.owner.gone_reasons, ["endpoint_restarted"])
 
 
+class AcknowledgementTests(SessionTestCase):
+    """An end is stored, and the endpoint may have restarted since it was listed."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        await self.session._inspect()
+        self.session.incarnation.handle_end(1, self.clock())
+        self.session.mark_ends_stored(self.session.incarnation, 1)
+
+    async def test_idle_endpoint_gets_the_number(self):
+        """Guards against ends that are never acknowledged."""
+        self.clock.now += 60
+        await self.session._inspect()
+        self.assertEqual(self.endpoint.acknowledged, 1)
+
+    async def test_number_waits_for_a_listing_after_a_start(self):
+        """Guards against a number that reaches an end which nobody has read."""
+        self.clock.now += 1.0
+        await self.session._start(self.live)
+        self.clock.now += 0.1
+        await self.session._inspect()
+        self.assertEqual(self.endpoint.acknowledged, 0)
+        self.clock.now += 0.1
+        await self.session._inspect()
+        self.assertEqual(self.endpoint.acknowledged, 1)
+
+    async def test_number_waits_while_a_start_is_unanswered(self):
+        """Guards against a start that is carried out by the next incarnation."""
+        self.live.sent_at = self.clock()
+        self.clock.now += 0.1
+        await self.session._inspect()
+        self.clock.now += 1.0
+        self.session.mark_ends_stored(self.session.incarnation, 1)
+        self.endpoint.acknowledged = 0
+        self.session.incarnation.handle_end(2, self.clock())
+        self.session.mark_ends_stored(self.session.incarnation, 2)
+        await self.session._inspect()
+        self.assertEqual(self.endpoint.acknowledged, 0)
+
+
 class IdleEndpointTests(SessionTestCase):
     """A run is started on an endpoint that has not been called for a while."""
 
