Specify what is known of an endpoint's incarnations and check it

The check also refuted parts of the planned rules: an acknowledgement after any listing that was received after the last start, starts while an acknowledgement is in transit, waits of the longest lease that leave out the delay of a call, the clock reading of a former incarnation's answer, and reports of a crash that arrive after the restart.

--- a/magnoliapier/specifications/modelcheck.py
+++ b/magnoliapier/specifications/modelcheck.py
@@ -25,6 +25,7 @@
     "lease",
     "shard",
     "host_orders",
+    "incarnations",
 )
 
 # Stops an exploration that does not end; the largest specification stays well below.
--- a/tests/specifications/test_modelcheck.py
+++ b/tests/specifications/test_modelcheck.py
@@ -4,6 +4,7 @@
 from magnoliapier.registry import Registry
 from magnoliapier.specifications import modelcheck
 from magnoliapier.specifications.host_orders import HostOrdersSpecification
+from magnoliapier.specifications.incarnations import IncarnationsSpecification
 from magnoliapier.specifications.specification import Specification, specifications
 
 
@@ -78,15 +79,24 @@
             self.assertGreaterEqual(len(specifications.get(name).mistakes.names()), 5)
 
 
-class HostOrdersTests(unittest.TestCase):
+class InvariantTestCase(unittest.TestCase):
+    specification = None
+
     def assert_mistake_violates(self, label, invariant):
-        mistake = HostOrdersSpecification.mistakes.get(label)
+        """Check one invariant against a mistake; return the counterexample's labels."""
+        mistake = self.specification.mistakes.get(label)
 
         class OneInvariant(mistake):
             def invariants(self):
                 return {invariant: super().invariants()[invariant]}
 
-        self.assertIsNotNone(modelcheck.find_mistake(OneInvariant))
+        found = modelcheck.find_mistake(OneInvariant)
+        self.assertIsNotNone(found)
+        return [step["label"] for step in found[1]]
+
+
+class HostOrdersTests(InvariantTestCase):
+    specification = HostOrdersSpecification
 
     def test_each_invariant_can_be_violated(self):
         """
@@ -101,3 +111,24 @@
         )
         self.assert_mistake_violates("drops_record_early", "holders_keep_the_gap")
         self.assert_mistake_violates("restarts_token", "tokens_are_unique")
+
+
+class IncarnationsTests(InvariantTestCase):
+    specification = IncarnationsSpecification
+
+    def test_each_invariant_can_be_violated(self):
+        """Guards against an invariant that no state can violate."""
+        self.assert_mistake_violates(
+            "short_lease_for_unlisted_run", "one_run_at_a_time"
+        )
+        self.assert_mistake_violates("acknowledges_always", "no_start_after_noted_end")
+        self.assert_mistake_violates("late_commit_counts", "noted_end_is_stored")
+
+    def test_giving_up_all_settled_runs_repeats_a_confirmed_one(self):
+        """Guards against a specification that allows the repeats of issue 31."""
+        steps = self.assert_mistake_violates(
+            "restart_ends_settled_runs", "one_run_at_a_time"
+        )
+        confirmed = steps.index("the start of t0 is answered")
+        self.assertLess(steps.index("i1 crashes and starts again"), confirmed)
+        self.assertEqual(steps[-1], "the listing of i2 is received")
