Refuse messages that are nested too deeply to decode

Seen: one row of another writer, nested 100,000 deep in a field that is not read, ends the watcher of the endpoints with a RecursionError. A submission of this kind is answered 504, as if it might have been stored, and a settings file of this kind ends the program with a traceback. Cause: the decoder reads unknown fields as well, to skip them, and raises RecursionError, which decode() did not turn into its MessageError. Evidence: before, tests.service.test_directory failed with 16 errors (no full read ended, no feed went on) and the new fuzz case with RecursionError for all 10 message types; both pass now. Why it works: every message of another program passes through decode(), and every caller handles MessageError: the row is logged and passed over, the others hold.

--- a/magnoliapier/platform/wire.py
+++ b/magnoliapier/platform/wire.py
@@ -492,5 +492,6 @@
         decoder = _DECODERS[message_type] = msgspec.json.Decoder(message_type)
     try:
         return decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    # The decoder reads unknown fields too; deep ones exceed Python's recursion limit.
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise MessageError(f"Send a valid {message_type.__name__}: {error}") from error
--- a/tests/platform/test_fuzz_wire.py
+++ b/tests/platform/test_fuzz_wire.py
@@ -11,6 +11,7 @@
 from magnoliapier.submissions.codec import encode
 
 EXAMPLES = 300
+DEPTH = 100_000
 
 numbers = st.one_of(
     st.integers(-(2**70), 2**70),
@@ -121,6 +122,18 @@
         """Guards against bytes that are no JSON at all."""
         self.convert(message_type, data)
 
+    def test_deep_nesting_is_a_message_error(self):
+        """Guards against a message of another writer that exceeds the stack."""
+        arrays = b"[" * DEPTH + b"]" * DEPTH
+        objects = b'{"a":' * DEPTH + b"1" + b"}" * DEPTH
+        for message_type, message in VALID.items():
+            for nested in (arrays, objects):
+                with self.subTest(message_type.__name__):
+                    self.convert(message_type, nested)
+                    for field in ("unknown", *message):
+                        data = json.dumps({**message, field: "@"}).encode()
+                        self.convert(message_type, data.replace(b'"@"', nested))
+
     def test_numbers_outside_the_range_are_message_errors(self):
         """Guards against numbers that the decoder takes and a conversion does not."""
         for number in ("1e999", "-1e999", "1e308", "123456789012345678901234567890"):
