Refuse endpoint rows whose address or id no call can use

Seen: once the row of an endpoint in use gives an address with a port out of range, its runs are neither listed nor stopped nor given up, so their submissions never end, and new runs go on being placed there (LOST). The session ends with a ValueError in each call and starts again every 2 s at the latest. An id with a control character does the same to its header. Cause: the address was put into a URL, and the id into a header, only in the call, where no one expects a ValueError. Other addresses were read as something else: a path, a query, a user name. Why it works: an address or id that can't be used is refused when its row is decoded, with a MessageError that is logged.

--- a/magnoliapier/platform/wire.py
+++ b/magnoliapier/platform/wire.py
@@ -13,6 +13,11 @@
 
 from magnoliapier.exceptions import MessageError
 from magnoliapier.placement.endpoint import EndpointRecord
+from magnoliapier.platform.addresses import (
+    check_address,
+    check_endpoint_id,
+    shorten,
+)
 from magnoliapier.pools.hosts import Host, HostState, Wave
 from magnoliapier.service.orders import Inspection, ListedRun, RunEnd
 from magnoliapier.submissions.configuration import Configuration, Queue, Service
@@ -229,9 +234,11 @@
     born: Whole = 0  # Unix ms when this incarnation of the endpoint started
 
     def record(self, endpoint_id):
-        """Return the product's record; raise MessageError for an unknown state."""
+        """Return the product's record; raise MessageError if it cannot be used."""
         if self.state not in ("ready", "draining"):
-            raise MessageError(f"Unknown state {self.state!r}; ignore the row.")
+            raise MessageError(f"Unknown state {shorten(self.state)}; ignore the row.")
+        check_endpoint_id(endpoint_id)
+        check_address(self.address)
         return EndpointRecord(
             endpoint_id=endpoint_id,
             service=self.service,
--- a/tests/platform/test_fuzz_wire.py
+++ b/tests/platform/test_fuzz_wire.py
@@ -2,6 +2,7 @@
 import unittest
 
 from hypothesis import given, settings, strategies as st
+from yarl import URL
 
 from magnoliapier.exceptions import MessageError
 from magnoliapier.platform import wire
@@ -9,6 +10,7 @@
 from magnoliapier.platform.store import decode_row
 from magnoliapier.pools.report import FleetPlan, encode as encode_plan
 from magnoliapier.submissions.codec import encode
+from tests.platform.test_addresses import ODD_ADDRESSES
 
 EXAMPLES = 300
 DEPTH = 100_000
@@ -19,7 +21,13 @@
     st.just(1e308),
 )
 values = st.recursive(
-    st.one_of(st.none(), st.booleans(), numbers, st.text(max_size=12)),
+    st.one_of(
+        st.none(),
+        st.booleans(),
+        numbers,
+        st.text(max_size=12),
+        st.sampled_from(ODD_ADDRESSES),
+    ),
     lambda inner: st.one_of(
         st.lists(inner, max_size=4),
         st.dictionaries(st.text(max_size=8), inner, max_size=4),
@@ -27,6 +35,13 @@
     max_leaves=8,
 )
 
+
+def call_url(record):
+    """Return the URL that calls of an endpoint use; ids are part of its headers."""
+    assert record.endpoint_id.isprintable() and record.endpoint_id.isascii()
+    return URL(f"http://{record.address}/hold").host.encode("idna")
+
+
 # What the process does with each message that other programs send. What it stores of
 # them must fit the stored form.
 CONVERSIONS = {
@@ -37,7 +52,7 @@
     wire.WaveBody: lambda body: encode_plan(
         FleetPlan(maintained={body.maintenance_wave().number: ()})
     ),
-    wire.ServerBody: lambda body: body.record("i-1"),
+    wire.ServerBody: lambda body: call_url(body.record("i-1")),
     wire.MachinePage: lambda body: list(decode_hosts(body)),
     wire.HoldAnswer: lambda body: body.inspection(),
     wire.ClockBody: lambda body: body.clock_ms,
@@ -122,6 +137,16 @@
         """Guards against bytes that are no JSON at all."""
         self.convert(message_type, data)
 
+    @settings(max_examples=EXAMPLES, deadline=None)
+    @given(st.text(max_size=12), st.one_of(st.sampled_from(ODD_ADDRESSES), st.text()))
+    def test_damaged_endpoint_row_is_a_message_error(self, endpoint_id, address):
+        """Guards against an endpoint that no call can be sent to."""
+        data = json.dumps({**VALID[wire.ServerBody], "address": address}).encode()
+        try:
+            call_url(wire.decode(wire.ServerBody, data).record(endpoint_id))
+        except MessageError as error:
+            self.assertTrue(str(error))
+
     def test_deep_nesting_is_a_message_error(self):
         """Guards against a message of another writer that exceeds the stack."""
         arrays = b"[" * DEPTH + b"]" * DEPTH
--- /dev/null
+++ b/tests/service/test_odd_rows.py
@@ -0,0 +1,85 @@
+import asyncio
+import json
+
+from yarl import URL
+
+from magnoliapier.platform.program import decode_endpoint
+from magnoliapier.service.directory import EndpointDirectory
+from magnoliapier.state.rows import Row
+from magnoliapier.submissions.model import SubmissionState
+from tests.service.fakes import FakeEndpoints
+from tests.service.test_shard import (
+    CAPACITY,
+    SERVICE,
+    ShardTestCase,
+    short_step,
+    submission,
+)
+
+FIELDS = {
+    "service": SERVICE,
+    "zone": "dc-1",
+    "state": "ready",
+    "capacity": {"cpu": CAPACITY.cpu_millicores, "mem_mb": CAPACITY.memory_mb},
+    "labels": ["a", "rack-1"],
+}
+ODD_FIELDS = {"address": "10.0.0.1:65536"}
+
+
+class AddressedEndpoints(FakeEndpoints):
+    """Fails as the HTTP client does if no URL can hold an endpoint's address."""
+
+    def _reach(self, record, token):
+        URL(f"http://{record.address}/hold")
+        return super()._reach(record, token)
+
+
+class OddRowTestCase(ShardTestCase):
+    """Runs a shard whose endpoints are known by their rows."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.endpoints = AddressedEndpoints()
+        self.directory = EndpointDirectory(decode_endpoint, self.clock)
+        self.version = 0
+
+    def put_row(self, endpoint_id, **fields):
+        """Apply a change of an endpoint's row; ``fields`` replace its usual ones."""
+        row = {
+            **FIELDS,
+            "address": "10.0.0.1:8080",
+            "machine": f"host-{endpoint_id}",
+            **fields,
+        }
+        self.version += 1
+        value = json.dumps(row).encode()
+        self.directory.apply(
+            [Row("servers", "", endpoint_id, value, self.version)], False
+        )
+
+    def add_endpoint(self, endpoint_id, **fields):
+        self.put_row(endpoint_id, **fields)
+        return self.endpoints.add(endpoint_id)
+
+
+class OddRowTests(OddRowTestCase):
+    """The row of an endpoint that is in use becomes odd."""
+
+    async def start_on_endpoint(self):
+        """Start a run on the endpoint i-1 and return the endpoint and the task."""
+        endpoint = self.add_endpoint("i-1")
+        self.shard = await self.start_shard()
+        await self.submit(submission("a" * 16, short_step()))
+        await self.wait_until(lambda: endpoint.running)
+        return endpoint, f"{'a' * 16}.0.0.0"
+
+    async def test_run_ends_although_its_endpoint_has_an_odd_row(self):
+        """Guards against a submission that never ends: each call failed anew (LOST)."""
+        endpoint, task = await self.start_on_endpoint()
+        self.put_row("i-1", **ODD_FIELDS)
+        await asyncio.sleep(0.3)
+        endpoint.end(task)
+        await self.wait_until(
+            lambda: self.shard.tables.state_of("a" * 16) == SubmissionState.COMPLETED
+        )
+        self.assertEqual(endpoint.starts, [(task, 1)])
