Place nothing on an endpoint whose row names none to use

Seen: after another writer has replaced the row of a known endpoint by one that can't be read, new runs go on being placed there for as long as the row stays, although such an entry names no runner to use. Cause: the directory passed over an unreadable row as if nothing had been written, and so kept listing the record that the row had replaced. Why it works: an endpoint with such a row is treated as one that is not listed, at once: a grace period is for rows that expired, and this one was written. Its runs stay where they are. They are listed, extended and stopped under the last usable record, also by a holder that takes the shard over, until they end or their lease lapses; so none is started twice, and none is given up while it works. The record is forgotten with the row, after the same grace period as any other.

--- a/magnoliapier/service/directory.py
+++ b/magnoliapier/service/directory.py
@@ -17,19 +17,24 @@
     ``decode(key, value)`` turns a stored row into an EndpointRecord; it raises
     MessageError if the row is not one. A removed record stays listed for
     ``RETURN_GRACE_S``, because it may have expired during a store outage.
+
+    A row that cannot be decoded names no endpoint to use, so a known endpoint with such
+    a row is not listed. Its last record is kept while it has a row: the address in it
+    may be the only way to reach what runs there.
     """
 
     def __init__(self, decode, clock):
         self._decode = decode
         self._clock = clock
         self._records = {}
+        self._unusable = set()
         self._missing_since = {}
 
     def apply(self, rows, complete):
         """Apply changed rows, or a full read of the table if ``complete``."""
         if complete:
             present = {row.key for row in rows}
-            for endpoint_id in self._records.keys() - present:
+            for endpoint_id in (self._records.keys() | self._unusable) - present:
                 self._missing_since.setdefault(endpoint_id, self._clock())
         for row in rows:
             if row.removed:
@@ -38,13 +43,14 @@
                 self._apply_row(row)
 
     def _apply_row(self, row):
+        self._missing_since.pop(row.key, None)
         try:
             record = self._decode(row.key, row.value)
         except MessageError as error:
-            log.warning("unreadable_endpoint_row", key=row.key, error=error)
+            self._mark_unusable(row.key, error)
             return
         known = self._records.get(row.key)
-        if known is None or self._changed(known, record):
+        if known is None or row.key in self._unusable or self._changed(known, record):
             log.routine(
                 "endpoint_listed",
                 endpoint=row.key,
@@ -54,7 +60,18 @@
                 version=row.version,
             )
         self._records[row.key] = record
-        self._missing_since.pop(row.key, None)
+        self._unusable.discard(row.key)
+
+    def _mark_unusable(self, endpoint_id, error):
+        # Logged once, as endpoints write their rows anew all the time.
+        if endpoint_id not in self._unusable:
+            self._unusable.add(endpoint_id)
+            log.warning(
+                "unreadable_endpoint_row",
+                key=endpoint_id,
+                known=endpoint_id in self._records,
+                error=error,
+            )
 
     def _changed(self, known, record):
         """Return whether a record tells more than that its endpoint still runs."""
@@ -68,11 +85,11 @@
         return {
             endpoint_id: record
             for endpoint_id, record in self._records.items()
-            if record.service == service
+            if record.service == service and endpoint_id not in self._unusable
         }
 
     def record_or_placeholder(self, endpoint_id, service):
-        """Return the record of an endpoint, or a placeholder without an address."""
+        """Return an endpoint's last record, or a placeholder without an address."""
         known = self._records.get(endpoint_id)
         if known is not None:
             return known
@@ -83,5 +100,6 @@
         for endpoint_id, since in list(self._missing_since.items()):
             if now - since >= RETURN_GRACE_S:
                 del self._missing_since[endpoint_id]
+                self._unusable.discard(endpoint_id)
                 if self._records.pop(endpoint_id, None) is not None:
                     log.routine("endpoint_unlisted", endpoint=endpoint_id)
--- a/tests/service/test_odd_rows.py
+++ b/tests/service/test_odd_rows.py
@@ -4,7 +4,7 @@
 from yarl import URL
 
 from magnoliapier.platform.program import decode_endpoint
-from magnoliapier.service.directory import EndpointDirectory
+from magnoliapier.service.directory import RETURN_GRACE_S, EndpointDirectory
 from magnoliapier.state.rows import Row
 from magnoliapier.submissions.model import SubmissionState
 from tests.service.fakes import FakeEndpoints
@@ -83,3 +83,69 @@
             lambda: self.shard.tables.state_of("a" * 16) == SubmissionState.COMPLETED
         )
         self.assertEqual(endpoint.starts, [(task, 1)])
+
+    async def test_no_run_is_placed_under_an_odd_row(self):
+        """Guards against new runs on an endpoint whose row names none to use."""
+        endpoint, _ = await self.start_on_endpoint()
+        other = self.add_endpoint("i-2")
+        self.put_row("i-1", state="resting")
+        await self.submit(submission("b" * 16, short_step(8)))
+        await self.wait_until(lambda: len(other.running) == 8)
+        self.assertEqual(len(endpoint.starts), 1)
+
+    async def test_run_is_not_repeated_under_an_odd_row(self):
+        """Guards against a second start of what still runs (TWICE)."""
+        endpoint, task = await self.start_on_endpoint()
+        other = self.add_endpoint("i-2")
+        self.put_row("i-1", **ODD_FIELDS)
+        await asyncio.sleep(0.3)
+        self.clock.now += 2 * RETURN_GRACE_S
+        await asyncio.sleep(0.3)
+        self.assertEqual((endpoint.running, other.starts), ({task: 1}, []))
+        endpoint.end(task)
+        await self.wait_until(
+            lambda: self.shard.tables.state_of("a" * 16) == SubmissionState.COMPLETED
+        )
+
+    async def test_next_holder_keeps_a_run_under_an_odd_row(self):
+        """Guards against a run that a takeover repeats for its endpoint's odd row."""
+        endpoint, task = await self.start_on_endpoint()
+        other = self.add_endpoint("i-2")
+        self.put_row("i-1", **ODD_FIELDS)
+        await self.shard.close()
+        shard = await self.start_shard()
+        await self.wait_until(lambda: shard.loaded)
+        endpoint.end(task)
+        await self.wait_until(
+            lambda: shard.tables.state_of("a" * 16) == SubmissionState.COMPLETED
+        )
+        self.assertEqual((len(endpoint.starts), other.starts), (1, []))
+
+    async def test_endpoint_is_used_again_once_its_row_is_sound(self):
+        """Guards against an endpoint that one odd row takes out for good (LOST)."""
+        endpoint, task = await self.start_on_endpoint()
+        endpoint.end(task)
+        await self.wait_until(
+            lambda: self.shard.tables.state_of("a" * 16) == SubmissionState.COMPLETED
+        )
+        self.put_row("i-1", **ODD_FIELDS)
+        await self.submit(submission("b" * 16, short_step()))
+        await asyncio.sleep(0.4)
+        self.assertEqual(endpoint.running, {})
+        self.put_row("i-1")
+        await self.wait_until(lambda: endpoint.running)
+
+    async def test_endpoint_with_an_odd_row_is_forgotten_once_it_is_gone(self):
+        """Guards against a directory that grows with the rows of other writers."""
+        self.put_row("i-1")
+        self.put_row("i-1", **ODD_FIELDS)
+        self.directory.apply([Row("servers", "", "i-1", b"", 9, True)], False)
+        self.clock.now += RETURN_GRACE_S
+        self.assertEqual(self.directory.records_of(SERVICE), {})
+        record = self.directory.record_or_placeholder("i-1", SERVICE)
+        self.assertEqual(record.address, "")
+        self.directory.apply([Row("servers", "", "i-1", b"{", 10)], False)
+        self.directory.apply([], True)
+        self.clock.now += RETURN_GRACE_S
+        self.directory.records_of(SERVICE)
+        self.assertEqual(self.directory._unusable, set())
