Read configurations with advised queues

Seen: a configuration in which any queue has `advice` is refused as unreadable. A host that starts has no configuration and answers 503 to every caller; the others stay on the version before (CONFIG), and miss every later version while one queue is advised. Cause: the field was declared as a union of msgspec.Raw and None. A Raw field takes any JSON, but in a union msgspec ignores it, so that only null was accepted. Evidence: the new test of wire and the fuzz test's valid messages failed with "Expected `null`, got `object` - at `$.routes[0].advice`" and pass now. Why it works: the field is a plain Raw that is empty by default; an advised queue is one whose field is neither missing nor null. Nothing uses the mark yet: tickets are not asked for (docs/decisions/on-the-platform.md).

--- a/magnoliapier/platform/wire.py
+++ b/magnoliapier/platform/wire.py
@@ -38,6 +38,9 @@
 Whole = Annotated[int, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
 Measure = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
 
+# A field of type Raw takes any JSON; a union of Raw and None takes nothing but null.
+NO_VALUE = msgspec.Raw()
+
 MAX_SPEC_BYTES = 4000
 MAX_TASKS = 20_000  # of one submission, over all its steps and occurrences
 
@@ -156,7 +159,7 @@
     stretch: Measure = 1.0
     target_completion_ms: Whole = 0
     timeout_ms: Whole = 0
-    advice: msgspec.Raw | None = None  # only its presence is read
+    advice: msgspec.Raw = NO_VALUE  # only its presence is read
 
     def queue(self):
         """Return the product's queue."""
@@ -170,7 +173,7 @@
             stretch=self.stretch,
             target_ms=self.target_completion_ms,
             timeout_ms=self.timeout_ms,
-            advised=self.advice is not None,
+            advised=bytes(self.advice) not in (b"", b"null"),
         )
 
 
--- a/tests/platform/test_fuzz_wire.py
+++ b/tests/platform/test_fuzz_wire.py
@@ -64,7 +64,15 @@
     wire.SubmissionBody: {"spec": "x", "steps": [{"count": 1, "after": []}]},
     wire.ConfigBody: {
         "version": 1,
-        "routes": [{"name": "q", "host": "h", "path_prefix": "/", "service": "s"}],
+        "routes": [
+            {
+                "name": "q",
+                "host": "h",
+                "path_prefix": "/",
+                "service": "s",
+                "advice": {"decide_ms": 5},
+            }
+        ],
         "services": [{"name": "s"}],
     },
     wire.WaveBody: {"wave": 1, "machines": ["m"], "duration_s": 1.5, "maximum": 1},
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -39,6 +39,21 @@
                 body = wire.decode(wire.SubmissionBody, data)
                 body.submission("a" * 16, "q", 5)
 
+    def test_advised_queues_do_not_make_a_configuration_unreadable(self):
+        """Guards against a host that stays on an older configuration, or on none."""
+        for advice, advised in (
+            (b"", False),
+            (b',"advice":null', False),
+            (b',"advice":{"decide_ms":5,"period_ms":2,"valid_ms":900}', True),
+        ):
+            data = (
+                b'{"version":1,"routes":[{"name":"q","host":"h","path_prefix":"/",'
+                b'"service":"s"%s}]}' % advice
+            )
+            with self.subTest(advice):
+                body = wire.decode(wire.ConfigBody, data)
+                self.assertEqual(body.configuration().queues[0].advised, advised)
+
     def test_endpoint_row(self):
         """Guards against a draining endpoint that is treated as ready."""
         record = wire.decode(wire.ServerBody, ENDPOINT_ROW % b"draining").record("i-1")
