Refuse stored rows that are nested too deeply to decode

Seen: a row in one of our own tables with a field that this version doesn't know, and that is nested 100,000 deep, raises a RecursionError in every process that reads it. On a lease row it ends the watcher of the leases on all hosts, again and again, so that no shard is taken over any more; on a submission it keeps its shard from being loaded. Cause: the same as for messages (wire.decode), in three copies of the decoding. Why it works: one function decodes the rows of all our tables, and raises MessageError, which all of its callers handle.

--- a/magnoliapier/pools/report.py
+++ b/magnoliapier/pools/report.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from magnoliapier.exceptions import MessageError
+from magnoliapier.state.decoding import decode_stored
 
 REPORT_KEY = "pool"
 PLAN_KEY = "plan"
@@ -51,18 +51,9 @@
 
 def decode_report(data):
     """Return the PoolReport in ``data``; raise MessageError if it is not one."""
-    return _decode(_REPORT, data)
+    return decode_stored(_REPORT, data)
 
 
 def decode_plan(data):
     """Return the FleetPlan in ``data``; raise MessageError if it is not one."""
-    return _decode(_PLAN, data)
-
-
-def _decode(decoder, data):
-    try:
-        return decoder.decode(data)
-    except msgspec.MsgspecError as error:
-        raise MessageError(
-            f"Cannot decode the stored row; remove or rewrite it: {error}"
-        ) from error
+    return decode_stored(_PLAN, data)
--- a/magnoliapier/state/lease.py
+++ b/magnoliapier/state/lease.py
@@ -11,6 +11,7 @@
 
 from magnoliapier.exceptions import MessageError
 from magnoliapier.logs import get_logger
+from magnoliapier.state.decoding import decode_stored
 
 CONTROL_TABLE = "control"
 LEASE_KEY = "lease"
@@ -50,12 +51,7 @@
 
 def decode_lease(data):
     """Return the LeaseRecord in ``data``; raise MessageError if it is not one."""
-    try:
-        return _DECODER.decode(data)
-    except msgspec.MsgspecError as error:
-        raise MessageError(
-            f"The lease row is unreadable; remove it: {error}"
-        ) from error
+    return decode_stored(_DECODER, data)
 
 
 def read_lease(row):
--- a/magnoliapier/submissions/codec.py
+++ b/magnoliapier/submissions/codec.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from magnoliapier.exceptions import MessageError
+from magnoliapier.state.decoding import decode_stored
 from magnoliapier.submissions.model import Submission
 from magnoliapier.submissions.progress import StoredProgress
 
@@ -18,18 +18,9 @@
 
 def decode_submission(data):
     """Return the Submission in ``data``; raise MessageError if it is not one."""
-    return _decode(_SUBMISSION, data)
+    return decode_stored(_SUBMISSION, data)
 
 
 def decode_progress(data):
     """Return the StoredProgress in ``data``; raise MessageError if it is not one."""
-    return _decode(_PROGRESS, data)
-
-
-def _decode(decoder, data):
-    try:
-        return decoder.decode(data)
-    except msgspec.MsgspecError as error:
-        raise MessageError(
-            f"Cannot decode the stored row; remove or rewrite it: {error}"
-        ) from error
+    return decode_stored(_PROGRESS, data)
