Withhold a submission whose stored progress cannot be used

Seen: when a shard is taken over, a submission whose progress row can't be read is started from the beginning, although its tasks may run or be done (TWICE). If the row can be read but names a task that the submission doesn't have, an IndexError ends the load of the shard, again and again: nothing of its service runs any more (LOST). With a huge occurrence number, tasks are created until the memory is used up. Cause: an unreadable row was treated as a missing one, and restore() took the numbers in a row for granted. Why it works: progress that can't be used is refused before anything is restored. The submission isn't added, and an error names it until its row is removed or rewritten; runs of it that endpoints still list are stopped as unknown ones; all others go on.

--- a/magnoliapier/service/intake.py
+++ b/magnoliapier/service/intake.py
@@ -27,6 +27,8 @@
     Follows the rows that entries write and combines them with the stored progress.
 
     ``on_arrival(progress)`` is called with each submission that is added to the tables.
+    A submission whose stored progress cannot be used is not added: its tasks may run or
+    be done, and would be started a second time.
     """
 
     def __init__(self, service, tables, deps, on_arrival):
@@ -35,6 +37,7 @@
         self._deps = deps
         self._on_arrival = on_arrival
         self._stored_progress = {}
+        self._withheld = set()
         self._watcher = None
 
     @property
@@ -49,6 +52,7 @@
         May be called again after it has failed.
         """
         await self.close()
+        self._withheld.clear()
         self._stored_progress = await self._read_progress()
         for key, progress in self._stored_progress.items():
             if not progress.tasks and progress.state in FINAL_STATES:
@@ -79,9 +83,13 @@
             try:
                 progress_of[row.key] = decode_progress(row.value)
             except MessageError as error:
-                log.warning("unreadable_progress", id=row.key, error=error)
+                self._withhold(row.key, error)
         return progress_of
 
+    def _withhold(self, submission_id, error):
+        self._withheld.add(submission_id)
+        log.error("unusable_progress", id=submission_id, error=error)
+
     def _apply_rows(self, rows, complete):
         cancelled_ids = []
         tables = self._tables
@@ -92,7 +100,9 @@
             if row.key.endswith(CANCEL_SUFFIX):
                 cancelled_ids.append(row.key.removesuffix(CANCEL_SUFFIX))
             elif (
-                row.key not in tables.progresses and row.key not in tables.final_states
+                row.key not in tables.progresses
+                and row.key not in tables.final_states
+                and row.key not in self._withheld
             ):
                 self._take_in_submission(row)
         for submission_id in cancelled_ids:
@@ -111,7 +121,11 @@
         progress = Progress(submission, queue)
         stored = self._stored_progress.get(row.key)
         if stored is not None:
-            progress.restore(stored, unix_ms(), self._deps.boottime())
+            try:
+                progress.restore(stored, unix_ms(), self._deps.boottime())
+            except MessageError as error:
+                self._withhold(row.key, error)
+                return
         progress.open_occurrences(unix_ms())
         self._tables.progresses[row.key] = progress
         self._on_arrival(progress)
--- a/magnoliapier/submissions/progress.py
+++ b/magnoliapier/submissions/progress.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from magnoliapier.exceptions import MessageError
 from magnoliapier.submissions.model import (
     EndReason,
     Submission,
@@ -355,7 +356,13 @@
         return StoredProgress(state, self.finished_ms, tuple(tasks))
 
     def restore(self, stored, now_ms, now):
-        """Apply a stored form to a new progress; ``now`` is a monotonic time."""
+        """
+        Apply a stored form to a new progress; ``now`` is a monotonic time.
+
+        Raises MessageError if the stored form does not belong to the submission.
+        """
+        for item in stored.tasks:
+            self._check_stored(item)
         self.finished_ms = stored.finished_ms
         self.started = stored.state != SubmissionState.QUEUED
         self.failed = stored.state == SubmissionState.FAILED
@@ -370,3 +377,15 @@
             task.done = item.done
             task.checkpoint = item.checkpoint
             task.runs = [Run(number, endpoint, now) for number, endpoint in item.runs]
+
+    def _check_stored(self, item):
+        steps = self.submission.steps
+        if not (
+            0 <= item.occurrence < self.submission.occurrence_count
+            and 0 <= item.step < len(steps)
+            and 0 <= item.index < steps[item.step].task_count
+        ):
+            raise MessageError(
+                "Remove or rewrite the stored progress; the submission has no task "
+                f"{item.occurrence}.{item.step}.{item.index}."
+            )
