Read the host list entry by entry, and keep hosts with odd entries

Seen: one entry of the host list with a missing field, a field of another type or a number out of range makes the whole list unreadable, so the fleet controller neither moves nor maintains any host. Cause: the list was decoded as one message, and an entry that couldn't be converted was skipped. Evidence: the two new tests of the host client failed in 5 cases (MessageError; the host missing) and pass now, as does the new one of the planner. Why it works: entries are decoded one by one. A host whose entry can't be read is in the new state UNKNOWN: nothing is ordered for it, it counts as down within the limit of its wave, and the wave isn't completed before its maintenance has started.

--- a/magnoliapier/platform/machines.py
+++ b/magnoliapier/platform/machines.py
@@ -12,11 +12,13 @@
 from magnoliapier.logs import get_logger
 from magnoliapier.platform import wire
 from magnoliapier.platform.http import call_timeout
+from magnoliapier.pools.hosts import Host, HostState
 
 CALL_TIMEOUT_S = 1.0  # within state.lease.ORDER_TIME_LIMIT_S
 CALL_TIMEOUT_MS = round(CALL_TIMEOUT_S * 1000)
 NO_EFFECT_STATUSES = (429, 503)
 REFUSED_STATUSES = (400, 409)
+MAX_LOGGED = 80  # bytes of an odd entry
 
 log = get_logger(__name__)
 
@@ -149,9 +151,25 @@
 
 
 def decode_hosts(page):
-    """Yield the hosts of a page; log and skip those in an unknown state."""
-    for machine in page.machines:
+    """
+    Yield the hosts of a page.
+
+    A host with an odd entry is in state UNKNOWN, so that its wave does not count as
+    completed without it. An entry without a name is logged and skipped.
+    """
+    for entry in page.machines:
         try:
-            yield machine.host()
-        except (ValueError, MessageError) as error:
-            log.warning("unreadable_host", host=machine.machine, error=error)
+            yield wire.decode(wire.MachineBody, entry).host()
+        except MessageError as error:
+            log.warning("unreadable_host", entry=bytes(entry)[:MAX_LOGGED], error=error)
+            host = _decode_name(entry)
+            if host is not None:
+                yield host
+
+
+def _decode_name(entry):
+    try:
+        name = wire.decode(wire.MachineName, entry).machine
+    except MessageError:
+        return None
+    return Host(name, service="", state=HostState.UNKNOWN)
--- a/magnoliapier/platform/wire.py
+++ b/magnoliapier/platform/wire.py
@@ -267,7 +267,9 @@
     id: str | None = None  # id of the endpoint that runs on the host now
 
     def host(self):
-        """Return the product's host."""
+        """Return the product's host; raise MessageError for an unknown state."""
+        if self.state not in set(HostState):
+            raise MessageError(f"Unknown state {shorten(self.state)} of a host.")
         return Host(
             name=self.machine,
             service=self.pool,
@@ -278,10 +280,21 @@
         )
 
 
+class MachineName(msgspec.Struct):
+    """What remains to be read of an odd entry of the machine list."""
+
+    machine: str  # name of the host
+
+
 class MachinePage(msgspec.Struct):
-    """A page of the machine list. The last page has no ``next_page_token``."""
+    """
+    A page of the machine list. The last page has no ``next_page_token``.
+
+    Each entry is decoded as a ``MachineBody`` on its own, so that an odd one does not
+    make the whole list unreadable.
+    """
 
-    machines: tuple[MachineBody, ...]
+    machines: tuple[msgspec.Raw, ...]
     next_page_token: str | None = None
 
 
--- a/magnoliapier/pools/hosts.py
+++ b/magnoliapier/pools/hosts.py
@@ -12,6 +12,7 @@
     MOVING = "moving"
     UPKEEP = "upkeep"
     DOWN = "down"
+    UNKNOWN = "unknown"  # its entry in the list cannot be read
 
 
 class Host(msgspec.Struct):
--- a/magnoliapier/pools/planner.py
+++ b/magnoliapier/pools/planner.py
@@ -13,6 +13,7 @@
 
 ORDER_TIMEOUT_S = 6.0  # after this an order is assumed to have had no effect
 MAX_EMPTYING_PER_POOL = 2  # hosts of one pool that are emptied at once
+MAYBE_MAINTAINED = (HostState.UPKEEP, HostState.UNKNOWN)
 
 
 class Move(msgspec.Struct, frozen=True):
@@ -171,7 +172,7 @@
             for name in wave.hosts
             if name in self._hosts
             and name not in self._pending
-            and (self._hosts[name].state == HostState.UPKEEP or name in barred)
+            and (self._hosts[name].state in MAYBE_MAINTAINED or name in barred)
         )
         return ordered + listed
 
--- a/tests/platform/test_machines.py
+++ b/tests/platform/test_machines.py
@@ -13,6 +13,7 @@
 from magnoliapier.metrics import Metrics
 from magnoliapier.platform.http import open_session
 from magnoliapier.platform.machines import MachineClient
+from magnoliapier.pools.hosts import HostState
 from tests.soak.serving import HttpServer, json_answer
 
 HOLDER = "X-Magnoliapier-Lease-Holder"
@@ -97,6 +98,38 @@
             with self.assertRaises(StoreOutcomeUnknownError):
                 await self.client.move("h1", "desk", 7, Guard([]))
 
+    async def test_an_odd_entry_does_not_hide_the_others(self):
+        """Guards against a fleet that stands still because of one host's entry."""
+        sound = {"machine": "h1", "pool": "desk", "state": "up", "id": "i-1"}
+        for odd in (
+            '{"machine":"h2"}',
+            '{"machine":"h2","pool":5,"state":"up"}',
+            '{"machine":"h2","pool":"desk","state":"resting"}',
+            '{"machine":"h2","pool":"desk","state":"up","capacity":{"cpu":1e999}}',
+        ):
+            text = f'{{"machines":[{odd},{msgspec.json.encode(sound).decode()}]}}'
+            self.answer = web.Response(text=text)
+            with self.subTest(odd[:60]):
+                hosts = {host.name: host for host in await self.list_hosts()}
+                self.assertEqual(hosts["h1"].state, HostState.UP)
+                self.assertEqual(hosts["h2"].state, HostState.UNKNOWN)
+
+    async def test_an_entry_without_a_name_is_passed_over(self):
+        """Guards against the same for an entry that no wave or order can name."""
+        text = (
+            '{"machines":[5,{"state":"up"},{"machine":"h1","pool":"a","state":"up"}]}'
+        )
+        self.answer = web.Response(text=text)
+        self.assertEqual([host.name for host in await self.list_hosts()], ["h1"])
+
+    async def list_hosts(self):
+        """List the hosts; the listing carries no headers of an order."""
+        self.server._handler = self.serve_list
+        return await self.client.hosts()
+
+    async def serve_list(self, request):
+        return self.answer
+
 
 class UnansweredOrderTests(unittest.IsolatedAsyncioTestCase):
     """Tests the client against a server that reads an order and never answers it."""
--- a/tests/pools/test_planner.py
+++ b/tests/pools/test_planner.py
@@ -102,6 +102,17 @@
         self.planner.record_maintenance_start(Maintain("h1", 1))
         self.assertTrue(self.planner.wave_completed(wave))
 
+    def test_host_with_an_unreadable_entry_is_not_forgotten(self):
+        """Guards against a wave that counts as complete without one of its hosts."""
+        wave = Wave(1, ("h1", "h2"), 60.0, max_down=1)
+        unreadable = Host("h1", "", HostState.UNKNOWN)
+        released = {STANDBY: PoolReport({"e2": "h2"})}
+        self.update([unreadable, host(2, STANDBY)], released, [wave])
+        # It may be down for its maintenance, which a former holder may have ordered.
+        self.assertEqual(self.planner.orders(), [])
+        self.planner.record_maintenance_start(Maintain("h2", 1))
+        self.assertFalse(self.planner.wave_completed(wave))
+
     def test_successor_continues_a_wave(self):
         """Guards against maintaining hosts twice after a change of the holder."""
         wave = Wave(1, ("h1",), 20, max_down=1)
