Refuse task names with negative or oddly written numbers

Seen: an endpoint that lists the end of task ID.0.-1.-1 as done marks the last task of the last step done, which then never runs; " 1", "+1" and "1_0" name tasks as well. Cause: TaskName.parse took whatever int() takes, and a negative number counts from the end of a list. Evidence: 7 of the 13 texts in tests.submissions.test_model were accepted; none is now. Why it works: a name is accepted only if it is written as str() writes it. Its caller logs and passes over the end of any other (unreadable_end).

--- a/magnoliapier/submissions/model.py
+++ b/magnoliapier/submissions/model.py
@@ -135,5 +135,14 @@
     @classmethod
     def parse(cls, text):
         """Parse ``ID.OCCURRENCE.STEP.INDEX``; raise ValueError if it is malformed."""
-        submission_id, occurrence, step, index = text.split(".")
-        return cls(submission_id, int(occurrence), int(step), int(index))
+        submission_id, *numbers = text.split(".")
+        occurrence, step, index = map(_parse_number, numbers)
+        return cls(submission_id, occurrence, step, index)
+
+
+def _parse_number(text):
+    """Return the number in ``text``; a negative index would name another task."""
+    number = int(text)
+    if number < 0 or str(number) != text:
+        raise ValueError(f"Write {text!r} as a whole number without leading zeros.")
+    return number
