Refuse endpoint rows without a usable capacity

Seen: when the row of a listed endpoint gives no capacity, or one that is 0 or negative, its pool wants 2309 hosts for 60 small tasks that fit on 8 hosts at most, and every free host is moved to it. Cause: the pool takes the capacity of a host from any listed endpoint, and missing fields were read as 0. Evidence: test_odd_capacity_does_not_make_the_pool_want_more_hosts failed (2309 wanted, none before the odd row) and so did the new test of wire; both pass now. Why it works: such a row names no endpoint that could run anything, so it is refused when it is decoded, like any other odd row.

--- a/magnoliapier/platform/wire.py
+++ b/magnoliapier/platform/wire.py
@@ -242,13 +242,16 @@
             raise MessageError(f"Unknown state {shorten(self.state)}; ignore the row.")
         check_endpoint_id(endpoint_id)
         check_address(self.address)
+        capacity = self.capacity
+        if capacity.cpu < 1 or capacity.mem_mb < 1 or capacity.gpu < 0:
+            raise MessageError("Give a capacity of at least 1 for cpu and mem_mb.")
         return EndpointRecord(
             endpoint_id=endpoint_id,
             service=self.service,
             address=self.address,
             data_centre=self.zone,
             draining=self.state == "draining",
-            capacity=self.capacity.resources(),
+            capacity=capacity.resources(),
             labels=self.labels,
             host=self.machine,
             started_ms=self.born,
--- a/tests/platform/test_fuzz_wire.py
+++ b/tests/platform/test_fuzz_wire.py
@@ -81,7 +81,7 @@
         "address": "10.0.0.1:1",
         "zone": "z",
         "state": "ready",
-        "capacity": {"cpu": 1},
+        "capacity": {"cpu": 1, "mem_mb": 1},
         "born": 1,
     },
     wire.MachinePage: {"machines": [{"machine": "m", "pool": "s", "state": "up"}]},
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -68,6 +68,22 @@
             with self.subTest(data), self.assertRaises(MessageError):
                 wire.decode(wire.ServerBody, data).record("i-1")
 
+    def test_endpoint_rows_without_capacity_are_refused(self):
+        """Guards against a pool that is planned for hosts with no resources."""
+        sound = b'{"cpu":16000,"mem_mb":5,"gpu":0}'
+        for capacity in (
+            b"{}",
+            b'{"cpu":16000}',
+            b'{"mem_mb":5}',
+            b'{"cpu":0,"mem_mb":5}',
+            b'{"cpu":-1,"mem_mb":5}',
+            b'{"cpu":16000,"mem_mb":-5}',
+            b'{"cpu":16000,"mem_mb":5,"gpu":-1}',
+        ):
+            data = (ENDPOINT_ROW % b"ready").replace(sound, capacity)
+            with self.subTest(capacity), self.assertRaises(MessageError):
+                wire.decode(wire.ServerBody, data).record("i-1")
+
     def test_run_list_with_and_without_reading(self):
         """Guards against a run list that is refused because a row has no reading."""
         data = b'{"clock_ms":1,"running":[["t",2,"c",41],["u",1,"",100,35]],"ended":[]}'
--- a/tests/service/test_odd_rows.py
+++ b/tests/service/test_odd_rows.py
@@ -149,3 +149,17 @@
         self.clock.now += RETURN_GRACE_S
         self.directory.records_of(SERVICE)
         self.assertEqual(self.directory._unusable, set())
+
+    async def test_odd_capacity_does_not_make_the_pool_want_more_hosts(self):
+        """Guards against hosts that are moved for work that would fit on one."""
+        await self.start_on_endpoint()
+        await self.submit(submission("b" * 16, short_step(60)))
+        await self.wait_until(lambda: "b" * 16 in self.shard.tables.progresses)
+        await asyncio.sleep(0.4)
+        wanted = self.shard._pool.report().wanted
+        for capacity in ({}, {"cpu": 0, "mem_mb": 1}, {"cpu": -5, "mem_mb": 1}):
+            with self.subTest(capacity):
+                self.put_row("i-1", capacity=capacity)
+                await asyncio.sleep(0.4)
+                # The endpoint itself does not count as part of the pool any more.
+                self.assertLessEqual(self.shard._pool.report().wanted, wanted + 1)
