Refuse settings with an address that cannot be used

Seen: a settings file with an address without a port, or with a port out of range, ends the program with a traceback, or starts one whose every call to the store fails. Cause: addresses were only put to use, one by one, after the settings had been read.

--- a/magnoliapier/platform/boot.py
+++ b/magnoliapier/platform/boot.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from magnoliapier.exceptions import MessageError, SettingsError
+from magnoliapier.platform.addresses import check_address
 from magnoliapier.platform.wire import decode
 
 SETTINGS_VARIABLE = "MAGNOLIAPIER_BOOT"
@@ -70,6 +71,22 @@
     bounds: Bounds = Bounds()
     limits: Limits = Limits()
 
+    @property
+    def peer_address(self):
+        """Return the address where the process answers other hosts."""
+        return f"{self.ip}:{self.internal_ports[0]}"
+
+    def check(self):
+        """Raise MessageError if an address cannot be used."""
+        for address in (
+            self.listen.front,
+            self.listen.ready_address,
+            self.platform.address,
+            self.cloud_api.address,
+            self.peer_address,
+        ):
+            check_address(address)
+
 
 def changed_settings(before, after):
     """Return the names of the settings that differ, in the order of their fields."""
@@ -92,7 +109,9 @@
             f"Set {SETTINGS_VARIABLE} to the path of the settings file."
         )
     try:
-        return decode(BootSettings, Path(path).read_bytes())
+        settings = decode(BootSettings, Path(path).read_bytes())
+        settings.check()
+        return settings
     except OSError as error:
         raise SettingsError(f"Make {path} readable: {error}") from error
     except MessageError as error:
--- a/magnoliapier/platform/program.py
+++ b/magnoliapier/platform/program.py
@@ -108,7 +108,7 @@
         )
         settings = NodeSettings(
             name=boot.node_name,
-            peer_address=f"{boot.ip}:{boot.internal_ports[0]}",
+            peer_address=boot.peer_address,
             endpoint_lease_ms=min(boot.bounds.hold_max_ms, ENDPOINT_LEASE_MS),
             final_retention_s=boot.bounds.status_s * FINAL_RETENTION_FACTOR,
             low_capacity=boot.limits.low_capacity,
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -35,6 +35,24 @@
         with self.assertRaisesRegex(SettingsError, "platform"):
             self.load(json.dumps(settings))
 
+    def test_odd_settings_are_refused(self):
+        """Guards against a program that ends with a traceback instead of a remedy."""
+        nested = "[" * 100_000 + "]" * 100_000
+        texts = [json.dumps(SETTINGS).replace('"a_new_field": 1', f'"x": {nested}')]
+        for field, value in (
+            ("listen", {"front": "127.0.0.1", "ready_address": "127.0.0.1:2"}),
+            ("listen", {"front": "127.0.0.1:1", "ready_address": "127.0.0.1:x"}),
+            ("platform", {"address": "127.0.0.1:65536"}),
+            ("cloud_api", {"address": "127.0.0.1:4/machines"}),
+            ("internal_ports", [99999999999, 7075]),
+            ("internal_ports", [-1, 7075]),
+            ("ip", "127.0.0.1 "),
+        ):
+            texts.append(json.dumps({**SETTINGS, field: value}))
+        for text in texts:
+            with self.subTest(text[-150:]), self.assertRaises(SettingsError):
+                self.load(text)
+
     def test_changed_settings_are_named(self):
         """Guards against a reload that seems to apply a setting and doesn't."""
         before = self.load(json.dumps(SETTINGS))
