Pass on rows whose value is not base64 as unreadable ones

Seen: a row whose value isn't base64 was left out of what the store's client returns. In the feed, an endpoint with such a row went on being used as before; a submission whose progress has such a row was started from the beginning at the next takeover (TWICE); a lease with such a row kept its old version, so that no host could take it. Cause: leaving a row out says that it has not changed, or that it is missing. Evidence: the test of the store's client, which asked for the row to be left out, asks for it to be passed on with a value that all eight decoders of rows refuse. It still checks that the feed goes on. Why it works: the readers of every table handle unreadable values already, each as is safe there: endpoints aren't used, progress is withheld, a lease's token is taken from its row's version.

--- a/magnoliapier/platform/store.py
+++ b/magnoliapier/platform/store.py
@@ -28,6 +28,8 @@
 HISTORY_LOST_STATUS = 410
 CONFLICT_STATUS = 412
 FIRST_SERVER_ERROR_STATUS = 500
+# Neither JSON nor MessagePack begins with this byte, so every decoder refuses the row.
+UNREADABLE_VALUE = b"\xc1"
 
 log = get_logger(__name__)
 
@@ -73,8 +75,8 @@
             self.table_clock.observe(answer.now_ms, sent_at, self._clock())
             return answer.ver
         if status == CONFLICT_STATUS:
-            rows = [decode_row(row) for row in answer.rows]
-            raise ConflictError({row.key: row for row in rows if row and row.version})
+            rows = map(decode_row, answer.rows)
+            raise ConflictError({row.key: row for row in rows if row.version})
         raise self._write_error(status, data)
 
     def _decode_transaction_answer(self, status, data):
@@ -100,7 +102,7 @@
         start = first_key
         while True:
             answer = await self._read_page(table, part, start, end_key)
-            rows.extend(row for row in map(decode_row, answer.rows) if row)
+            rows.extend(map(decode_row, answer.rows))
             if not answer.more_pages or not answer.rows:
                 return Changes(rows, answer.ver)
             start = answer.rows[-1].key + "\x00"
@@ -161,8 +163,7 @@
         if status != 200:
             raise self._status_error(status, data)
         answer = wire.decode(wire.RowsAnswer, data)
-        rows = [row for row in map(decode_row, answer.rows) if row]
-        return Changes(rows, answer.ver)
+        return Changes(list(map(decode_row, answer.rows)), answer.ver)
 
     async def _call(self, method, url, data=None, read_timeout_s=None):
         """
@@ -218,10 +219,10 @@
 
 
 def decode_row(body):
-    """Return the Row in a RowBody; log and return None if its value is not base64."""
+    """Return the Row in a RowBody; log a value that is not base64."""
     try:
         value = base64.b64decode(body.value, validate=True)
     except (binascii.Error, ValueError) as error:
         log.warning("unreadable_row", table=body.table, key=body.key, error=error)
-        return None
+        value = UNREADABLE_VALUE
     return Row(body.table, body.part, body.key, value, body.ver, body.removed)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,19 +1,25 @@
 import asyncio
 import unittest
+from functools import partial
 
 from aiohttp import web
 
 from magnoliapier.exceptions import (
     ConflictError,
     HistoryLostError,
+    MessageError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
 from magnoliapier.metrics import Metrics
+from magnoliapier.platform import wire
 from magnoliapier.platform.http import RenewableSession, open_session
 from magnoliapier.platform.store import TableStore
+from magnoliapier.pools.report import decode_plan, decode_report
 from magnoliapier.service.clock import boottime
+from magnoliapier.state.lease import decode_lease
 from magnoliapier.state.rows import Expect, Put
+from magnoliapier.submissions.codec import decode_progress, decode_submission
 
 PUT = Put("t", "p", "k", b"value")
 
@@ -94,7 +100,12 @@
         self.assertEqual(caught.exception.rows["k"].version, 3)
 
     async def test_lost_history_and_foreign_values(self):
-        """Guards against a feed that stops at lost history or at an unreadable row."""
+        """
+        Guards against a feed that stops at lost history or at an unreadable row.
+
+        Such a row is not left out: to its readers it would be as it was before, or
+        missing, and a submission whose progress is missing is started again (TWICE).
+        """
         rows = (
             '{"rows":[{"table":"t","key":"a","value":"***","ver":1},'
             '{"table":"t","key":"b","value":"eA==","ver":2}],"ver":2}'
@@ -103,7 +114,20 @@
         with self.assertRaises(HistoryLostError):
             await self.store.changes("t", 0, 0.1)
         changes = await self.store.changes("t", 0, 0.1)
-        self.assertEqual([row.key for row in changes.rows], ["b"])
+        self.assertEqual([row.key for row in changes.rows], ["a", "b"])
+        self.assertEqual(changes.rows[1].value, b"x")
+        for decode in (
+            decode_lease,
+            decode_plan,
+            decode_progress,
+            decode_report,
+            decode_submission,
+            partial(wire.decode, wire.ConfigBody),
+            partial(wire.decode, wire.ServerBody),
+            partial(wire.decode, wire.WaveBody),
+        ):
+            with self.subTest(decode), self.assertRaises(MessageError):
+                decode(changes.rows[0].value)
 
 
 class SilentConnectionTests(StoreTestCase):
