Read a state from the store if its holder's answer or address is odd

Seen: a caller who asks for a state is answered 503 with an internal error as long as the holder's lease names an address that no URL can hold, or as the holder's answer is nested too deeply, although the state is stored. Cause: the URL was built outside the `try` of the call, and neither ValueError nor RecursionError was expected from it. Evidence: tests.service.test_peers failed in 5 cases (ValueError, UnicodeError and RecursionError) and passes now. Why it works: both count as no answer of the holder, after which the entry reads the state from the store. The lease itself holds: its address says nothing about whether its holder is acting.

--- a/magnoliapier/service/peers.py
+++ b/magnoliapier/service/peers.py
@@ -102,19 +102,20 @@
         holder = self._leases.holder(service)
         if holder is None:
             return None
-        url = URL(f"http://{holder.address}/{service}/{kind}/{name}")
         timeout = aiohttp.ClientTimeout(total=ASK_TIMEOUT_S)
         try:
+            url = URL(f"http://{holder.address}/{service}/{kind}/{name}")
             async with self._session.get(url, timeout=timeout) as response:
                 data = await response.read()
                 if response.status != 200:
                     return None
                 return msgspec.json.decode(data, type=answer_type)
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
+            log.warning("peer_unreadable", shard=service, error=error)
+            return None
+        # No URL can hold some addresses; they raise a ValueError.
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             log.info(
                 "peer_unanswered", shard=service, holder=holder.holder, error=error
             )
             return None
-        except msgspec.MsgspecError as error:
-            log.warning("peer_unreadable", shard=service, error=error)
-            return None
