Refuse bodies that are too long or in a wrong encoding for good

Seen: a submission that is sent in chunks and is longer than 1 MiB, or one that says it is compressed and isn't, is answered 504: the caller can't know whether it was stored, and sends it again. Bodies in chunks up to 1 MiB are read whatever max_body_bytes says, and a longer limit than 1 MiB isn't kept to. Cause: the limit was compared with Content-Length only, and request.read() raises errors of its own, which counted as internal ones. Why it works: the body is read up to the configured limit, however it is sent; a longer one is answered 413, and one that can't be decoded 400. Neither has been stored.

--- a/magnoliapier/platform/ingress.py
+++ b/magnoliapier/platform/ingress.py
@@ -42,6 +42,24 @@
     return web.Response(body=wire.encode(body), content_type="application/json")
 
 
+async def read_body(request, limit):
+    """
+    Return the body of a request, or None if it is longer than ``limit`` bytes.
+
+    ``request.read()`` has a limit of its own. Raises MessageError for a body in a wrong
+    encoding.
+    """
+    body = bytearray()
+    try:
+        async for chunk in request.content.iter_any():
+            body += chunk
+            if len(body) > limit:
+                return None
+    except web.RequestPayloadError as error:
+        raise MessageError(f"Send the body as it is, in full: {error}") from error
+    return bytes(body)
+
+
 class Ingress:
     """
     Translates callers' requests into calls of the node's entry, and its answers back.
@@ -140,7 +158,10 @@
         if (request.content_length or 0) > limit:
             return error_response(413, f"Send at most {limit} bytes.")
         try:
-            body = wire.decode(wire.SubmissionBody, await request.read())
+            data = await read_body(request, limit)
+            if data is None:
+                return error_response(413, f"Send at most {limit} bytes.")
+            body = wire.decode(wire.SubmissionBody, data)
             submission = body.submission(submission_id, queue.name, unix_ms())
         except MessageError as error:
             log.info("malformed_submission", id=submission_id, error=error)
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -1,3 +1,4 @@
+import asyncio
 import unittest
 from types import SimpleNamespace
 
@@ -5,6 +6,10 @@
 
 from magnoliapier.metrics import Metrics
 from magnoliapier.platform.ingress import Ingress
+from magnoliapier.service.entry import Answer, AnswerKind
+from magnoliapier.submissions.configuration import Configuration, Queue
+
+MAX_BODY_BYTES = 1_200_000
 
 
 class FailingNode:
@@ -32,3 +37,68 @@
     async def test_question_may_be_repeated(self):
         """Guards against an internal error that a caller takes as final."""
         self.assertEqual(await self.answer("GET"), 503)
+
+
+class FakeEntry:
+    """Accepts every submission."""
+
+    async def submit(self, queue, submission):
+        return Answer(AnswerKind.OK)
+
+
+class SubmissionBodyTests(unittest.IsolatedAsyncioTestCase):
+    """Sends bodies that are no submission to an ingress that would accept one."""
+
+    async def asyncSetUp(self):
+        self.metrics = Metrics()
+        queue = Queue("q", "h", "/q/", "s")
+        node = SimpleNamespace(
+            stopping=False,
+            configuration=Configuration(1, (queue,), (), MAX_BODY_BYTES),
+            entry=FakeEntry(),
+        )
+        self.ingress = Ingress(node, None, self.metrics)
+        await self.ingress._serve("127.0.0.1:0", self.ingress._answer)
+        self.addAsyncCleanup(self.ingress.close)
+        _, self.port = self.ingress._runners[0].addresses[0]
+
+    async def post(self, body, *headers):
+        """Return the status of the response to a body that is sent as it is."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        lines = [f"POST /q/{'0' * 16} HTTP/1.1", "Host: h", *headers, "", ""]
+        writer.write("\r\n".join(lines).encode() + body)
+        status_line = await asyncio.wait_for(reader.readline(), 5.0)
+        writer.close()
+        return int(status_line.split()[1])
+
+    async def post_chunked(self, body):
+        chunk = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+        return await self.post(chunk, "Transfer-Encoding: chunked")
+
+    async def test_submission_is_accepted_with_and_without_a_length(self):
+        """Guards against a limit that refuses what callers may send."""
+        body = b'{"spec":"x","steps":[{"count":1}]}'
+        self.assertEqual(await self.post(body, f"Content-Length: {len(body)}"), 200)
+        self.assertEqual(await self.post_chunked(body), 200)
+        padded = body.ljust(MAX_BODY_BYTES)
+        self.assertEqual(await self.post_chunked(padded), 200)
+
+    async def test_long_body_without_a_length_is_refused(self):
+        """Guards against a 504, after which a caller sends the same again."""
+        for size in (MAX_BODY_BYTES + 1, 2 * MAX_BODY_BYTES):
+            with self.subTest(size):
+                self.assertEqual(await self.post_chunked(b" " * size), 413)
+
+    async def test_unreadable_bodies_are_refused(self):
+        """Guards against an internal error, and the same again, for a bad body."""
+        deep = b'{"x":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+        for body, *headers in (
+            (deep,),
+            (b"\xff\xfe",),
+            (b'{"spec":"x","steps":[{"count":1e999}]}',),
+            (b"no gzip", "Content-Encoding: gzip"),
+        ):
+            with self.subTest(body[:20]):
+                length = f"Content-Length: {len(body)}"
+                self.assertEqual(await self.post(body, length, *headers), 400)
+        self.assertEqual(self.metrics.value("task_failures_total", task="answer"), 0)
