Write the log messages of libraries without waiting for a reader

Seen: malformed requests stop a process whose standard error is a pipe that nobody reads. In a trial, one that sent 400 requests with a byte that isn't ASCII in the path, no answer came from the 113th on, to any caller. Cause: the HTTP server logs a traceback for each such request. The logging module had no handler and wrote it to standard error, which blocks once the pipe is full. Why it works: warnings of libraries become events of one line, with the error's text, and share the bound on the lines of a second and the non-blocking write with all others.

--- a/magnoliapier/logs.py
+++ b/magnoliapier/logs.py
@@ -1,6 +1,7 @@
 """Logging of events as lines of key=value pairs, written with logbook."""
 
 import json
+import logging
 import os
 import sys
 import time
@@ -147,11 +148,33 @@
             return 0
 
 
+class LibraryHandler(logging.Handler):
+    """
+    Logs warnings of libraries as events, each in one line.
+
+    Without any handler, the ``logging`` module writes them to standard error, and waits
+    for its reader.
+    """
+
+    def __init__(self):
+        super().__init__(logging.WARNING)
+
+    def emit(self, record):
+        """Log one message and the type and text of its error."""
+        error = record.exc_info[1] if record.exc_info else None
+        try:
+            text = record.getMessage()
+        except (TypeError, ValueError):  # its arguments do not fit its format
+            text = record.msg
+        get_logger(record.name).warning("library_message", text=text, error=repr(error))
+
+
 def configure_bounded_logs(lines_per_s, level="INFO"):
     """Write events to standard output without waiting for its reader."""
     logbook.set_datetime_format("utc")
     handler = BoundedHandler(sys.stdout.fileno(), lines_per_s, level)
     handler.push_application()
+    logging.getLogger().addHandler(LibraryHandler())
     return handler
 
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,13 +1,26 @@
+import logging
 import os
 import unittest
+from contextlib import contextmanager
 
 import logbook
 
-from magnoliapier.logs import BoundedHandler, get_logger
+from magnoliapier.logs import BoundedHandler, LibraryHandler, get_logger
 
 LINES_PER_S = 20
 
 
+@contextmanager
+def library_messages():
+    """Pass on messages of the logging module while the context lasts."""
+    handler = LibraryHandler()
+    logging.getLogger().addHandler(handler)
+    try:
+        yield
+    finally:
+        logging.getLogger().removeHandler(handler)
+
+
 class BoundedHandlerTests(unittest.TestCase):
     def setUp(self):
         self.now = 10.0
@@ -50,3 +63,21 @@
         with handler.applicationbound():
             self.log.info("again")
         self.assertIn("lines_dropped=", os.read(self.reader, 1_000_000).decode())
+
+    def test_messages_of_libraries_are_bounded_as_well(self):
+        """
+        Guards against malformed requests that block the process.
+
+        The HTTP server logs a traceback for each. Without a handler of ours, it goes to
+        standard error, and the process stops once nobody reads that.
+        """
+        with self.handler.applicationbound(), library_messages():
+            for _ in range(100):
+                try:
+                    raise ValueError("two\nlines")
+                except ValueError:
+                    logging.getLogger("aiohttp.server").exception("Error %s", "a b")
+        lines = os.read(self.reader, 1_000_000).decode().splitlines()
+        self.assertEqual(len(lines), LINES_PER_S)
+        self.assertIn('event=library_message text="Error a b"', lines[0])
+        self.assertIn("ValueError", lines[0])
