Take only a refusal of an endpoint as a sign that nothing was done

Seen: a start that is answered 500, 502, 504 or with a redirect counts as refused. Its run is dropped at once and its task is started elsewhere, although the endpoint may have carried the order out (TWICE). A stop answered so counts as carried out. Cause: every status but 200 was a refusal. Evidence: test_only_a_refusal_says_that_nothing_was_done failed for 201, 204, 304, 500, 502, 504 and 599 (OrderRefusedError) and passes now. Why it works: only the statuses of 400 to 499 and 503 are refusals. After any other, the session lists the endpoint's runs and stops the run before its task is started again, as it does after no answer. Redirects aren't followed.

--- a/magnoliapier/platform/endpoints.py
+++ b/magnoliapier/platform/endpoints.py
@@ -28,6 +28,8 @@
     429: OrderRefusal.UNHEALTHY,
     503: OrderRefusal.UNHEALTHY,
 }
+# After any other status, an order may have been carried out.
+REFUSAL_STATUSES = (*range(400, 500), 503)
 
 
 class HttpEndpointClient:
@@ -83,7 +85,11 @@
         headers = {wire.ENDPOINT_HEADER: endpoint.endpoint_id}
         try:
             async with self._session.post(
-                url, data=data, headers=headers, timeout=call_timeout(timeout_s)
+                url,
+                data=data,
+                headers=headers,
+                timeout=call_timeout(timeout_s),
+                allow_redirects=False,
             ) as response:
                 content = await response.read()
                 status = response.status
@@ -96,6 +102,10 @@
         self._metrics.count("endpoint_calls_total", path=path, outcome=str(status))
         if status == 200:
             return self._decode(answer_type, content, endpoint)
+        if status not in REFUSAL_STATUSES:
+            raise EndpointUnreachableError(
+                f"Stop the run before moving it; {endpoint.address} answered {status}."
+            )
         raise OrderRefusedError(self._refusal_reason(status, content), content[:120])
 
     def _decode(self, answer_type, content, endpoint):
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -1,7 +1,12 @@
 import json
 import unittest
 
-from magnoliapier.exceptions import EndpointError, MessageError
+from magnoliapier.exceptions import (
+    EndpointError,
+    EndpointUnreachableError,
+    MessageError,
+    OrderRefusedError,
+)
 from magnoliapier.metrics import Metrics
 from magnoliapier.platform.endpoints import HttpEndpointClient
 from magnoliapier.platform.http import open_session
@@ -24,6 +29,7 @@
     async def asyncSetUp(self):
         self.body = b'{"clock_ms": 1}'
         self.ids = []
+        self.status = 200
         self.server = HttpServer(self.serve)
         self.port = await self.server.start()
         self.addAsyncCleanup(self.server.close)
@@ -33,7 +39,7 @@
 
     async def serve(self, request):
         self.ids.append(request.headers["X-Magnoliapier-Target-Instance"])
-        answer = json_answer({})
+        answer = json_answer({}, self.status)
         answer.body = self.body
         return answer
 
@@ -83,3 +89,16 @@
             self.body = body
             with self.subTest(body[:9]), self.assertRaises(EndpointError):
                 await self.client.inspect(record, 1, None, 0, 0)
+
+    async def test_only_a_refusal_says_that_nothing_was_done(self):
+        """Guards against a second run while the first was started (TWICE)."""
+        record = self.record("i-1", f"127.0.0.1:{self.port}")
+        order = StartOrder("a.0.0.0", 1, "", 1, 1)
+        for status in (201, 204, 304, 500, 502, 504, 599):
+            self.status = status
+            with self.subTest(status), self.assertRaises(EndpointUnreachableError):
+                await self.client.start(record, order)
+        for status in (400, 404, 409, 413, 421, 429, 503):
+            self.status = status
+            with self.subTest(status), self.assertRaises(OrderRefusedError):
+                await self.client.start(record, order)
