Plan hosts for tasks that request neither CPU nor memory

Seen: one valid submission that requests only an accelerator, or nothing at all, stops its service: each cycle of the shard's controller fails before anything is placed or stored, on every holder in turn, until the submission is cancelled (LOST). Cause: hosts_for_wide_tasks divided by the share of a host that a task takes, which is 0 here, as accelerators aren't part of it.

--- a/magnoliapier/pools/demand.py
+++ b/magnoliapier/pools/demand.py
@@ -40,6 +40,16 @@
     )
 
 
+def tasks_per_host(required, capacity):
+    """Return how many tasks fit on an empty host; infinity if they require nothing."""
+    pairs = (
+        (required.cpu_millicores, capacity.cpu_millicores),
+        (required.memory_mb, capacity.memory_mb),
+        (required.accelerators, capacity.accelerators),
+    )
+    return min((total // each for each, total in pairs if each > 0), default=math.inf)
+
+
 def min_endpoints_for(progress):
     """Return how many endpoints the long-running tasks of a submission need."""
     min_endpoints = 0
@@ -145,7 +155,7 @@
         return 0
     host_seconds = 0.0
     for tasks in wide:
-        per_host = math.floor(1 / host_share(tasks.resources, capacity))
+        per_host = tasks_per_host(tasks.resources, capacity)
         host_seconds += tasks.count * tasks.duration_s / per_host
     return len(occupied) + max(1, math.ceil(host_seconds / CATCH_UP_S))
 
--- a/tests/pools/test_demand.py
+++ b/tests/pools/test_demand.py
@@ -94,3 +94,11 @@
         """Guards against hosts moved in vain for work that can never run."""
         giant = WaitingTasks(Resources(64_000, 1000), count=1, duration_s=1.0)
         self.assertEqual(hosts_for_wide_tasks([giant], self.occupied, CAPACITY), 0)
+
+    def test_tasks_that_request_neither_cpu_nor_memory(self):
+        """Guards against one submission that stops its service (LOST)."""
+        capacity = Resources(32_000, 128_000, 2)
+        for requested, expected in ((Resources(0, 0, 1), 3), (Resources(), 1)):
+            tasks = WaitingTasks(requested, count=12, duration_s=1.0)
+            with self.subTest(requested):
+                self.assertEqual(hosts_for_wide_tasks([tasks], [], capacity), expected)
