Refuse lease rows with a token that has no successor

Seen: a lease row with a token of 64 bits ends the task that takes shards with an OverflowError, again and again: every host that tries to take this shard takes none of the shards after it in the list either. A negative token was followed by one of 0. Cause: the next token was taken to fit the stored form. Evidence: the new test of state.decoding failed for -1 and 2**64 - 1 and passes now. Why it works: such a row counts as unreadable, and the next token is then taken from the row's version, which no token of a holder exceeds.

--- a/magnoliapier/state/lease.py
+++ b/magnoliapier/state/lease.py
@@ -7,6 +7,8 @@
 row, so a former holder cannot write.
 """
 
+from typing import Annotated
+
 import msgspec
 
 from magnoliapier.exceptions import MessageError
@@ -16,6 +18,9 @@
 CONTROL_TABLE = "control"
 LEASE_KEY = "lease"
 FIRST_TOKEN = 1
+# The next token must fit the stored form too, and be exact in every JSON reader.
+MAX_STORED_TOKEN = 2**53 - 1
+Token = Annotated[int, msgspec.Meta(ge=0, le=MAX_STORED_TOKEN)]
 LEASE_TTL_S = 2.2
 RENEW_INTERVAL_S = 0.6
 ACTING_MARGIN_S = 0.2  # covers the time between a check and the order it allows
@@ -37,7 +42,7 @@
     holder: str
     process: str
     address: str
-    token: int
+    token: Token
 
 
 _DECODER = msgspec.msgpack.Decoder(LeaseRecord)
--- a/tests/state/test_decoding.py
+++ b/tests/state/test_decoding.py
@@ -5,7 +5,13 @@
 
 from magnoliapier.exceptions import MessageError
 from magnoliapier.pools.report import decode_plan, decode_report
-from magnoliapier.state.lease import LeaseRecord, decode_lease, read_lease
+from magnoliapier.state.lease import (
+    LeaseRecord,
+    LeaseView,
+    decode_lease,
+    encode_lease,
+    read_lease,
+)
 from magnoliapier.state.rows import Row
 from magnoliapier.submissions.codec import decode_progress, decode_submission
 from magnoliapier.submissions.model import Submission
@@ -60,6 +66,18 @@
         data = with_field(LeaseRecord("h", "p", "a:1", 1), NESTED["maps"])
         self.assertIsNone(read_lease(Row("control", "s", "lease", data, 1)))
 
+    def test_next_token_after_an_odd_one_can_be_stored(self):
+        """Guards against one lease row after which no host can take a shard."""
+        for token in (-1, 2**53, 2**64 - 1):
+            fields = msgspec.to_builtins(LeaseRecord("h", "p", "a:1", 1))
+            data = msgspec.msgpack.encode({**fields, "token": token})
+            view = LeaseView()
+            view.observe(read_lease(Row("control", "s", "lease", data, 9)), 9, now=1.0)
+            record = LeaseRecord("h", "p", "a:1", view.next_token)
+            with self.subTest(token):
+                self.assertEqual(decode_lease(encode_lease(record)), record)
+                self.assertGreater(record.token, 0)
+
     @settings(max_examples=300, deadline=None)
     @given(st.sampled_from(DECODERS), st.binary(max_size=60))
     def test_random_bytes_are_a_message_error(self, decode, data):
