--- a/magnoliapier/platform/program.py
+++ b/magnoliapier/platform/program.py
@@ -109,7 +109,7 @@
         )
         settings = NodeSettings(
             name=boot.node_name,
-            peer_address=f"{boot.ip}:{boot.internal_ports[0]}",
+            peer_address=boot.peer_address,
             endpoint_lease=LeaseTerms(
                 min(boot.bounds.hold_max_ms, ENDPOINT_LEASE_MS),
                 boot.bounds.hold_max_ms,
--- a/magnoliapier/platform/wire.py
+++ b/magnoliapier/platform/wire.py
@@ -13,6 +13,11 @@
 
 from magnoliapier.exceptions import MessageError
 from magnoliapier.placement.endpoint import EndpointRecord
+from magnoliapier.platform.addresses import (
+    check_address,
+    check_endpoint_id,
+    shorten,
+)
 from magnoliapier.pools.hosts import Host, HostState, Wave
 from magnoliapier.service.orders import Inspection, ListedRun, RunEnd
 from magnoliapier.submissions.configuration import Configuration, Queue, Service
@@ -33,6 +38,9 @@
 Whole = Annotated[int, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
 Measure = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
 
+# A field of type Raw takes any JSON; a union of Raw and None takes nothing but null.
+NO_VALUE = msgspec.Raw()
+
 MAX_SPEC_BYTES = 4000
 MAX_TASKS = 20_000  # of one submission, over all its steps and occurrences
 
@@ -151,7 +159,7 @@
     stretch: Measure = 1.0
     target_completion_ms: Whole = 0
     timeout_ms: Whole = 0
-    advice: msgspec.Raw | None = None  # only its presence is read
+    advice: msgspec.Raw = NO_VALUE  # only its presence is read
 
     def queue(self):
         """Return the product's queue."""
@@ -165,7 +173,7 @@
             stretch=self.stretch,
             target_ms=self.target_completion_ms,
             timeout_ms=self.timeout_ms,
-            advised=self.advice is not None,
+            advised=bytes(self.advice) not in (b"", b"null"),
         )
 
 
@@ -229,16 +237,21 @@
     born: Whole = 0  # Unix ms when this incarnation of the endpoint started
 
     def record(self, endpoint_id):
-        """Return the product's record; raise MessageError for an unknown state."""
+        """Return the product's record; raise MessageError if it cannot be used."""
         if self.state not in ("ready", "draining"):
-            raise MessageError(f"Unknown state {self.state!r}; ignore the row.")
+            raise MessageError(f"Unknown state {shorten(self.state)}; ignore the row.")
+        check_endpoint_id(endpoint_id)
+        check_address(self.address)
+        capacity = self.capacity
+        if capacity.cpu < 1 or capacity.mem_mb < 1 or capacity.gpu < 0:
+            raise MessageError("Give a capacity of at least 1 for cpu and mem_mb.")
         return EndpointRecord(
             endpoint_id=endpoint_id,
             service=self.service,
             address=self.address,
             data_centre=self.zone,
             draining=self.state == "draining",
-            capacity=self.capacity.resources(),
+            capacity=capacity.resources(),
             labels=self.labels,
             host=self.machine,
             started_ms=self.born,
@@ -257,7 +270,9 @@
     id: str | None = None  # id of the endpoint that runs on the host now
 
     def host(self):
-        """Return the product's host."""
+        """Return the product's host; raise MessageError for an unknown state."""
+        if self.state not in set(HostState):
+            raise MessageError(f"Unknown state {shorten(self.state)} of a host.")
         return Host(
             name=self.machine,
             service=self.pool,
@@ -268,10 +283,21 @@
         )
 
 
+class MachineName(msgspec.Struct):
+    """What remains to be read of an odd entry of the machine list."""
+
+    machine: str  # name of the host
+
+
 class MachinePage(msgspec.Struct):
-    """A page of the machine list. The last page has no ``next_page_token``."""
+    """
+    A page of the machine list. The last page has no ``next_page_token``.
+
+    Each entry is decoded as a ``MachineBody`` on its own, so that an odd one does not
+    make the whole list unreadable.
+    """
 
-    machines: tuple[MachineBody, ...]
+    machines: tuple[msgspec.Raw, ...]
     next_page_token: str | None = None
 
 
@@ -492,5 +518,6 @@
         decoder = _DECODERS[message_type] = msgspec.json.Decoder(message_type)
     try:
         return decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    # The decoder reads unknown fields too; deep ones exceed Python's recursion limit.
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise MessageError(f"Send a valid {message_type.__name__}: {error}") from error
--- a/magnoliapier/state/lease.py
+++ b/magnoliapier/state/lease.py
@@ -7,14 +7,20 @@
 row, so a former holder cannot write.
 """
 
+from typing import Annotated
+
 import msgspec
 
 from magnoliapier.exceptions import MessageError
 from magnoliapier.logs import get_logger
+from magnoliapier.state.decoding import decode_stored
 
 CONTROL_TABLE = "control"
 LEASE_KEY = "lease"
 FIRST_TOKEN = 1
+# The next token must fit the stored form too, and be exact in every JSON reader.
+MAX_STORED_TOKEN = 2**53 - 1
+Token = Annotated[int, msgspec.Meta(ge=0, le=MAX_STORED_TOKEN)]
 LEASE_TTL_S = 2.2
 RENEW_INTERVAL_S = 0.6
 ACTING_MARGIN_S = 0.2  # covers the time between a check and the order it allows
@@ -36,7 +42,7 @@
     holder: str
     process: str
     address: str
-    token: int
+    token: Token
 
 
 _DECODER = msgspec.msgpack.Decoder(LeaseRecord)
@@ -50,12 +56,7 @@
 
 def decode_lease(data):
     """Return the LeaseRecord in ``data``; raise MessageError if it is not one."""
-    try:
-        return _DECODER.decode(data)
-    except msgspec.MsgspecError as error:
-        raise MessageError(
-            f"The lease row is unreadable; remove it: {error}"
-        ) from error
+    return decode_stored(_DECODER, data)
 
 
 def read_lease(row):
--- a/tests/platform/test_fuzz_wire.py
+++ b/tests/platform/test_fuzz_wire.py
@@ -2,6 +2,7 @@
 import unittest
 
 from hypothesis import given, settings, strategies as st
+from yarl import URL
 
 from magnoliapier.exceptions import MessageError
 from magnoliapier.platform import wire
@@ -9,8 +10,10 @@
 from magnoliapier.platform.store import decode_row
 from magnoliapier.pools.report import FleetPlan, encode as encode_plan
 from magnoliapier.submissions.codec import encode
+from tests.platform.test_addresses import ODD_ADDRESSES
 
 EXAMPLES = 300
+DEPTH = 100_000
 
 numbers = st.one_of(
     st.integers(-(2**70), 2**70),
@@ -18,7 +21,13 @@
     st.just(1e308),
 )
 values = st.recursive(
-    st.one_of(st.none(), st.booleans(), numbers, st.text(max_size=12)),
+    st.one_of(
+        st.none(),
+        st.booleans(),
+        numbers,
+        st.text(max_size=12),
+        st.sampled_from(ODD_ADDRESSES),
+    ),
     lambda inner: st.one_of(
         st.lists(inner, max_size=4),
         st.dictionaries(st.text(max_size=8), inner, max_size=4),
@@ -26,6 +35,13 @@
     max_leaves=8,
 )
 
+
+def call_url(record):
+    """Return the URL that calls of an endpoint use; ids are part of its headers."""
+    assert record.endpoint_id.isprintable() and record.endpoint_id.isascii()
+    return URL(f"http://{record.address}/hold").host.encode("idna")
+
+
 # What the process does with each message that other programs send. What it stores of
 # them must fit the stored form.
 CONVERSIONS = {
@@ -36,7 +52,7 @@
     wire.WaveBody: lambda body: encode_plan(
         FleetPlan(maintained={body.maintenance_wave().number: ()})
     ),
-    wire.ServerBody: lambda body: body.record("i-1"),
+    wire.ServerBody: lambda body: call_url(body.record("i-1")),
     wire.MachinePage: lambda body: list(decode_hosts(body)),
     wire.HoldAnswer: lambda body: body.inspection(),
     wire.ClockBody: lambda body: body.clock_ms,
@@ -48,7 +64,15 @@
     wire.SubmissionBody: {"spec": "x", "steps": [{"count": 1, "after": []}]},
     wire.ConfigBody: {
         "version": 1,
-        "routes": [{"name": "q", "host": "h", "path_prefix": "/", "service": "s"}],
+        "routes": [
+            {
+                "name": "q",
+                "host": "h",
+                "path_prefix": "/",
+                "service": "s",
+                "advice": {"decide_ms": 5},
+            }
+        ],
         "services": [{"name": "s"}],
     },
     wire.WaveBody: {"wave": 1, "machines": ["m"], "duration_s": 1.5, "maximum": 1},
@@ -57,7 +81,7 @@
         "address": "10.0.0.1:1",
         "zone": "z",
         "state": "ready",
-        "capacity": {"cpu": 1},
+        "capacity": {"cpu": 1, "mem_mb": 1},
         "born": 1,
     },
     wire.MachinePage: {"machines": [{"machine": "m", "pool": "s", "state": "up"}]},
@@ -121,6 +145,28 @@
         """Guards against bytes that are no JSON at all."""
         self.convert(message_type, data)
 
+    @settings(max_examples=EXAMPLES, deadline=None)
+    @given(st.text(max_size=12), st.one_of(st.sampled_from(ODD_ADDRESSES), st.text()))
+    def test_damaged_endpoint_row_is_a_message_error(self, endpoint_id, address):
+        """Guards against an endpoint that no call can be sent to."""
+        data = json.dumps({**VALID[wire.ServerBody], "address": address}).encode()
+        try:
+            call_url(wire.decode(wire.ServerBody, data).record(endpoint_id))
+        except MessageError as error:
+            self.assertTrue(str(error))
+
+    def test_deep_nesting_is_a_message_error(self):
+        """Guards against a message of another writer that exceeds the stack."""
+        arrays = b"[" * DEPTH + b"]" * DEPTH
+        objects = b'{"a":' * DEPTH + b"1" + b"}" * DEPTH
+        for message_type, message in VALID.items():
+            for nested in (arrays, objects):
+                with self.subTest(message_type.__name__):
+                    self.convert(message_type, nested)
+                    for field in ("unknown", *message):
+                        data = json.dumps({**message, field: "@"}).encode()
+                        self.convert(message_type, data.replace(b'"@"', nested))
+
     def test_numbers_outside_the_range_are_message_errors(self):
         """Guards against numbers that the decoder takes and a conversion does not."""
         for number in ("1e999", "-1e999", "1e308", "123456789012345678901234567890"):
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -39,6 +39,21 @@
                 body = wire.decode(wire.SubmissionBody, data)
                 body.submission("a" * 16, "q", 5)
 
+    def test_advised_queues_do_not_make_a_configuration_unreadable(self):
+        """Guards against a host that stays on an older configuration, or on none."""
+        for advice, advised in (
+            (b"", False),
+            (b',"advice":null', False),
+            (b',"advice":{"decide_ms":5,"period_ms":2,"valid_ms":900}', True),
+        ):
+            data = (
+                b'{"version":1,"routes":[{"name":"q","host":"h","path_prefix":"/",'
+                b'"service":"s"%s}]}' % advice
+            )
+            with self.subTest(advice):
+                body = wire.decode(wire.ConfigBody, data)
+                self.assertEqual(body.configuration().queues[0].advised, advised)
+
     def test_endpoint_row(self):
         """Guards against a draining endpoint that is treated as ready."""
         record = wire.decode(wire.ServerBody, ENDPOINT_ROW % b"draining").record("i-1")
@@ -53,6 +68,22 @@
             with self.subTest(data), self.assertRaises(MessageError):
                 wire.decode(wire.ServerBody, data).record("i-1")
 
+    def test_endpoint_rows_without_capacity_are_refused(self):
+        """Guards against a pool that is planned for hosts with no resources."""
+        sound = b'{"cpu":16000,"mem_mb":5,"gpu":0}'
+        for capacity in (
+            b"{}",
+            b'{"cpu":16000}',
+            b'{"mem_mb":5}',
+            b'{"cpu":0,"mem_mb":5}',
+            b'{"cpu":-1,"mem_mb":5}',
+            b'{"cpu":16000,"mem_mb":-5}',
+            b'{"cpu":16000,"mem_mb":5,"gpu":-1}',
+        ):
+            data = (ENDPOINT_ROW % b"ready").replace(sound, capacity)
+            with self.subTest(capacity), self.assertRaises(MessageError):
+                wire.decode(wire.ServerBody, data).record("i-1")
+
     def test_run_list_with_and_without_reading(self):
         """Guards against a run list that is refused because a row has no reading."""
         data = b'{"clock_ms":1,"running":[["t",2,"c",41],["u",1,"",100,35]],"ended":[]}'
