Lose the orders that a crashed stand-in endpoint has not executed yet

Under late_orders an endpoint of the soak carried out an order up to 1.5 s after it had crashed. The ledger then held a run that never ends, and would report each later start of its task as a second run.

--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -66,6 +66,7 @@
         self.service = service
         self.faults = EndpointFaults()
         self.draining = False
+        self.up = True
         self.proxy = None
         self._rng = rng
         self._store = store
@@ -95,7 +96,12 @@
         ]
 
     async def crash(self):
-        """End at once with all runs; the row stays until the platform removes it."""
+        """
+        End at once with all runs; the row stays until the platform removes it.
+
+        Orders that it has read and not yet executed are lost.
+        """
+        self.up = False
         for task in self._tasks:
             task.cancel()
         self._running.clear()
@@ -166,6 +172,8 @@
         if request.headers.get(INSTANCE_HEADER) != self.endpoint_id:
             return self._refuse("", 421)
         body = msgspec.json.decode(await request.read())
+        if not self.up:
+            return cut_connection(request)
         handler = {
             "/run-start": self._start_run,
             "/run-stop": self._stop_run,
@@ -183,7 +191,7 @@
 
     async def _execute_late(self, handler, body):
         await asyncio.sleep(self._rng.uniform(0.2, LATE_ORDER_S))
-        if body["fencing_token"] >= self._highest_token:
+        if self.up and body["fencing_token"] >= self._highest_token:
             self._highest_token = body["fencing_token"]
             await handler(body)
 
