Name the start of a stand-in endpoint only where the platform's page has it

The soak's endpoints had born in the answers to start, stop and pace orders. The platform's page names it for entries and lists of runs, and its examples of the orders' answers have clock_ms alone. A product that relied on born there would have passed the soak.

--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -199,9 +199,7 @@
         return json_answer({"clock_ms": self._clock_ms(), "reason": reason}, status)
 
     def _accept(self, **fields):
-        return json_answer(
-            {"clock_ms": self._clock_ms(), "born": self._started_ms} | fields
-        )
+        return json_answer({"clock_ms": self._clock_ms()} | fields)
 
     def _extend_lease(self, deadline_ms):
         longest = self._clock_ms() + HOLD_MAX_MS
@@ -275,7 +273,7 @@
             for t in self._running.values()
         ]
         ended = [[e.number, e.name, e.run, e.reason, ""] for e in self._ended]
-        return self._accept(running=running, ended=ended)
+        return self._accept(running=running, ended=ended, born=self._started_ms)
 
     def _progress_percent(self, task, now):
         if task.ends_at is None or task.step.get("long_running"):
