Let a stand-in endpoint of the soak start again under its id

A successor now has id, address, faults of its link and nothing else of its predecessor; orders that the predecessor had not executed are lost with it. An acknowledgement counts by its number alone, as the platform's rule says, also if it was meant for the predecessor.

Tried by hand on a changed copy: a successor that keeps the numbers of ends or the barred runs, a crash that leaves runs in the ledger and an endpoint that records no acknowledgement each fail a test.

--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -57,17 +57,19 @@
     """
     One incarnation of an endpoint, on a host in the pool of a service.
 
-    It measures leases on a clock of its own, which runs up to 2 percent slow.
+    It measures leases on a clock of its own, which runs up to 2 percent slow. A
+    successor of ``previous`` has its id, address and faults and knows nothing else of
+    it.
     """
 
-    def __init__(self, endpoint_id, host, service, rng, store, ledger):
+    def __init__(self, endpoint_id, host, service, rng, store, ledger, previous=None):
         self.endpoint_id = endpoint_id
         self.host = host
         self.service = service
-        self.faults = EndpointFaults()
+        self.faults = previous.faults if previous else EndpointFaults()
         self.draining = False
         self.up = True
-        self.proxy = None
+        self.proxy = previous.proxy if previous else None
         self._rng = rng
         self._store = store
         self._ledger = ledger
@@ -86,27 +88,44 @@
         self._server = HttpServer(self._answer)
         self._tasks = []
 
-    async def start(self):
-        """Serve orders and register in the store."""
-        self.proxy = LinkProxy(await self._server.start())
-        await self.proxy.start()
+    @property
+    def idle(self):
+        """Return whether nothing runs."""
+        return not self._running
+
+    async def start(self, entry_delay_s=0.0):
+        """Serve orders and register in the store after ``entry_delay_s``."""
+        port = await self._server.start()
+        if self.proxy is None:
+            self.proxy = LinkProxy(port)
+            await self.proxy.start()
+        self.proxy.target_port = port
+        self._log("endpoint_started")
         self._tasks = [
-            asyncio.create_task(self._heartbeat()),
+            asyncio.create_task(self._heartbeat(entry_delay_s)),
             asyncio.create_task(self._end_due_runs()),
         ]
 
     async def crash(self):
+        """End at once with all runs; the row stays until the platform removes it."""
+        await self.halt()
+        await self.proxy.close()
+
+    async def halt(self):
         """
-        End at once with all runs; the row stays until the platform removes it.
+        End at once with all runs; row and address stay for a successor.
 
-        Orders that it has read and not yet executed are lost.
+        Orders that it has not executed yet are lost, whether it has read them or its
+        link holds them back.
         """
+        if self.up:
+            self._log("endpoint_crashed", runs=len(self._running))
         self.up = False
         for task in self._tasks:
             task.cancel()
         self._running.clear()
         self._ledger.record_crash(self.endpoint_id)
-        await self.proxy.close()
+        self.proxy.reset_connections()
         await self._server.close()
 
     async def close(self):
@@ -114,12 +133,18 @@
         await self.crash()
         self._store.remove("servers", "", self.endpoint_id)
 
+    def _log(self, event, **fields):
+        self._ledger.log_event(
+            event, endpoint=self.endpoint_id, born=self._started_ms, **fields
+        )
+
     def _clock_ms(self):
         return (
             int((time.monotonic() - self._started_at) * 1000 * self._clock_rate) + 1000
         )
 
-    async def _heartbeat(self):
+    async def _heartbeat(self, delay_s):
+        await asyncio.sleep(delay_s)
         while True:
             self._sequence += 1
             self._store.put("servers", "", self.endpoint_id, self._row())
@@ -165,6 +190,9 @@
         self._next_end_number += 1
         self._ended.append(end)
         self._ledger.record_end(self.endpoint_id, task.name, task.run, reason)
+        self._log(
+            "ended", task=task.name, run=task.run, reason=reason, number=end.number
+        )
         self._end_listed.set()
         self._end_listed = asyncio.Event()
 
@@ -247,9 +275,11 @@
             ends_at = now + self._rng.uniform(0.2, 3.0)
         self._running[name, run] = RunningTask(name, run, step, now, ends_at, reason)
         self._ledger.record_start(self.endpoint_id, name, run)
+        self._log("begun", task=name, run=run, token=self._highest_token)
 
     async def _stop_run(self, body):
         name, run = body["task"], body["run"]
+        self._log("stop_ordered", task=name, run=run)
         task = self._running.get((name, run))
         if task is not None and task.stops_at is None:
             task.stops_at = time.monotonic() + STOP_DELAY_S
@@ -273,6 +303,12 @@
             for t in self._running.values()
         ]
         ended = [[e.number, e.name, e.run, e.reason, ""] for e in self._ended]
+        self._log(
+            "listed",
+            acked_through=body["acked_through"],
+            running=len(running),
+            ended=len(ended),
+        )
         return self._accept(running=running, ended=ended, born=self._started_ms)
 
     def _progress_percent(self, task, now):
@@ -285,10 +321,14 @@
         """
         Discard the ends up to ``number`` and record them as acknowledged.
 
+        The platform's rule asks only whether the number reaches an end. So one that was
+        meant for an earlier incarnation acknowledges ends of this one as well.
+
         An end before the lease last lapsed is not recorded: the product may have given
         up that run before it acknowledged the end.
         """
         for end in self._ended:
             if end.number <= number and end.at > self._last_lapsed_at:
+                self._log("acknowledged", task=end.name, run=end.run, number=end.number)
                 self._ledger.record_acknowledgement(end.name, end.reason, end.at)
         self._ended = [end for end in self._ended if end.number > number]
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -1,6 +1,7 @@
 """Records what callers, endpoints and the machine API see and checks invariants."""
 
 import time
+from datetime import UTC, datetime
 
 import msgspec
 
@@ -76,21 +77,33 @@
         ledger = Ledger()
         ledger.record_start("e1", "00000000000000aa.0.0.0", 1)
         ledger.violations
+
+    ``events_path`` is the file for the events at endpoints, if they are kept.
     """
 
-    def __init__(self):
+    def __init__(self, events_path=None):
         self.violations = []
         self.submissions = {}
         self.counts = {}
         self._tasks = {}
         self._orders = {}
         self._began_at = time.monotonic()
+        self._events_path = events_path
 
     def report(self, invariant, detail):
         """Record a broken invariant."""
         at = round(time.monotonic() - self._began_at, 2)
         self.violations.append(Violation(invariant, detail, at))
 
+    def log_event(self, event, **fields):
+        """Write an event at an endpoint as a line like those of the product's logs."""
+        if self._events_path is None:
+            return
+        now = datetime.now(UTC).replace(tzinfo=None).isoformat(timespec="microseconds")
+        text = " ".join(f"{key}={value}" for key, value in fields.items())
+        with self._events_path.open("a") as events:
+            events.write(f"time={now}Z event={event} {text}\n")
+
     def count(self, name):
         """Count an event for the summary."""
         self.counts[name] = self.counts.get(name, 0) + 1
--- a/tests/soak/machines.py
+++ b/tests/soak/machines.py
@@ -81,6 +81,36 @@
         self._store.remove("servers", "", endpoint.endpoint_id)
         await self._start_endpoint(host)
 
+    async def restart_endpoint(self, endpoint, outage_s, entry_delay_s, shown_down):
+        """
+        Crash an endpoint and start it again under its id after ``outage_s``.
+
+        Its entry in the store is that of before until ``entry_delay_s`` later. The host
+        is listed as down meanwhile if ``shown_down``. If it is moved or maintained or
+        crashes in the meantime, the endpoint stays down.
+        """
+        host = self.hosts[endpoint.host]
+        if host.endpoint is not endpoint or not endpoint.up:
+            return
+        if shown_down:
+            host.state = "down"
+        await asyncio.gather(endpoint.halt(), asyncio.sleep(outage_s))
+        successor = EndpointStandIn(
+            endpoint.endpoint_id,
+            host.name,
+            host.pool,
+            self._rng,
+            self._store,
+            self._ledger,
+            endpoint,
+        )
+        await successor.start(entry_delay_s)
+        if host.endpoint is endpoint:
+            host.endpoint, host.state = successor, "up"
+            self._ledger.count("restarts")
+        else:
+            await successor.crash()
+
     async def _answer(self, request):
         if request.path == "/machines":
             return json_answer(
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -38,7 +38,7 @@
     """
 
     def __init__(self, target_port):
-        self._target_port = target_port
+        self.target_port = target_port
         self._server = None
         self._writers = set()
         self._fault = LinkFault.NONE
@@ -55,15 +55,16 @@
     async def close(self):
         """Stop listening and reset all connections."""
         self._server.close()
-        self._abort_all()
+        self.reset_connections()
 
     def set_fault(self, fault):
         """Apply a fault until the next call; a reset also ends open connections."""
         self._fault = fault
         if fault == LinkFault.RESET:
-            self._abort_all()
+            self.reset_connections()
 
-    def _abort_all(self):
+    def reset_connections(self):
+        """Reset all connections; what the link holds back is lost."""
         for writer in list(self._writers):
             reset_connection(writer)
 
@@ -73,7 +74,7 @@
             return
         try:
             target_reader, target_writer = await asyncio.open_connection(
-                LOOPBACK, self._target_port
+                LOOPBACK, self.target_port
             )
         except OSError:
             reset_connection(writer)
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -67,9 +67,9 @@
     def __init__(self, seed, nodes, directory=None):
         self.seed = seed
         self.waves = []
-        self.ledger = Ledger()
         self._rng = random.Random(seed)
         self._directory = Path(directory or tempfile.mkdtemp(prefix="soak-"))
+        self.ledger = Ledger(self._directory / "endpoints.log")
         self.store = StoreStandIn(self._child_rng())
         self.machines = MachinesStandIn(
             POOLS, self._child_rng(), self.store, self.ledger
--- a/tests/soak/test_endpoints.py
+++ b/tests/soak/test_endpoints.py
@@ -25,7 +25,8 @@
 
     async def asyncSetUp(self):
         self.ledger = Ledger()
-        submission = SubmissionRecord(ID, [self.step], max_attempts=2, accepted=True)
+        steps = [dict(self.step)]
+        submission = SubmissionRecord(ID, steps, max_attempts=2, accepted=True)
         self.ledger.record_submission(submission)
         self.store = StoreStandIn(random.Random(1))
         self.machines = MachinesStandIn(
@@ -39,7 +40,7 @@
         self.session = aiohttp.ClientSession()
         self.addAsyncCleanup(self.session.close)
 
-    async def call(self, path, token=1, **body):
+    async def call(self, path, token, **body):
         """Return (status, body) of an order; raise ClientError if it is unanswered."""
         url = f"http://{LOOPBACK}:{self.endpoint.proxy.port}{path}"
         headers = {INSTANCE_HEADER: self.endpoint.endpoint_id}
@@ -47,12 +48,12 @@
         async with self.session.post(url, json=body, headers=headers) as response:
             return response.status, await response.json()
 
-    async def begin(self, task, run=1, token=1):
+    async def begin(self, task, run=1, token=2):
         return await self.call(
             "/run-start", token, task=task, run=run, deadline_ms=FAR_MS
         )
 
-    async def list_runs(self, acked_through=0, token=1):
+    async def list_runs(self, acked_through=0, token=2):
         _, body = await self.call("/hold", token, acked_through=acked_through)
         return body
 
@@ -77,3 +78,71 @@
                 await order
             await asyncio.sleep(0.4)
         self.assertNotIn("starts", self.ledger.counts)
+
+
+class RestartTests(EndpointTestCase):
+    async def restart(self):
+        await self.machines.restart_endpoint(self.endpoint, 0.05, 0.0, False)
+        self.endpoint = self.host.endpoint
+
+    async def test_successor_has_id_and_address_and_knows_nothing_else(self):
+        """Guards against a restart that leaves the product something of before."""
+        first = self.endpoint
+        await self.begin(TASK, run=3, token=2)
+        before = await self.list_ended(1)
+        await self.restart()
+        after = await self.list_runs(token=1)
+        self.assertEqual(self.endpoint.endpoint_id, first.endpoint_id)
+        self.assertEqual(self.endpoint.proxy.port, first.proxy.port)
+        self.assertGreater(after["born"], before["born"])
+        self.assertLess(after["clock_ms"], before["clock_ms"])
+        self.assertEqual((after["running"], after["ended"]), ([], []))
+        status, _ = await self.begin(TASK, run=1, token=1)
+        self.assertEqual(status, 200)
+        listing = await self.list_ended(1)
+        self.assertEqual(listing["ended"][0][:4], [1, TASK, 1, "done"])
+
+    async def test_run_ends_with_its_endpoint(self):
+        """Guards against a run that counts as alive after the restart, or survives."""
+        self.ledger.submissions[ID].steps[0] |= {"estimated_ms": FAR_MS}
+        await self.begin(TASK)
+        await self.restart()
+        await self.begin(TASK, run=2)
+        self.assertEqual(len((await self.list_runs())["running"]), 1)
+        self.assertEqual(self.ledger.violations, [])
+
+    async def test_number_of_an_earlier_incarnation_acknowledges_new_ends(self):
+        """Guards against a soak that misses done tasks repeated after such a number."""
+        await self.begin(TASK)
+        await self.list_ended(1)
+        await self.restart()
+        await self.begin(OTHER)
+        await self.list_ended(1)
+        listing = await self.list_runs(acked_through=7)
+        self.assertEqual(listing["ended"], [])
+        await self.begin(OTHER, run=2)
+        invariants = [violation.invariant for violation in self.ledger.violations]
+        self.assertEqual(invariants, ["a done task is not repeated"])
+
+    async def test_end_that_the_crash_forgot_is_not_acknowledged(self):
+        """Guards against false reports of tasks whose end nobody took note of."""
+        await self.begin(TASK)
+        await self.list_ended(1)
+        await self.restart()
+        await self.list_runs(acked_through=7)
+        await self.begin(TASK, run=2)
+        self.assertEqual(self.ledger.violations, [])
+
+    async def test_host_that_is_moved_meanwhile_keeps_its_new_endpoint(self):
+        """Guards against two endpoints on one host after overlapping faults."""
+        first = self.endpoint
+        restart = asyncio.create_task(self.restart())
+        while first.up:
+            await asyncio.sleep(0.001)
+        self.host.endpoint = None
+        await first.crash()
+        await restart
+        self.assertIsNone(self.host.endpoint)
+        with self.assertRaises(aiohttp.ClientError):
+            self.endpoint = first
+            await self.list_runs()
--- a/tests/soak/test_ledger.py
+++ b/tests/soak/test_ledger.py
@@ -1,3 +1,4 @@
+import time
 import unittest
 from unittest import mock
 
@@ -42,6 +43,31 @@
         self.ledger.record_start("e2", FIRST, 2)
         self.assertIn("a done task is not repeated", self.invariants())
 
+    def test_run_beside_one_that_a_restarted_endpoint_began_again(self):
+        """Guards against a crash that hides the runs of the next incarnation."""
+        self.ledger.record_start("e1", FIRST, 1)
+        self.ledger.record_crash("e1")
+        self.ledger.record_start("e1", FIRST, 1)
+        self.assertEqual(self.invariants(), [])
+        self.ledger.record_start("e2", FIRST, 2)
+        self.assertEqual(self.invariants(), ["one run at a time"])
+
+    def test_end_that_is_acknowledged_after_the_repeat_began(self):
+        """Guards against a soak that misses a number that reaches an end later."""
+        self.run_once(FIRST)
+        self.ledger.record_start("e1", FIRST, 2)
+        self.assertEqual(self.invariants(), [])
+        self.ledger.record_acknowledgement(FIRST, "done", 0.0)
+        self.assertEqual(self.invariants(), ["a done task is not repeated"])
+
+    def test_acknowledgement_outlasts_the_crash_of_the_endpoint(self):
+        """Guards against a crash that hides what was taken note of before."""
+        self.run_once(FIRST)
+        self.ledger.record_acknowledgement(FIRST, "done", time.monotonic())
+        self.ledger.record_crash("e1")
+        self.ledger.record_start("e1", FIRST, 1)
+        self.assertEqual(self.invariants(), ["a done task is not repeated"])
+
     def test_step_out_of_order(self):
         self.run_once(FIRST)
         self.ledger.record_start("e1", LAST, 1)
