Restart endpoints under their ids in the soak, idle, busy and several times

An endpoint is down for 0.05 s to 1 s, listed as down or not, and its new entry may be stored up to a second after it serves.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -15,6 +15,9 @@
 CANCEL_SHARE = 0.08
 LONG_RUNNING_SHARE = 0.04
 MAX_ATTEMPTS = 4
+# Tasks with a lower estimate last a tenth of it: they often end before the next listing
+# of their endpoint, which may be its first one after a restart.
+SHORT_BELOW_MS = 260
 MIN_CUT_WAIT_S = 0.3  # a request that is cut sooner breaks no invariant
 
 
@@ -82,6 +85,8 @@
             "mem_mb": self._rng.randint(500, 4000),
             "estimated_ms": self._rng.randint(100, 900),
         }
+        if step["estimated_ms"] < SHORT_BELOW_MS:
+            step["estimated_ms"] //= 10
         if long_running:
             step |= {"long_running": True, "max_per_server": 2, "cpu": 500}
         return step
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,4 +1,9 @@
-"""The faults that a soak injects, by name. Each ends after a limited time."""
+"""
+The faults that a soak injects, by name. Each ends after a limited time.
+
+``RESTARTS`` are those in which endpoints start again under their ids. They are a series
+of their own, because the names in ``FAULTS`` determine what each seed injects.
+"""
 
 import asyncio
 import base64
@@ -6,13 +11,17 @@
 
 import msgspec
 
+from tests.soak.endpoints import HEARTBEAT_INTERVAL_S
 from tests.soak.proxy import LinkFault
 from tests.soak.store import DEFAULT_DELAY_S
 
 FAULTS = {}
+RESTARTS = {}
 LINK_FAULTS = [fault for fault in LinkFault if fault != LinkFault.NONE]
 TAKEOVER_S = 3.5  # long enough for a successor to take the lease and send orders
 ORDER_WAIT_S = 2.0
+ENDPOINT_OUTAGE_RANGE_S = (0.05, 1.0)  # until an endpoint starts under its id again
+IDLE_POLL_S = 0.05
 RESTART_DELAY_S = 0.3  # until the platform restarts a process that has ended
 ADDED_ROUTE = {"name": "extra", "host": "extra.example", "path_prefix": "/extra/"}
 
@@ -23,6 +32,12 @@
     return function
 
 
+def restart(function):
+    """Register a fault in which endpoints start again under their ids."""
+    RESTARTS[function.__name__] = function
+    return function
+
+
 async def _inject_link_fault(proxies, link_fault, seconds):
     for proxy in proxies:
         proxy.set_fault(link_fault)
@@ -258,3 +273,52 @@
         if node.ended_by(signal.SIGHUP):
             node.record_disturbance()
             node.launch()
+
+
+def _endpoints_up(soak):
+    """Return the endpoints that are up and in a pool that gets work."""
+    services = [queue.service for queue in soak.queues]
+    return [e for e in soak.endpoints() if e.up and e.service in services]
+
+
+async def _restart_endpoint(soak, rng, endpoint):
+    """Start an endpoint again under its id; its new entry may be stored later."""
+    outage_s = rng.uniform(*ENDPOINT_OUTAGE_RANGE_S)
+    entry_delay_s = rng.choice([0.0, rng.uniform(0.0, HEARTBEAT_INTERVAL_S)])
+    shown_down = rng.random() < 0.5
+    await soak.machines.restart_endpoint(endpoint, outage_s, entry_delay_s, shown_down)
+
+
+@restart
+async def restart_idle_endpoint(soak, rng, seconds):
+    """Restart an endpoint while it is idle, if one is idle within ``seconds``."""
+    loop = asyncio.get_running_loop()
+    until = loop.time() + seconds
+    while loop.time() < until:
+        idle = [endpoint for endpoint in _endpoints_up(soak) if endpoint.idle]
+        if idle:
+            await _restart_endpoint(soak, rng, rng.choice(idle))
+            return
+        await asyncio.sleep(IDLE_POLL_S)
+
+
+@restart
+async def restart_busy_endpoints(soak, rng, seconds):
+    """Restart two endpoints while tasks run on them."""
+    busy = [endpoint for endpoint in _endpoints_up(soak) if not endpoint.idle]
+    chosen = rng.sample(busy, min(2, len(busy)))
+    await asyncio.gather(*(_restart_endpoint(soak, rng, each) for each in chosen))
+
+
+@restart
+async def restart_repeatedly(soak, rng, seconds):
+    """Restart the endpoint of one host several times in a row."""
+    hosts = [endpoint.host for endpoint in _endpoints_up(soak)]
+    if not hosts:
+        return
+    host = rng.choice(hosts)
+    for _ in range(3):
+        endpoint = soak.machines.hosts[host].endpoint
+        if endpoint is not None:
+            await _restart_endpoint(soak, rng, endpoint)
+        await asyncio.sleep(rng.uniform(0.1, 1.5))
--- a/tests/soak/seeds.py
+++ b/tests/soak/seeds.py
@@ -4,7 +4,9 @@
 
 # Each entry is (seed, seconds of faults, cause of the failure). Adding or removing a
 # fault, or changing the sorted order of the fault names, changes what every seed
-# injects, so such a change has to find new seeds.
+# injects, so such a change has to find new seeds. Restarts of endpoints under their ids
+# are a series beside it, drawn from random.Random("restarts SEED"), so that they change
+# nothing else that a seed injects. The same rule holds for their names.
 REGRESSION_SEEDS = (
     (
         51,
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from tests.soak.callers import MAX_ATTEMPTS, Callers
-from tests.soak.faults import FAULTS
+from tests.soak.faults import FAULTS, RESTARTS
 from tests.soak.ledger import Ledger
 from tests.soak.machines import MachinesStandIn
 from tests.soak.nodes import Node, wait_until_ready
@@ -76,7 +76,7 @@
         )
         self._node_count = nodes
         self.nodes = []
-        self._queues = [
+        self.queues = [
             QueueRoute(f"{service}.example", "/jobs/", service)
             for service in ("alpha", "beta")
         ]
@@ -100,7 +100,7 @@
         """Write a newer configuration, as the operator does."""
         self._config_version += 3
         services = [{"name": name, "standby": name == "idle"} for name in POOLS]
-        routes = [queue.to_config() for queue in self._queues] + extra_routes
+        routes = [queue.to_config() for queue in self.queues] + extra_routes
         body = {"version": self._config_version, "routes": routes, "services": services}
         value = base64.b64encode(msgspec.json.encode(body)).decode()
         self.store.put("op", "", "config", value)
@@ -110,7 +110,7 @@
         try:
             await self._start()
             await asyncio.sleep(WARM_UP_S)
-            await self._inject(seconds)
+            await self._inject_all(seconds)
             await self._settle()
         finally:
             await self._close()
@@ -134,22 +134,27 @@
         if missing:
             names = [node.name for node in missing]
             self.ledger.report("all nodes become ready", str(names))
-        self._callers = Callers(
-            self.nodes, self._queues, self._child_rng(), self.ledger
-        )
+        self._callers = Callers(self.nodes, self.queues, self._child_rng(), self.ledger)
         await self._callers.start()
 
-    async def _inject(self, seconds):
+    async def _inject_all(self, seconds):
+        """Inject both series of faults; restarts draw from a stream of their own."""
+        restart_rng = random.Random(f"restarts {self.seed}")
+        await asyncio.gather(
+            self._inject(FAULTS, self._child_rng(), seconds),
+            self._inject(RESTARTS, restart_rng, seconds),
+        )
+
+    async def _inject(self, faults, rng, seconds):
         """Start faults at random intervals, often overlapping, and await their end."""
-        rng = self._child_rng()
         loop = asyncio.get_running_loop()
         until = loop.time() + seconds
         running = []
         while loop.time() < until:
-            name = rng.choice(sorted(FAULTS))
+            name = rng.choice(sorted(faults))
             duration_s = rng.uniform(*FAULT_DURATION_RANGE_S)
             self._injected.append(f"{name} {duration_s:.1f}")
-            fault = FAULTS[name](self, self._fault_rng(rng), duration_s)
+            fault = faults[name](self, self._fault_rng(rng), duration_s)
             running.append(asyncio.create_task(fault))
             await asyncio.sleep(rng.expovariate(1 / FAULT_INTERVAL_S))
         await asyncio.gather(*running)
--- a/tests/soak/test_faults.py
+++ b/tests/soak/test_faults.py
@@ -5,10 +5,21 @@
 from types import SimpleNamespace
 from unittest import mock
 
-from tests.soak.faults import reload
+from tests.soak.faults import FAULTS, RESTARTS, reload
 from tests.soak.nodes import Node
 
 
+class RegistryTests(unittest.TestCase):
+    def test_restarts_of_endpoints_are_a_series_of_their_own(self):
+        """Guards against a fault whose name changes what all seeds inject."""
+        names = random.Random(1).choices(sorted(FAULTS), k=4)
+        self.assertEqual(
+            names,
+            ["cut_endpoints", "store_loses_answers", "store_down", "cut_node_off"],
+        )
+        self.assertFalse(FAULTS.keys() & RESTARTS.keys())
+
+
 class ReloadTests(unittest.IsolatedAsyncioTestCase):
     async def reload_with(self, status):
         """Reload a node whose process has ``status`` afterwards; None means it runs."""
