Restart endpoints of the soak that the product does not call at the moment

Each seed now draws each kind of restart once a round, and before an idle restart one service gets no work until two of its endpoints run nothing and have no end to be acknowledged.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -26,10 +26,12 @@
     Generates a load of submissions over all nodes and queues.
 
     Each call goes to a random node. A submission that gets no response or is refused is
-    repeated with the same id, up to ``SUBMIT_ATTEMPTS`` times in total.
+    repeated with the same id, up to ``SUBMIT_ATTEMPTS`` times in total. Nothing new is
+    submitted for the services in ``quiet_services``.
     """
 
     def __init__(self, nodes, queues, rng, ledger):
+        self.quiet_services = set()
         self._nodes = nodes
         self._queues = queues
         self._rng = rng
@@ -113,6 +115,8 @@
 
     async def _submit(self):
         queue = self._rng.choice(self._queues)
+        if queue.service in self.quiet_services:
+            return
         submission = self._new_submission()
         submission_id = submission.submission_id
         for _ in range(SUBMIT_ATTEMPTS):
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -90,8 +90,8 @@
 
     @property
     def idle(self):
-        """Return whether nothing runs."""
-        return not self._running
+        """Return whether nothing runs and all ends are acknowledged."""
+        return not self._running and not self._ended
 
     async def start(self, entry_delay_s=0.0):
         """Serve orders and register in the store after ``entry_delay_s``."""
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -21,6 +21,7 @@
 TAKEOVER_S = 3.5  # long enough for a successor to take the lease and send orders
 ORDER_WAIT_S = 2.0
 ENDPOINT_OUTAGE_RANGE_S = (0.05, 1.0)  # until an endpoint starts under its id again
+QUIET_S = 3.0  # tasks last up to 1.8 s, and their ends are acknowledged 1.2 s later
 IDLE_POLL_S = 0.05
 RESTART_DELAY_S = 0.3  # until the platform restarts a process that has ended
 ADDED_ROUTE = {"name": "extra", "host": "extra.example", "path_prefix": "/extra/"}
@@ -290,21 +291,27 @@
 
 
 @restart
-async def restart_idle_endpoint(soak, rng, seconds):
-    """Restart an endpoint while it is idle, if one is idle within ``seconds``."""
+async def restart_idle_endpoints(soak, rng, seconds):
+    """
+    Submit nothing to one service until two endpoints are idle, then restart those.
+
+    The product does not call an idle endpoint, so it learns of this restart late.
+    """
+    service = rng.choice(soak.queues).service
     loop = asyncio.get_running_loop()
-    until = loop.time() + seconds
-    while loop.time() < until:
-        idle = [endpoint for endpoint in _endpoints_up(soak) if endpoint.idle]
-        if idle:
-            await _restart_endpoint(soak, rng, rng.choice(idle))
-            return
+    until = loop.time() + max(seconds, QUIET_S)
+    soak.callers.quiet_services.add(service)
+    idle = []
+    while len(idle) < 2 and loop.time() < until:
         await asyncio.sleep(IDLE_POLL_S)
+        idle = [e for e in _endpoints_up(soak) if e.idle and e.service == service]
+    await asyncio.gather(*(_restart_endpoint(soak, rng, each) for each in idle))
+    soak.callers.quiet_services.discard(service)
 
 
 @restart
 async def restart_busy_endpoints(soak, rng, seconds):
-    """Restart two endpoints while tasks run on them."""
+    """Restart two endpoints that run tasks or hold ends to be acknowledged."""
     busy = [endpoint for endpoint in _endpoints_up(soak) if not endpoint.idle]
     chosen = rng.sample(busy, min(2, len(busy)))
     await asyncio.gather(*(_restart_endpoint(soak, rng, each) for each in chosen))
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -54,6 +54,12 @@
     directory: str
 
 
+def shuffled_rounds(rng):
+    """Yield the names of all restarts in random order, again and again."""
+    while True:
+        yield from rng.sample(sorted(RESTARTS), len(RESTARTS))
+
+
 class SoakRun:
     """
     One soak: everything that runs for one seed.
@@ -81,7 +87,7 @@
             for service in ("alpha", "beta")
         ]
         self._config_version = 1
-        self._callers = None
+        self.callers = None
         self._injected = []
 
     def _child_rng(self):
@@ -134,24 +140,26 @@
         if missing:
             names = [node.name for node in missing]
             self.ledger.report("all nodes become ready", str(names))
-        self._callers = Callers(self.nodes, self.queues, self._child_rng(), self.ledger)
-        await self._callers.start()
+        self.callers = Callers(self.nodes, self.queues, self._child_rng(), self.ledger)
+        await self.callers.start()
 
     async def _inject_all(self, seconds):
         """Inject both series of faults; restarts draw from a stream of their own."""
+        rng = self._child_rng()
+        names = iter(lambda: rng.choice(sorted(FAULTS)), None)
         restart_rng = random.Random(f"restarts {self.seed}")
         await asyncio.gather(
-            self._inject(FAULTS, self._child_rng(), seconds),
-            self._inject(RESTARTS, restart_rng, seconds),
+            self._inject(FAULTS, names, rng, seconds),
+            self._inject(RESTARTS, shuffled_rounds(restart_rng), restart_rng, seconds),
         )
 
-    async def _inject(self, faults, rng, seconds):
+    async def _inject(self, faults, names, rng, seconds):
         """Start faults at random intervals, often overlapping, and await their end."""
         loop = asyncio.get_running_loop()
         until = loop.time() + seconds
         running = []
         while loop.time() < until:
-            name = rng.choice(sorted(faults))
+            name = next(names)
             duration_s = rng.uniform(*FAULT_DURATION_RANGE_S)
             self._injected.append(f"{name} {duration_s:.1f}")
             fault = faults[name](self, self._fault_rng(rng), duration_s)
@@ -167,7 +175,7 @@
         missing = await wait_until_ready(self.nodes, READY_LIMIT_S)
         for node in missing:
             self.ledger.report("all nodes become ready again", node.name)
-        finishing = asyncio.create_task(self._callers.stop_submitting())
+        finishing = asyncio.create_task(self.callers.stop_submitting())
         for _ in range(int(SETTLE_S / SETTLE_POLL_S)):
             if finishing.done():
                 break
@@ -191,8 +199,8 @@
             self.ledger.report("a wave is carried out", str(missing))
 
     async def _close(self):
-        if self._callers is not None:
-            await self._callers.close()
+        if self.callers is not None:
+            await self.callers.close()
         for node in self.nodes:
             await node.close()
         await self.machines.close()
--- a/tests/soak/test_faults.py
+++ b/tests/soak/test_faults.py
@@ -1,12 +1,15 @@
 import random
 import signal
 import unittest
+from itertools import islice
 from pathlib import Path
 from types import SimpleNamespace
 from unittest import mock
 
-from tests.soak.faults import FAULTS, RESTARTS, reload
+from tests.soak import faults
+from tests.soak.faults import FAULTS, RESTARTS, reload, restart_idle_endpoints
 from tests.soak.nodes import Node
+from tests.soak.soak_run import shuffled_rounds
 
 
 class RegistryTests(unittest.TestCase):
@@ -19,6 +22,34 @@
         )
         self.assertFalse(FAULTS.keys() & RESTARTS.keys())
 
+    def test_each_restart_is_drawn_once_a_round(self):
+        """Guards against seeds that never restart an idle endpoint."""
+        names = list(islice(shuffled_rounds(random.Random(1)), 2 * len(RESTARTS)))
+        for drawn in (names[: len(RESTARTS)], names[len(RESTARTS) :]):
+            self.assertEqual(sorted(drawn), sorted(RESTARTS))
+
+
+class RestartIdleTests(unittest.IsolatedAsyncioTestCase):
+    async def test_only_idle_endpoints_of_the_quiet_service_restart(self):
+        """Guards against restarts that the product notices at once."""
+        restart = mock.AsyncMock()
+        endpoints = [
+            SimpleNamespace(service=service, idle=idle, up=True)
+            for service in ("alpha", "beta")
+            for idle in (True, False)
+        ]
+        soak = SimpleNamespace(
+            queues=[SimpleNamespace(service="alpha")],
+            callers=SimpleNamespace(quiet_services=set()),
+            machines=SimpleNamespace(restart_endpoint=restart),
+            endpoints=lambda: endpoints,
+        )
+        with mock.patch.object(faults, "QUIET_S", 0.2):
+            await restart_idle_endpoints(soak, random.Random(1), 0.1)
+        restart.assert_awaited_once()
+        self.assertIs(restart.await_args.args[0], endpoints[0])
+        self.assertEqual(soak.callers.quiet_services, set())
+
 
 class ReloadTests(unittest.IsolatedAsyncioTestCase):
     async def reload_with(self, status):
