Take no run for gone while an endpoint has more ends than it lists

Cause: an endpoint lists 500 ends at a time and the rest once these are acknowledged. A run that was neither running nor among the listed ends was taken for gone, although its end was still to come.

Evidence: test_run_whose_end_is_not_listed_yet_is_not_gone failed before.

Why it works: a full list of ends says nothing of the runs that it omits; they wait for a listing that has room for all ends.

--- a/magnoliapier/platform/wire.py
+++ b/magnoliapier/platform/wire.py
@@ -43,6 +43,7 @@
 
 MAX_SPEC_BYTES = 4000
 MAX_TASKS = 20_000  # of one submission, over all its steps and occurrences
+MAX_LISTED_ENDS = 500  # in one answer of an endpoint
 
 
 class CapacityBody(msgspec.Struct, frozen=True):
@@ -404,6 +405,7 @@
             ],
             [RunEnd(e.number, e.task, e.run, e.how, e.saved) for e in self.ended],
             self.born,
+            lists_all_ends=len(self.ended) < MAX_LISTED_ENDS,
         )
 
 
--- a/magnoliapier/service/orders.py
+++ b/magnoliapier/service/orders.py
@@ -50,12 +50,15 @@
     The runs of an endpoint and the ended runs that are not acknowledged yet.
 
     ``started_ms`` distinguishes the incarnations of an endpoint under one id.
+    ``lists_all_ends`` is whether ``ended`` is complete: an endpoint lists a limited
+    number, the others once these are acknowledged.
     """
 
     clock_ms: int
     running: list[ListedRun]
     ended: list[RunEnd]
     started_ms: int = 0
+    lists_all_ends: bool = True
 
 
 class StartOrder(msgspec.Struct):
--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -607,6 +607,8 @@
             else:
                 live.incarnation = self._incarnation
                 self._owner.run_listed(self, live, listed_run, now)
+        if not inspection.lists_all_ends:
+            return  # the end of a run that is not listed may come later
         for key, live in list(self.live.items()):
             settled = live.settled_at is not None and live.settled_at < sent_at
             if key not in listed and settled:
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -84,6 +84,14 @@
             with self.subTest(capacity), self.assertRaises(MessageError):
                 wire.decode(wire.ServerBody, data).record("i-1")
 
+    def test_full_list_of_ends_is_not_taken_for_all_of_them(self):
+        """Guards against runs taken for gone whose ends come in a later answer."""
+        for count, lists_all_ends in ((499, True), (500, False)):
+            ends = [(number, "t", number, "done", "") for number in range(count)]
+            data = wire.encode({"clock_ms": 1, "running": [], "ended": ends})
+            inspection = wire.decode(wire.HoldAnswer, data).inspection()
+            self.assertEqual(inspection.lists_all_ends, lists_all_ends)
+
     def test_run_list_with_and_without_reading(self):
         """Guards against a run list that is refused because a row has no reading."""
         data = b'{"clock_ms":1,"running":[["t",2,"c",41],["u",1,"",100,35]],"ended":[]}'
--- a/tests/service/fakes.py
+++ b/tests/service/fakes.py
@@ -22,6 +22,7 @@
 
 FOREVER_MS = 10**12
 FIRST_CLOCK_MS = 5000
+ENDS_PER_LISTING = 500
 HOLD_STEP_S = 0.002
 
 
@@ -263,9 +264,9 @@
         running = [
             ListedRun(task, run, "", 100) for task, run in endpoint.running.items()
         ]
-        return Inspection(
-            endpoint.clock_ms, running, list(endpoint.ended), endpoint.born
-        )
+        ended = endpoint.ended[:ENDS_PER_LISTING]
+        lists_all = len(ended) < ENDS_PER_LISTING
+        return Inspection(endpoint.clock_ms, running, ended, endpoint.born, lists_all)
 
     async def _wait_for_end(self, endpoint, wait_s):
         for _ in range(int(wait_s / HOLD_STEP_S)):
--- a/tests/service/test_session.py
+++ b/tests/service/test_session.py
@@ -6,12 +6,17 @@
 
 from magnoliapier.placement.endpoint import EndpointRecord
 from magnoliapier.service.incarnation import LeaseTerms
-from magnoliapier.service.orders import Inspection, ListedRun
+from magnoliapier.service.orders import Inspection, ListedRun, RunEnd
 from magnoliapier.service.session import EndpointSession
 from magnoliapier.submissions.configuration import Queue
 from magnoliapier.submissions.model import Resources, Step, Submission
 from magnoliapier.submissions.progress import LiveRun, Progress, RunState
-from tests.service.fakes import FIRST_CLOCK_MS, FakeClock, FakeEndpoints
+from tests.service.fakes import (
+    ENDS_PER_LISTING,
+    FIRST_CLOCK_MS,
+    FakeClock,
+    FakeEndpoints,
+)
 
 STEPS = (Step(task_count=1, resources=Resources(100, 100, 0)),)
 
@@ -24,6 +29,7 @@
 
     def __init__(self):
         self.gone_reasons = []
+        self.ended = []
         self.holds_lease = True
 
     def may_act(self):
@@ -33,6 +39,9 @@
         session.drop(live)
         self.gone_reasons.append(reason)
 
+    def run_ended(self, session, end):
+        self.ended.append(end)
+
     def run_listed(self, session, live, listed_run, now):
         if live.run.state == RunState.ORDERED:
             live.run.state = RunState.CONFIRMED
@@ -217,6 +226,25 @@
         self.assertEqual(self.endpoint.acknowledged, 0)
 
 
+class ManyEndsTests(SessionTestCase):
+    """More runs have ended on an endpoint than one listing holds."""
+
+    async def test_run_whose_end_is_not_listed_yet_is_not_gone(self):
+        """Guards against a second run of a task whose end comes in a later listing."""
+        self.live.settled_at = 0.0
+        for number in range(ENDS_PER_LISTING):
+            end = RunEnd(number + 1, f"00000000000000bb.0.0.{number}", 1, "done", "")
+            self.endpoint.ended.append(end)
+        self.endpoint.ended.append(
+            RunEnd(ENDS_PER_LISTING + 1, str(self.live.task.name), 1, "done", "")
+        )
+        await self.session._inspect()
+        self.assertEqual(self.owner.gone_reasons, [])
+        self.session.mark_ends_stored(self.session.incarnation, ENDS_PER_LISTING)
+        await self.session._inspect()
+        self.assertEqual(self.owner.ended[-1].number, ENDS_PER_LISTING + 1)
+
+
 class IdleEndpointTests(SessionTestCase):
     """A run is started on an endpoint that has not been called for a while."""
 
