Contain an unexpected error in the work of one submission

Callers would see: all submissions of a service wait (LOST) while one of them can't be ordered or placed, or while the pool can't be sized.

Cause: pool, order and placement are computed in one cycle, and an error in any of them ended it before anything was placed or stored.

Evidence: test_unexpected_error_of_the_pool_stops_no_submission and test_unexpected_error_of_one_submission_stops_no_other failed before.

Why it works: the error is logged and counted where it occurs, the odd submission comes last or is left out, and the cycle goes on.

--- a/magnoliapier/placement/order.py
+++ b/magnoliapier/placement/order.py
@@ -23,6 +23,10 @@
     LATE = 3
 
 
+# After those of all ranks: a submission whose place in the order can't be computed.
+LAST_KEY = (len(Rank), 0, 0)
+
+
 def due_ms(progress, durations):
     """Return the time by which a submission should be complete, in Unix ms."""
     queue = progress.queue
--- a/magnoliapier/placement/scheduler.py
+++ b/magnoliapier/placement/scheduler.py
@@ -8,10 +8,13 @@
 endpoints that are suspect or have failed the task come last.
 """
 
+from magnoliapier.logs import get_logger
 from magnoliapier.submissions.progress import LiveRun
 
 MAX_UNPLACED = 24  # submissions that may lack room before a pass gives up
 
+log = get_logger(__name__)
+
 
 class Scheduler:
     """
@@ -33,10 +36,22 @@
         for progress in progresses:
             if not self._usable or unplaced > MAX_UNPLACED:
                 break
-            if not self._place_submission(progress, starts):
+            if not self._try_submission(progress, starts):
                 unplaced += 1
         return starts
 
+    def _try_submission(self, progress, starts):
+        """
+        Place the tasks of a submission; return whether all of them found room.
+
+        An unexpected error in it is logged and leaves the other submissions alone.
+        """
+        try:
+            return self._place_submission(progress, starts)
+        except Exception as error:
+            log.error("placement_failed", id=progress.submission_id, error=repr(error))
+            return False
+
     def could_place(self, live):
         """Return whether another endpoint can run the task of a live run."""
         siblings = live.progress.siblings(live.task)
--- a/magnoliapier/service/shard.py
+++ b/magnoliapier/service/shard.py
@@ -18,14 +18,18 @@
 from magnoliapier.placement.durations import DurationModel
 from magnoliapier.placement.health import is_stalled
 from magnoliapier.placement.interference import next_pace, worst_latency_ratio
-from magnoliapier.placement.order import order_key
+from magnoliapier.placement.order import LAST_KEY, order_key
 from magnoliapier.placement.scheduler import Scheduler
 from magnoliapier.pools.report import (
     REPORT_KEY,
     decode_report,
     encode as encode_report,
 )
-from magnoliapier.service.background import cancel_tasks, supervise
+from magnoliapier.service.background import (
+    cancel_tasks,
+    report_failure,
+    supervise,
+)
 from magnoliapier.service.cleanup import FinishedRows
 from magnoliapier.service.clock import unix_ms
 from magnoliapier.service.intake import Intake
@@ -282,10 +286,22 @@
         if self.may_act():
             self._check_crashed_endpoints()
             self._restart_stalled(now)
-            self._update_pool(now)
+            self._contain("update_pool", self._update_pool, now)
             self._schedule(now)
         await self._commit(now)
 
+    def _contain(self, name, function, *args, default=None):
+        """
+        Return ``function(*args)``, or ``default`` after an unexpected error in it.
+
+        What can't be computed for one part must not stop the others of the cycle.
+        """
+        try:
+            return function(*args)
+        except Exception as error:
+            report_failure(name, error, self._metrics)
+            return default
+
     def _open_occurrences(self):
         now_ms = unix_ms()
         for progress in self.tables.progresses.values():
@@ -325,7 +341,9 @@
         progresses = self.tables.progresses.values()
         ordered = sorted(
             (p for p in progresses if not p.cancelled and not p.failed),
-            key=lambda progress: order_key(progress, self._durations, now_ms),
+            key=lambda progress: self._contain(
+                "order", order_key, progress, self._durations, now_ms, default=LAST_KEY
+            ),
         )
         scheduler = Scheduler(self.tables.sessions.values(), now)
         for session, live in scheduler.place(ordered):
--- a/tests/service/test_shard.py
+++ b/tests/service/test_shard.py
@@ -274,6 +274,32 @@
         await self.wait_until(lambda: len(endpoint.starts) == 3)
         self.assertEqual(self.stored("b" * 16).tasks[0].failures, 0)
 
+    async def test_unexpected_error_of_the_pool_stops_no_submission(self):
+        """Guards against a service that stands still while its pool can't be sized."""
+        endpoint = self.add_endpoint("e1")
+        shard = await self.start_shard()
+        await self.wait_until(lambda: shard.loaded)
+
+        def fail(*args):
+            raise ZeroDivisionError
+
+        shard._pool.update = fail
+        await self.submit(submission("c" * 16, short_step()))
+        await self.wait_until(lambda: endpoint.starts)
+
+    async def test_unexpected_error_of_one_submission_stops_no_other(self):
+        """Guards against a service that stands still for one odd submission."""
+        endpoint = self.add_endpoint("e1")
+        shard = await self.start_shard()
+        await self.submit(submission("d" * 16, short_step(9)))
+        await self.wait_until(lambda: len(endpoint.running) == 8)
+        odd = shard.tables.progresses["d" * 16]
+        odd.startable_tasks = odd.done_steps = None  # calling them raises TypeError
+        starts = len(endpoint.starts)
+        endpoint.end(f"{'d' * 16}.0.0.0")
+        await self.submit(submission("e" * 16, short_step()))
+        await self.wait_until(lambda: len(endpoint.starts) > starts)
+
     async def test_unexpected_error_in_a_cycle_does_not_end_the_controller(self):
         """Guards against a service that stands still while its lease is renewed."""
         endpoint = self.add_endpoint("e1")
