Call an endpoint that does not answer also while it runs nothing

Cause: a session without runs and without ends to acknowledge sleeps until it is woken. If it had just lost its endpoint, nothing ever called that again.

Evidence: test_endpoint_that_answers_again_is_used_again failed before.

Why it works: a lost endpoint that has not been released is called every second, until it answers or its entry is gone.

--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -34,6 +34,7 @@
 # is longer than a listing that is held back, and the gap after it.
 START_LISTING_AGE_S = 1.5
 RETRY_DELAY_S = 0.25
+LOST_RETRY_DELAY_S = 1.0  # for an endpoint that does not answer and runs nothing
 UNHEALTHY_BACKOFF_S = 0.6
 NO_ROOM_BACKOFF_S = 0.15
 LAPSE_MARGIN_S = 0.1
@@ -72,6 +73,7 @@
         self._restart_recorded_at = None
         self._last_start_at = 0.0
         self._last_extension_at = 0.0
+        self._last_call_at = 0.0
         self._has_restarted = False
         self._last_listing_at = None
         self._listing_requested_at = 0.0
@@ -440,6 +442,8 @@
         """Return the seconds until the next inspection, or None if none is needed."""
         if not self.opened or self._restart_recorded_at is not None or self.live:
             return 0
+        if self.failing_since is not None and not self.released:
+            return max(0.0, self._last_call_at + LOST_RETRY_DELAY_S - self._clock())
         incarnation = self._incarnation
         if incarnation.end_to_acknowledge:
             due_at = incarnation.last_end_at + ACKNOWLEDGE_DELAY_S
@@ -472,7 +476,7 @@
         ``wait_ms`` is how long the endpoint may hold back its answer, by default as
         long as nothing ends there.
         """
-        sent_at = self._clock()
+        sent_at = self._last_call_at = self._clock()
         incarnation = self._incarnation
         deadline_ms = None
         if incarnation.clock.known and self.failing_since is None:
--- a/tests/service/test_session.py
+++ b/tests/service/test_session.py
@@ -186,6 +186,25 @@
         self.assertEqual(self.owner.gone_reasons, ["endpoint_restarted"])
 
 
+class LostEndpointTests(SessionTestCase):
+    """An endpoint that runs nothing any more has stopped answering."""
+
+    async def test_endpoint_that_answers_again_is_used_again(self):
+        """Guards against an endpoint that is never called again after an outage."""
+        self.session.start()
+        await asyncio.sleep(0.02)
+        self.endpoint.silent = True
+        await asyncio.sleep(0.3)
+        self.session.drop(self.live)
+        await asyncio.sleep(0.3)
+        self.assertIsNotNone(self.session.failing_since)
+        self.endpoint.silent = False
+        self.clock.now += 1.0
+        await asyncio.sleep(1.3)
+        self.assertIsNone(self.session.failing_since)
+        self.assertTrue(self.session.usable(self.clock()))
+
+
 class AcknowledgementTests(SessionTestCase):
     """An end is stored, and the endpoint may have restarted since it was listed."""
 
