Let no submissions without room keep others from every pass

Cause: a pass ended after 24 submissions without room, and the next one began with the same ones.

Why it works: a task that needs as much as one that found no room in the same pass is skipped without a search, so that the bound counts kinds of task.

--- a/magnoliapier/placement/scheduler.py
+++ b/magnoliapier/placement/scheduler.py
@@ -9,17 +9,61 @@
 """
 
 from magnoliapier.logs import get_logger
+from magnoliapier.pools.demand import fits
 from magnoliapier.submissions.progress import LiveRun
 
-MAX_UNPLACED = 24  # submissions that may lack room before a pass gives up
+MAX_UNPLACED_KINDS = 24  # kinds of task that may lack room before a pass ends
 
 log = get_logger(__name__)
 
 
+class UnplacedKinds:
+    """
+    The kinds of task for which a pass has found no room.
+
+    Room only shrinks during a pass, so that a task that needs as much of each resource
+    and the same label has none either.
+
+    Example::
+
+        kinds = UnplacedKinds()
+        kinds.add(step)
+        assert kinds.covers(step)
+    """
+
+    def __init__(self):
+        self._resources = {}
+        self.count = 0
+
+    def add(self, step):
+        """
+        Record that no endpoint has room for a task of ``step``.
+
+        Where a limit for each endpoint binds, other steps may still find room.
+        """
+        self.count += 1
+        if step.max_per_endpoint:
+            return
+        self._resources.setdefault(self._key(step), []).append(step.resources)
+
+    def covers(self, step):
+        """Return whether no endpoint can have room for a task of ``step``."""
+        return any(
+            fits(resources, step.resources)
+            for resources in self._resources.get(self._key(step), ())
+        )
+
+    def _key(self, step):
+        return (step.required_label, step.fills)
+
+
 class Scheduler:
     """
     Places startable tasks on usable endpoint sessions and reserves their resources.
 
+    A pass ends early if too many kinds of task lack room. ``passed_over`` lists the
+    submissions that it did not come to; they have to come first in the next one.
+
     Example::
 
         starts = Scheduler(sessions, now).place(progresses)
@@ -28,29 +72,31 @@
     def __init__(self, sessions, now):
         self._now = now
         self._usable = [s for s in sessions if s.usable(now)]
+        self._unplaced_kinds = UnplacedKinds()
+        self.passed_over = []
 
     def place(self, progresses):
         """Return (session, live run) pairs; ``progresses`` are in order of service."""
         starts = []
-        unplaced = 0
-        for progress in progresses:
-            if not self._usable or unplaced > MAX_UNPLACED:
+        if not self._usable:
+            return starts
+        for index, progress in enumerate(progresses):
+            if self._unplaced_kinds.count > MAX_UNPLACED_KINDS:
+                self.passed_over = progresses[index:]
                 break
-            if not self._try_submission(progress, starts):
-                unplaced += 1
+            self._try_submission(progress, starts)
         return starts
 
     def _try_submission(self, progress, starts):
         """
-        Place the tasks of a submission; return whether all of them found room.
+        Place the tasks of a submission as far as there is room.
 
         An unexpected error in it is logged and leaves the other submissions alone.
         """
         try:
-            return self._place_submission(progress, starts)
+            self._place_submission(progress, starts)
         except Exception as error:
             log.error("placement_failed", id=progress.submission_id, error=repr(error))
-            return False
 
     def could_place(self, live):
         """Return whether another endpoint can run the task of a live run."""
@@ -71,13 +117,23 @@
             if task.step.gang:
                 gangs.setdefault(step_key, []).append(task)
                 continue
-            session = self._best_session(progress, task)
+            session = self._find_room(progress, task)
             if session is None:
                 full_steps.add(step_key)
             else:
                 starts.append(self._reserve_run(session, progress, task))
-        placed = [self._place_gang(progress, tasks, starts) for tasks in gangs.values()]
-        return not full_steps and all(placed)
+        for tasks in gangs.values():
+            self._place_gang(progress, tasks, starts)
+
+    def _find_room(self, progress, task):
+        """Return the best session for a task, or None if no endpoint has room."""
+        step = task.step
+        if self._unplaced_kinds.covers(step):
+            return None
+        session = self._best_session(progress, task)
+        if session is None:
+            self._unplaced_kinds.add(step)
+        return session
 
     def _reserve_run(self, session, progress, task, run_number=None):
         run = task.begin_run(session.endpoint_id, self._now, run_number)
@@ -86,21 +142,23 @@
         return session, live
 
     def _place_gang(self, progress, tasks, starts):
-        """Place all tasks of a gang under one run number, or none of them."""
+        """
+        Place all tasks of a gang under one run number, or none of them.
+
+        A gang waits until every member can start.
+        """
         members = progress.siblings(tasks[0])
-        # Waiting until every member can start does not count as a lack of room.
-        if len(tasks) < len(members):
-            return True
+        if len(tasks) < len(members) or self._unplaced_kinds.covers(tasks[0].step):
+            return
         run_number = max(task.last_run for task in members) + 1
         reserved = []
         for task in members:
             session = self._best_session(progress, task)
             if session is None:
                 self._cancel_reservations(reserved)
-                return False
+                return
             reserved.append(self._reserve_run(session, progress, task, run_number))
         starts.extend(reserved)
-        return True
 
     def _cancel_reservations(self, reserved):
         for session, live in reserved:
--- a/tests/placement/test_scheduler.py
+++ b/tests/placement/test_scheduler.py
@@ -100,3 +100,47 @@
         self.assertEqual(
             self.place(make_progress(step(1)), FakeSession("e1", usable=False)), []
         )
+
+
+class CrowdTests(unittest.TestCase):
+    """
+    Many submissions that can't be placed come before one that can.
+
+    The pattern is the loss of the only endpoint with a label: the submissions that
+    require it wait, and long-running ones among them come first in the order.
+    """
+
+    def setUp(self):
+        self.session = FakeSession("e1")
+
+    def test_submissions_of_one_kind_do_not_end_a_pass(self):
+        """Guards against a service that stands still while endpoints are idle."""
+        waiting = [make_progress(step(1, required_label="lost")) for _ in range(100)]
+        scheduler = Scheduler([self.session], 0.0)
+        starts = scheduler.place([*waiting, make_progress(step(1))])
+        self.assertEqual(len(starts), 1)
+        self.assertEqual(scheduler.passed_over, [])
+
+    def test_submissions_of_many_kinds_end_a_pass_and_the_rest_is_named(self):
+        """Guards against submissions that no pass ever comes to."""
+        waiting = [
+            make_progress(step(1, required_label=f"lost-{number}"))
+            for number in range(100)
+        ]
+        last = make_progress(step(1))
+        scheduler = Scheduler([self.session], 0.0)
+        self.assertEqual(scheduler.place([*waiting, last]), [])
+        self.assertIn(last, scheduler.passed_over)
+
+    def test_smaller_task_is_tried_after_a_larger_one(self):
+        """Guards against room that stays free because a larger task came first."""
+        large = make_progress(Step(1, Resources(8000, 100)))
+        starts = Scheduler([self.session], 0.0).place([large, make_progress(step(1))])
+        self.assertEqual(len(starts), 1)
+
+    def test_best_effort_task_is_tried_after_one_that_needs_cpu(self):
+        """Guards against best-effort tasks that wait for CPU which they don't need."""
+        large = make_progress(Step(1, Resources(8000, 100)))
+        filling = make_progress(Step(1, Resources(8000, 100), fills=True))
+        starts = Scheduler([self.session], 0.0).place([large, filling])
+        self.assertEqual(len(starts), 1)
--- a/tests/service/test_shard.py
+++ b/tests/service/test_shard.py
@@ -243,6 +243,17 @@
             lambda: shard.tables.state_of("e" * 16) == SubmissionState.CANCELLED
         )
 
+    async def test_submission_behind_many_kinds_that_wait_is_started(self):
+        """Guards against work that each pass gives up before it comes to."""
+        endpoint = self.add_endpoint("e1")
+        await self.start_shard()
+        for number in range(60):
+            waiting = short_step(long_running=True, required_label=f"lost-{number}")
+            await self.submit(submission(f"{number:016x}", waiting))
+        await asyncio.sleep(0.3)
+        await self.submit(submission("f" * 16, short_step()))
+        await self.wait_until(lambda: endpoint.starts)
+
     async def test_endpoint_capacity_is_never_exceeded(self):
         """Guards against more tasks on an endpoint than its resources hold."""
         endpoint = self.add_endpoint("e1")
