Release no surplus host where no pool takes it

Cause: a pool released the hosts that it did not need, and a released host is not used again, as the fleet's controller may move it at any moment. Without a standby pool nobody moves it.

Evidence: test_surplus_stays_where_no_pool_takes_it failed before, with 3 of 4 hosts released.

Why it works: surplus is released only to a standby pool or while another pool wants hosts.

--- a/magnoliapier/service/pool.py
+++ b/magnoliapier/service/pool.py
@@ -44,15 +44,17 @@
     Decides which endpoints of a pool are evacuated and released.
 
     ``durations`` estimates how long tasks take. ``first_holder`` is whether no other
-    host has held the shard before. ``released`` maps the ids of listed endpoints to
-    their hosts; an endpoint that was released is not used again, because the fleet
-    controller may act on its host at any moment.
+    host has held the shard before. ``has_standby()`` returns whether there is a standby
+    pool, which takes every host that is released. ``released`` maps the ids of listed
+    endpoints to their hosts; an endpoint that was released is not used again, because
+    the fleet controller may act on its host at any moment.
     """
 
-    def __init__(self, service, durations, first_holder):
+    def __init__(self, service, durations, first_holder, has_standby):
         self._settling_s = FIRST_SETTLING_S if first_holder else SETTLING_S
         self._service = service
         self._durations = durations
+        self._has_standby = has_standby
         self._need_window = SlidingMaximum()
         self._arrivals = ArrivalRate()
         self._host_capacity = None
@@ -108,7 +110,9 @@
         if self._first_update_at is None:
             self._first_update_at = now
         settling = now - self._first_update_at < self._settling_s
-        min_kept = len(staying) if settling and not others_want_hosts else 0
+        # A released host is not used again, so somebody has to take it.
+        keeps_all = not others_want_hosts and (settling or not self._has_standby())
+        min_kept = len(staying) if keeps_all else 0
         self._need_window.observe(need, now)
         self._wanted = max(0, need - len(staying))
         self._hosts = len(staying)
--- a/magnoliapier/service/shard.py
+++ b/magnoliapier/service/shard.py
@@ -80,7 +80,12 @@
         self._pace_adjusted_at = 0.0
         self._gauges_set_at = 0.0
         self._durations = DurationModel()
-        self._pool = PoolManager(service, self._durations, lease.token == FIRST_TOKEN)
+        self._pool = PoolManager(
+            service,
+            self._durations,
+            lease.token == FIRST_TOKEN,
+            lambda: deps.fleet.standby() is not None,
+        )
         self._start_delays = StartDelays(service, deps.metrics)
         self._last_report = None
         self._last_report_at = 0.0
--- a/tests/service/fakes.py
+++ b/tests/service/fakes.py
@@ -286,6 +286,9 @@
     def crashed_since(self):
         return self.crashed
 
+    def standby(self):
+        return "standby"
+
     def hosts_wanted(self, service):
         return False
 
--- a/tests/service/test_pool.py
+++ b/tests/service/test_pool.py
@@ -49,7 +49,7 @@
     """Endpoints whose hosts the fleet controller may move at any moment."""
 
     def setUp(self):
-        self.pool = PoolManager(SERVICE, DurationModel(), first_holder=True)
+        self.pool = PoolManager(SERVICE, DurationModel(), True, lambda: True)
         self.pool.restore(PoolReport({"e1": "host-e1"}))
 
     def update(self, sessions, now):
@@ -80,10 +80,30 @@
         self.assertFalse(returned.released)
 
 
+class SurplusTests(unittest.TestCase):
+    """A pool has more hosts than it needs, for longer than it settles."""
+
+    def released(self, others_want_hosts, has_standby):
+        pool = PoolManager(SERVICE, DurationModel(), True, lambda: has_standby)
+        sessions = [make_session(f"e{number}") for number in range(4)]
+        for now in range(30):
+            pool.update(sessions, [], (), others_want_hosts, float(now))
+        return len(pool.report().released)
+
+    def test_surplus_stays_where_no_pool_takes_it(self):
+        """Guards against hosts that are released for good, and work that waits."""
+        self.assertEqual(self.released(others_want_hosts=False, has_standby=False), 0)
+
+    def test_surplus_is_released_to_the_standby_pool_or_to_others(self):
+        """Guards against hosts that are kept, or kept from other pools."""
+        self.assertEqual(self.released(others_want_hosts=False, has_standby=True), 3)
+        self.assertEqual(self.released(others_want_hosts=True, has_standby=False), 3)
+
+
 class WideTaskTests(unittest.TestCase):
     def test_pool_asks_for_a_host_on_which_a_wide_task_fits(self):
         """Guards against a step that never starts beside long-running tasks."""
-        pool = PoolManager(SERVICE, DurationModel(), first_holder=False)
+        pool = PoolManager(SERVICE, DurationModel(), False, lambda: True)
         serving = open_progress("a" * 16, long_running_step(2, 500))
         sessions = [make_session("e1"), make_session("e2")]
         for session, task in zip(sessions, serving.tasks(), strict=True):
