Store a long progress in several rows, and no more in a commit than it holds

Cause: the progress of a submission was one row of any length. The store refuses a row of over 65,536 bytes, and the lease is renewed in the same transaction. A commit of many middling submissions could pass the 1 MB of a transaction in the same way.

Why it works: a progress of over 48,000 bytes is divided by tasks into rows that are written and removed in one transaction; a missing one makes the submission unusable in place of its tasks startable. A commit takes as many submissions as 96 rows and 600,000 bytes hold, those that the last one left out first. Tasks that are done no longer keep their checkpoints. Rows of earlier builds are read as before.

--- a/magnoliapier/service/intake.py
+++ b/magnoliapier/service/intake.py
@@ -11,7 +11,7 @@
     progress_table,
     submissions_table,
 )
-from magnoliapier.submissions.codec import decode_progress, decode_submission
+from magnoliapier.submissions.codec import decode_submission
 from magnoliapier.submissions.configuration import Queue
 from magnoliapier.submissions.model import FINAL_STATES, SubmissionState
 from magnoliapier.submissions.progress import Progress
@@ -26,13 +26,15 @@
     """
     Follows the rows that entries write and combines them with the stored progress.
 
-    ``on_arrival(progress)`` is called with each submission that is added to the tables.
-    A submission whose stored progress cannot be used is not added: its tasks may run or
-    be done, and would be started a second time.
+    ``progress_rows`` are the shard's ProgressRows. ``on_arrival(progress)`` is called
+    with each submission that is added to the tables. A submission whose stored progress
+    cannot be used is not added: its tasks may run or be done, and would be started a
+    second time.
     """
 
-    def __init__(self, service, tables, deps, on_arrival):
+    def __init__(self, service, tables, progress_rows, deps, on_arrival):
         self._service = service
+        self._progress_rows = progress_rows
         self._tables = tables
         self._deps = deps
         self._on_arrival = on_arrival
@@ -78,13 +80,7 @@
         stored = await self._deps.store.read(
             progress_table(self._service), self._service
         )
-        progress_of = {}
-        for row in stored.rows:
-            try:
-                progress_of[row.key] = decode_progress(row.value)
-            except MessageError as error:
-                self._withhold(row.key, error)
-        return progress_of
+        return self._progress_rows.read(stored.rows, self._withhold)
 
     def _withhold(self, submission_id, error):
         self._withheld.add(submission_id)
--- a/magnoliapier/service/shard.py
+++ b/magnoliapier/service/shard.py
@@ -34,20 +34,17 @@
 from magnoliapier.service.clock import unix_ms
 from magnoliapier.service.intake import Intake
 from magnoliapier.service.pool import PoolManager, runs_to_evacuate
+from magnoliapier.service.progress_rows import ProgressRows
 from magnoliapier.service.run_events import RunEvents
 from magnoliapier.service.session import EndpointSession
 from magnoliapier.service.shard_tables import ShardTables
 from magnoliapier.service.start_delays import StartDelays
 from magnoliapier.state.commit import FencedCommitter
 from magnoliapier.state.lease import CONTROL_TABLE, FIRST_TOKEN
-from magnoliapier.state.rows import MAX_TRANSACTION_ENTRIES, Put
-from magnoliapier.state.tables import progress_table
-from magnoliapier.submissions.codec import encode
+from magnoliapier.state.rows import Put
 from magnoliapier.submissions.progress import LiveRun, RunState
 
 TICK_S = 0.15
-# Each submission takes one row. The rest is for the lease row and the report.
-MAX_BATCH_SUBMISSIONS = MAX_TRANSACTION_ENTRIES - 4
 COMMIT_RETRY_S = 0.06
 LOAD_RETRY_S = 0.2
 PACE_INTERVAL_S = 0.4
@@ -92,7 +89,14 @@
         self._finished_rows = FinishedRows(
             deps.store, service, deps.final_retention_s, deps.boottime()
         )
-        self._intake = Intake(service, self.tables, deps, self._on_submission_arrived)
+        self._progress_rows = ProgressRows(service)
+        self._intake = Intake(
+            service,
+            self.tables,
+            self._progress_rows,
+            deps,
+            self._on_submission_arrived,
+        )
         self._events = RunEvents(
             service,
             self.tables,
@@ -392,26 +396,26 @@
 
     async def _commit(self, now):
         dirty = self.tables.dirty
-        ids = list(dirty)[:MAX_BATCH_SUBMISSIONS]
-        all_included = len(ids) == len(dirty)
+        batch = self._progress_rows.build_batch(self._take_dirty_progresses())
+        all_included = len(batch.ids) == len(dirty)
+        final_submissions = self._final_states(batch.ids)
         handled_ends = [
             (session, session.incarnation, session.incarnation.last_handled_end)
             for session in self.tables.sessions.values()
         ]
-        dirty.difference_update(ids)
-        puts, final_submissions = self._build_progress_puts(ids)
-        puts.extend(self._report_put(now))
+        dirty.difference_update(batch.ids)
+        puts = [*batch.puts, *self._report_put(now)]
         try:
-            await self._committer.commit(puts)
+            await self._committer.commit(puts, batch.removes)
         except FencedError as error:
             log.warning("shard_lost", shard=self.service, error=error)
             self._lost = True
             self._on_lost(self)
             return
         except PlatformError as error:
-            await self._retry_commit(ids, error)
+            await self._retry_commit(batch.ids, error)
             return
-        self._send_starts(ids)
+        self._send_starts(batch.ids)
         self._finish_submissions(final_submissions)
         if all_included:
             for session, incarnation, number in handled_ends:
@@ -427,21 +431,23 @@
         await asyncio.sleep(COMMIT_RETRY_S)
         self.tables.wake.set()
 
-    def _build_progress_puts(self, ids):
-        puts, final_submissions = [], []
-        table = progress_table(self.service)
-        for submission_id in ids:
+    def _take_dirty_progresses(self):
+        """Return the progresses to store; those that have just ended get their time."""
+        progresses = []
+        for submission_id in list(self.tables.dirty):
             progress = self.tables.progresses.get(submission_id)
             if progress is None:
+                self.tables.dirty.discard(submission_id)
                 continue
-            state = progress.state
-            if state.is_final and not progress.finished_ms:
+            if progress.state.is_final and not progress.finished_ms:
                 progress.finished_ms = unix_ms()
-            stored = progress.to_stored()
-            puts.append(Put(table, self.service, submission_id, encode(stored)))
-            if state.is_final:
-                final_submissions.append((submission_id, state))
-        return puts, final_submissions
+            progresses.append(progress)
+        return progresses
+
+    def _final_states(self, ids):
+        """Return (submission id, state) of the submissions that have ended."""
+        states = ((i, self.tables.progresses[i].state) for i in ids)
+        return [(i, state) for i, state in states if state.is_final]
 
     def _report_put(self, now):
         """Return the put of a changed report, at most one per ``REPORT_INTERVAL_S``."""
@@ -478,6 +484,7 @@
             progress = self.tables.progresses.get(submission_id)
             if progress is not None and not progress.has_live_runs:
                 del self.tables.progresses[submission_id]
+                self._progress_rows.forget(submission_id)
                 self._finished_rows.add(progress)
                 self._record_finished(progress, state)
 
--- a/magnoliapier/submissions/progress.py
+++ b/magnoliapier/submissions/progress.py
@@ -180,12 +180,14 @@
     """
     The stored form of a submission's progress.
 
-    It holds no tasks if the state is final and nothing runs any more.
+    It holds no tasks if the state is final and nothing runs any more. ``row_count`` is
+    the number of rows that hold the tasks; each is a StoredProgress with some of them.
     """
 
     state: str
     finished_ms: int = 0
     tasks: tuple[StoredTask, ...] = ()
+    row_count: int = 1
 
 
 class Progress:
@@ -360,7 +362,7 @@
                 task.last_run,
                 task.failures,
                 task.done,
-                task.checkpoint,
+                "" if task.done else task.checkpoint,
                 tuple((run.number, run.endpoint_id) for run in task.runs),
             )
             for task in self.tasks()
--- a/tests/service/test_shard.py
+++ b/tests/service/test_shard.py
@@ -6,6 +6,7 @@
 from magnoliapier.service.directory import EndpointDirectory
 from magnoliapier.service.incarnation import LeaseTerms
 from magnoliapier.service.node import ShardDependencies
+from magnoliapier.service.progress_rows import MAX_ROW_BYTES
 from magnoliapier.service.shard import ShardController
 from magnoliapier.state.lease import (
     CONTROL_TABLE,
@@ -41,6 +42,7 @@
 SERVICE = "desk"
 QUEUE = Queue("filings", "desk.example", "/f/", SERVICE, max_attempts=2)
 CAPACITY = Resources(8000, 8000, 0)
+PROGRESS_TABLE = progress_table(SERVICE)
 WAIT_TIMEOUT_S = 3.0
 LONGEST_LEASE_S = 6
 
@@ -264,6 +266,32 @@
         self.assertEqual(len(endpoint.running), 8)
 
 
+class LongProgressTests(ShardTestCase):
+    """The progress of a submission is longer than one row of the store."""
+
+    async def test_submission_of_many_tasks_is_stored_and_taken_over(self):
+        """Guards against a row that the store refuses again and again."""
+        endpoint = self.add_endpoint("e1")
+        first_step = Step(3000, Resources(1, 1, 0), estimated_ms=100)
+        shard = await self.start_shard()
+        await self.submit(submission("9" * 16, first_step, short_step(1, (0,))))
+        await self.wait_until(lambda: len(endpoint.running) == 3000)
+        longest = max(len(row.value) for row in self.store.rows.values())
+        self.assertLessEqual(longest, MAX_ROW_BYTES)
+        await shard.close()
+        successor = await self.start_shard()
+        await self.wait_until(lambda: successor.loaded)
+        for index in range(3000):
+            endpoint.end(f"{'9' * 16}.0.0.{index}")
+        await self.wait_until(lambda: len(endpoint.starts) == 3001)
+        endpoint.end(f"{'9' * 16}.0.1.0")
+        await self.wait_until(
+            lambda: successor.tables.state_of("9" * 16) == SubmissionState.COMPLETED
+        )
+        keys = [key for table, _, key in self.store.rows if table == PROGRESS_TABLE]
+        self.assertEqual(keys, ["9" * 16])
+
+
 class MalformedMessageTests(ShardTestCase):
     """Stored rows and answers that cannot be read."""
 
