Start, acknowledge and give up by the incarnation that is known to hold a run

Callers would see: tasks started beyond the room or without the label of an endpoint that restarted after they were placed (LIMIT, ROUTE); an end of a new incarnation acknowledged unread by a listing that was overtaken, so that its task runs again (TWICE); a run given up for an old report although a stop was answered since (TWICE); tasks of a cut-off endpoint that wait for the longest lease without need.

Cause: the review of the fix found that a start went to whatever incarnation was there, that a confirmation told nothing of its sender, and that only some answers counted as such. All are places where the incarnation was left out.

Why it works: a run is started only on the incarnation it was placed on, while record and listing agree. The reading of the clock in a confirmation tells whether the known incarnation confirmed it, as the clock begins anew with each; if not, a restart is suspected, and nothing is placed or acknowledged until a later listing. A run that the known incarnation has confirmed is bounded by its lease; only the others wait for the longest one. Every answer and refusal of the endpoint outweighs an earlier report, and a listing that is ignored counts as none.

--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -27,8 +27,8 @@
 INSPECT_WAIT_MS = 1000  # how long the endpoint may hold back its answer
 INSPECT_GAP_S = 0.14  # groups ends, so that many of them need few calls
 ACKNOWLEDGE_DELAY_S = 1.2  # before an idle endpoint is called to acknowledge ends
-# After a start, ends are acknowledged only so soon after a listing: in a longer time,
-# the endpoint might restart and end a run whose number is acknowledged unseen.
+# Longer after a listing, only starts that were settled before it rule out that a new
+# incarnation has ended a run and would forget that end unread.
 ACKNOWLEDGE_LISTING_AGE_S = 0.3
 # A start follows a listing of at most this age, so that a restart is noticed first. It
 # is longer than a listing that is held back, and the gap after it.
@@ -70,7 +70,7 @@
         self.released = False
         self.leaving = False
         self._last_answer_at = None
-        self._restart_recorded_at = None
+        self._restart_suspected_at = None
         self._last_start_at = 0.0
         self._last_extension_at = 0.0
         self._last_call_at = 0.0
@@ -90,7 +90,7 @@
         self._earlier_lease_until = clock() + self._longest_lease_s
         self._incarnation = EndpointIncarnation(record.started_ms)
         self._wake = asyncio.Event()
-        self._look_lock = asyncio.Lock()
+        self._listing_lock = asyncio.Lock()
         self._task = None
         self._orders = set()
 
@@ -127,6 +127,7 @@
         return (
             self.opened
             and self.listed
+            and self._restart_suspected_at is None
             and self._record_is_current()
             and not self.record.draining
             and not self.released
@@ -163,6 +164,7 @@
 
     def reserve(self, live):
         """Reserve resources for a run whose start is ordered after the commit."""
+        live.placed_on = self._incarnation
         self._add(live)
 
     def _add(self, live):
@@ -215,7 +217,7 @@
 
     def _drop_runs_of_crashed(self):
         """
-        Treat the runs that a crashed endpoint has listed as gone, and adopted ones.
+        Treat runs that the known incarnation has confirmed as gone, and adopted ones.
 
         The report may be of a crash before a restart under the same id. All other runs
         stay live until a stop settles them or the lease lapses, and so do those of an
@@ -226,7 +228,7 @@
             return
         for live in list(self.live.values()):
             adopted = live.settled_at is not None and live.sent_at is None
-            if adopted or live.incarnation is not None:
+            if adopted or live.incarnation is self._incarnation:
                 self._owner.run_gone(self, live, "host_down")
 
     def order_start(self, live):
@@ -269,8 +271,12 @@
         known = (self.record.started_ms, self._incarnation.started_ms)
         self.record = record
         if record.started_ms not in known:
-            self._restart_recorded_at = self._clock()
-            self._wake.set()
+            self._suspect_restart()
+
+    def _suspect_restart(self):
+        """List the runs at once; until then, place and acknowledge nothing."""
+        self._restart_suspected_at = self._clock()
+        self._wake.set()
 
     def _room_left_by_runs(self, capacity):
         room = FreeResources(capacity)
@@ -286,60 +292,91 @@
             await self._resolve_unanswered_start(live)
 
     async def _start(self, live):
-        name = str(live.task.name)
+        ordered_at = self._clock()
         listed = await self._ensure_listed()
         if not self._holds(live):
             return  # given up while its commit was under way
-        may_act = listed and self._owner.may_act()
-        if not may_act or live.run.state != RunState.ORDERED:
+        if not listed or not self._may_start(live):
             self._owner.run_gone(self, live, "not_sent")
             return
-        sent_at = self._clock()
-        order = StartOrder(
-            name,
-            live.run.number,
-            live.progress.submission.spec,
-            self._incarnation.extend_deadline(sent_at, self._lease.extend_ms),
-            self._token,
-            live.task.checkpoint,
-        )
-        self._last_start_at = self._last_extension_at = live.sent_at = sent_at
+        incarnation = self._incarnation
+        order = self._start_order(live)
+        earliest_ms = incarnation.clock.lower_bound_ms(live.sent_at)
         try:
             clock_ms = await self._client.start(self.record, order)
         except OrderRefusedError as error:
             self._handle_start_refusal(live, error.reason)
         except EndpointUnreachableError as error:
-            log.warning("start_unanswered", task=name, run=live.run.number, error=error)
+            log.warning("start_unanswered", task=order.task, run=order.run, error=error)
             self.blocked_until = self._clock() + UNHEALTHY_BACKOFF_S
             self._spawn(self._resolve_unanswered_start(live))
         else:
-            now = self._last_answer_at = self._clock()
-            self._owner.start_confirmed(sent_at, now)
-            log.routine(
-                "run_confirmed",
-                task=name,
-                run=live.run.number,
-                endpoint=self.endpoint_id,
-                born=self._incarnation.started_ms,
-                clock_ms=clock_ms,
-            )
-            live.settled_at = now
-            if live.run.state == RunState.ORDERED:
-                live.run.state = RunState.CONFIRMED
-            self._wake.set()
+            self._last_answer_at = self._clock()
+            self._owner.start_confirmed(ordered_at, self._last_answer_at)
+            same = clock_ms >= earliest_ms
+            self._handle_confirmation(live, incarnation if same else None, clock_ms)
+
+    def _may_start(self, live):
+        """
+        Return whether the start of a run may be sent now.
+
+        Its placement holds for the incarnation that was known then: another one may be
+        of another kind.
+        """
+        return (
+            self._owner.may_act()
+            and live.run.state == RunState.ORDERED
+            and live.placed_on is self._incarnation
+            and self._record_is_current()
+        )
+
+    def _start_order(self, live):
+        """Return the StartOrder of a run that is to be sent at once."""
+        sent_at = self._clock()
+        self._last_start_at = self._last_extension_at = live.sent_at = sent_at
+        return StartOrder(
+            str(live.task.name),
+            live.run.number,
+            live.progress.submission.spec,
+            self._incarnation.extend_deadline(sent_at, self._lease.extend_ms),
+            self._token,
+            live.task.checkpoint,
+        )
+
+    def _handle_confirmation(self, live, incarnation, clock_ms):
+        """
+        Record that an incarnation confirmed a start at ``clock_ms`` on its clock.
+
+        ``incarnation`` is None if that reading is earlier than the known one allows:
+        the clock begins anew with each incarnation, so a later one has confirmed it.
+        """
+        live.incarnation = incarnation
+        if incarnation is None:
+            self._suspect_restart()
+            self._spawn(self._try_inspection(wait_ms=0))
+        log.routine(
+            "run_confirmed",
+            task=live.task.name,
+            run=live.run.number,
+            endpoint=self.endpoint_id,
+            born=incarnation.started_ms if incarnation else "unknown",
+            clock_ms=clock_ms,
+        )
+        live.settled_at = self._clock()
+        if live.run.state == RunState.ORDERED:
+            live.run.state = RunState.CONFIRMED
+        self._wake.set()
 
     async def _ensure_listed(self):
         """
         List the runs of an endpoint that has not been listed lately.
 
-        Return whether it answered. Concurrent callers wait for one call.
+        Return whether it answers. Concurrent callers wait for one call.
         """
-        async with self._look_lock:
-            if self._listed_lately():
-                return True
+        async with self._listing_lock:
             if self.failing_since is not None:
                 return False
-            return await self._try_inspection(wait_ms=0)
+            return self._listed_lately() or await self._try_inspection(wait_ms=0)
 
     def _listed_lately(self):
         if self._last_listing_at is None:
@@ -348,6 +385,7 @@
 
     def _handle_start_refusal(self, live, reason):
         now = self._clock()
+        self._record_answer(reason)
         self._owner.count_refusal(reason)
         if reason == OrderRefusal.FENCED:
             self._owner.fenced(self)
@@ -397,7 +435,7 @@
                 except Exception as error:
                     report_failure("stop_order", error)
                 else:
-                    live.settled_at = self._clock()
+                    live.settled_at = self._last_answer_at = self._clock()
                     self._wake.set()
                     return
             await asyncio.sleep(RETRY_DELAY_S)
@@ -406,12 +444,18 @@
         log.info(
             "stop_refused", task=live.task.name, run=live.run.number, reason=reason
         )
+        self._record_answer(reason)
         if reason == OrderRefusal.FENCED:
             self._owner.fenced(self)
         elif reason != OrderRefusal.WRONG_INSTANCE:
             live.settled_at = self._clock()
             self._wake.set()
 
+    def _record_answer(self, refusal):
+        """Record that the endpoint refused a call, if it was this endpoint."""
+        if refusal != OrderRefusal.WRONG_INSTANCE:
+            self._last_answer_at = self._clock()
+
     async def _pace(self, live, percent):
         name = str(live.task.name)
         try:
@@ -434,16 +478,18 @@
             if self._listed_lately():
                 answered = await self._try_inspection()
             else:
-                async with self._look_lock:
+                async with self._listing_lock:
                     answered = await self._try_inspection(wait_ms=0)
             await asyncio.sleep(INSPECT_GAP_S if answered else RETRY_DELAY_S)
 
     def _idle_delay(self):
         """Return the seconds until the next inspection, or None if none is needed."""
-        if not self.opened or self._restart_recorded_at is not None or self.live:
+        if not self.opened or self.live:
             return 0
         if self.failing_since is not None and not self.released:
             return max(0.0, self._last_call_at + LOST_RETRY_DELAY_S - self._clock())
+        if self._restart_suspected_at is not None:
+            return 0
         incarnation = self._incarnation
         if incarnation.end_to_acknowledge:
             due_at = incarnation.last_end_at + ACKNOWLEDGE_DELAY_S
@@ -490,14 +536,9 @@
             self.record, self._token, deadline_ms, acknowledged, wait_ms
         )
         now = self._clock()
-        self._last_answer_at = self._last_listing_at = now
-        self._listing_requested_at = sent_at
-        self._mark_reachable()
-        recorded_at = self._restart_recorded_at
-        if recorded_at is not None and sent_at >= recorded_at:
-            self._restart_recorded_at = None
         if not self._recognise_incarnation(inspection, sent_at, now):
             return
+        self._record_listing(sent_at, now)
         if self._incarnation is incarnation:
             incarnation.mark_ends_acknowledged(acknowledged)
         self._incarnation.clock.observe(inspection.clock_ms, now)
@@ -506,6 +547,15 @@
             self.opened = True
             self._owner.session_opened(self)
 
+    def _record_listing(self, sent_at, now):
+        """Record that the known incarnation answered a call that was sent then."""
+        self._last_answer_at = self._last_listing_at = now
+        self._listing_requested_at = sent_at
+        suspected_at = self._restart_suspected_at
+        if suspected_at is not None and sent_at >= suspected_at:
+            self._restart_suspected_at = None
+        self._mark_reachable()
+
     def _end_to_acknowledge(self, now):
         """
         Return the number of the last end to acknowledge, 0 for none.
@@ -514,11 +564,11 @@
         counts them anew. An incarnation that has not been listed must not get a number
         once it may have ended a run.
         """
-        listed_at = self._last_listing_at
-        if listed_at is None:
+        if self._restart_suspected_at is not None or self._last_listing_at is None:
             return 0
-        recent = now - listed_at <= ACKNOWLEDGE_LISTING_AGE_S
-        if recent or self._starts_were_settled(self._listing_requested_at):
+        recent = now - self._last_listing_at <= ACKNOWLEDGE_LISTING_AGE_S
+        settled_by = now if recent else self._listing_requested_at
+        if self._starts_were_settled(settled_by):
             return self._incarnation.end_to_acknowledge
         return 0
 
@@ -567,8 +617,8 @@
         """
         Replace what is known of an endpoint that started again under its id.
 
-        The runs that an earlier incarnation has listed are gone. The new one may have
-        confirmed the others, so that its listings decide on them.
+        The new incarnation may have confirmed runs already, so that its listings decide
+        which of them it runs.
         """
         log.warning(
             "endpoint_restarted",
@@ -583,9 +633,6 @@
         self._incarnation = EndpointIncarnation(inspection.started_ms, now)
         self._has_restarted = True
         self._assume_longest_lease(inspection.clock_ms)
-        for live in list(self.live.values()):
-            if live.incarnation is not None:
-                self._owner.run_gone(self, live, "endpoint_restarted")
 
     def _assume_longest_lease(self, clock_ms):
         """
@@ -616,7 +663,13 @@
         for key, live in list(self.live.items()):
             settled = live.settled_at is not None and live.settled_at < sent_at
             if key not in listed and settled:
-                self._owner.run_gone(self, live, live.run.stop_reason or "unlisted")
+                self._owner.run_gone(self, live, self._reason_unlisted(live))
+
+    def _reason_unlisted(self, live):
+        """Return why the endpoint does not list a run any more."""
+        if live.incarnation not in (None, self._incarnation):
+            return "endpoint_restarted"
+        return live.run.stop_reason or "unlisted"
 
     def stop_unknown_run(self, listed_run):
         """
@@ -641,6 +694,7 @@
         if reason == OrderRefusal.FENCED:
             self._owner.fenced(self)
             return
+        self._record_answer(reason)
         self._mark_failing(reason)
         self._check_lease_lapse()
 
@@ -666,20 +720,20 @@
     def _check_lease_lapse(self):
         if self.live and self.failing_since is not None and self.lease_lapsed:
             for live in list(self.live.values()):
-                if self._may_run_unlisted(live):
+                if self._may_run_on_unknown(live):
                     continue
                 self._owner.run_gone(self, live, "lease_lapsed")
         if not self.live and not self.listed and self.lease_lapsed:
             self._owner.endpoint_gone(self)
 
-    def _may_run_unlisted(self, live):
+    def _may_run_on_unknown(self, live):
         """
-        Return whether a run that was never listed may still run.
+        Return whether an incarnation that is not known may still run a run.
 
-        An incarnation that the session does not know may have started it, under a lease
-        that the clock of the known one does not bound.
+        If it has started the run, its lease is not bounded by the clock of the known
+        one, and each call with a deadline has extended it.
         """
-        if live.incarnation is not None or live.sent_at is None:
+        if live.incarnation is self._incarnation or live.sent_at is None:
             return False
         lapsed_at = self._last_extension_at + self._longest_lease_s
         return self._clock() < lapsed_at + LAPSE_MARGIN_S
--- a/magnoliapier/submissions/progress.py
+++ b/magnoliapier/submissions/progress.py
@@ -133,9 +133,10 @@
 
     A listing that is requested after ``settled_at`` and does not contain the run proves
     that it is gone. ``settled_at`` is None while its start order may still take effect.
-    ``incarnation`` is the one of the endpoint that has listed the run, or None: a start
-    is confirmed without telling which incarnation did so. ``sent_at`` is when the start
-    order was sent, or None if this holder has sent none. Times are monotonic seconds.
+    ``placed_on`` is the endpoint's incarnation that the run was placed on, and
+    ``incarnation`` the one that is known to have confirmed or listed it, or None.
+    ``sent_at`` is when the start order was sent, or None if this holder has sent none.
+    Times are monotonic seconds.
     """
 
     __slots__ = (
@@ -146,6 +147,7 @@
         "step",
         "incarnation",
         "sent_at",
+        "placed_on",
     )
 
     def __init__(self, progress, task, run, settled_at=None):
@@ -156,6 +158,7 @@
         self.settled_at = settled_at
         self.incarnation = None
         self.sent_at = None
+        self.placed_on = None
 
     @property
     def latency_sensitive(self):
--- a/tests/service/test_shard_restarts.py
+++ b/tests/service/test_shard_restarts.py
@@ -192,3 +192,88 @@
         timed_out.set()
         await asyncio.sleep(0.05)
         self.assertEqual(self.owner.gone_reasons, [])
+
+
+class LostListingTests(IncarnationTestCase):
+    """One call to an idle endpoint gets no answer."""
+
+    async def test_idle_endpoint_is_used_again_after_one_lost_listing(self):
+        """Guards against an endpoint that is never called again after a lost call."""
+        endpoint = self.add_endpoint("e1")
+        shard = await self.start_shard()
+        await self.wait_until(lambda: "e1" in shard.tables.sessions)
+        session = shard.tables.sessions["e1"]
+        await self.wait_until(lambda: session.opened)
+        await self.pass_time(2)
+        endpoint.lost_listings = 1
+        await self.submit(submission("1" * 16, short_step()))
+        await self.pass_time(4)
+        self.assertEqual(endpoint.lost_listings, 0)
+        self.assertIsNone(session.failing_since)
+        self.assertEqual([task for task, _ in endpoint.starts], [TASKS[0]])
+
+
+class SilentEndpointTests(IncarnationTestCase):
+    """An endpoint is out of reach until its lease has lapsed, and does not restart."""
+
+    async def test_endpoint_is_used_again_after_it_was_out_of_reach(self):
+        """Guards against an endpoint that is never called again after a lapse."""
+        endpoint = self.add_endpoint("e1")
+        shard = await self.start_shard()
+        await self.submit(submission("1" * 16, short_step()))
+        await self.wait_until(lambda: endpoint.running)
+        session = shard.tables.sessions["e1"]
+        await self.pass_time(0.4)
+        endpoint.silent = True
+        await self.wait_until(lambda: session.failing_since is not None)
+        self.clock.now += 7
+        await self.wait_until(lambda: not session.live)
+        endpoint.end(TASKS[0], "lapsed")
+        endpoint.silent = False
+        await self.pass_time(3)
+        self.assertIsNone(session.failing_since)
+        self.assertEqual(endpoint.starts, [(TASKS[0], 1), (TASKS[0], 2)])
+
+
+class LateListingTests(IncarnationTestCase):
+    """A listing of the former incarnation arrives after a start on the new one."""
+
+    async def test_end_is_not_acknowledged_by_a_listing_from_before_the_start(self):
+        """
+        Guards against an end that is acknowledged before it was listed.
+
+        The listing arrived after the start was sent, but was requested before it.
+        """
+        endpoint = self.add_endpoint("e1")
+        shard = await self.start_shard()
+        await self.wait_until(lambda: "e1" in shard.tables.sessions)
+        session = shard.tables.sessions["e1"]
+        await self.submit(submission("1" * 16, short_step()))
+        await self.wait_until(lambda: endpoint.running)
+        await self.wait_until(lambda: session.live and session._listed_lately())
+        await self.pass_time(0.2)
+        inspect = self.endpoints.inspect
+        answered, go_on = asyncio.Event(), asyncio.Event()
+
+        async def delayed(*call):
+            self.endpoints.inspect = inspect
+            endpoint.end(TASKS[0])
+            inspection = await inspect(*call)
+            answered.set()
+            await go_on.wait()
+            return inspection
+
+        self.endpoints.inspect = delayed
+        await asyncio.wait_for(answered.wait(), 3)
+        endpoint.restart()
+        endpoint.instant = True
+        self.clock.now += 1.0
+        await self.submit(submission("2" * 16, short_step()))
+        await self.wait_until(lambda: len(endpoint.starts) == 2)
+        await asyncio.sleep(0.02)
+        go_on.set()
+        await self.pass_time(1)
+        state = shard.tables.state_of("2" * 16)
+        self.assertEqual(state, SubmissionState.COMPLETED)
+        tasks = [task for task, _ in endpoint.starts]
+        self.assertEqual(tasks.count(f"{'2' * 16}.0.0.0"), 1)
