--- a/magnoliapier/service/incarnation.py
+++ b/magnoliapier/service/incarnation.py
@@ -8,11 +8,11 @@
 
 class LeaseTerms(msgspec.Struct, frozen=True):
     """
-    How long endpoints run what they were told to run without another call.
+    How long endpoints run tasks without another call.
 
     ``extend_ms`` is how far each call moves the end of the lease. ``longest_ms`` is the
     longest lease that an endpoint grants, as it does if the deadline in an order was
-    reckoned on the clock of an earlier incarnation.
+    computed on the clock of an earlier incarnation.
     """
 
     extend_ms: int
--- a/magnoliapier/service/node.py
+++ b/magnoliapier/service/node.py
@@ -68,8 +68,8 @@
     """
     The dependencies of every shard controller.
 
-    ``endpoint_lease`` are the LeaseTerms of endpoints, and ``final_retention_s`` is how
-    long final states of submissions are kept.
+    ``endpoint_lease`` holds the LeaseTerms of endpoints, and ``final_retention_s`` is
+    how long final states of submissions are kept.
     """
 
     store: object
--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -38,7 +38,7 @@
 UNHEALTHY_BACKOFF_S = 0.6
 NO_ROOM_BACKOFF_S = 0.15
 LAPSE_MARGIN_S = 0.1
-CALL_LIMIT_S = 1.0  # within which an order has reached its endpoint or has failed
+CALL_LIMIT_S = 1.0  # after which a call has ended and its connection has been reset
 
 log = get_logger(__name__)
 
@@ -56,7 +56,7 @@
     ``blocked_until`` is when new runs may be placed here again after a refused or
     unanswered start. ``leaving`` is set once the pool places nothing new here, and
     ``released`` once its host may be moved or maintained. Times are seconds on the
-    monotonic clock. ``lease`` are the LeaseTerms of endpoints.
+    monotonic clock. ``lease`` holds the LeaseTerms of endpoints.
     """
 
     def __init__(self, record, client, owner, token, lease, clock):
@@ -274,7 +274,7 @@
             self._suspect_restart()
 
     def _suspect_restart(self):
-        """List the runs at once; until then, place and acknowledge nothing."""
+        """Place and acknowledge nothing before a listing that is requested from now."""
         self._restart_suspected_at = self._clock()
         self._wake.set()
 
@@ -589,7 +589,7 @@
 
     def _recognise_incarnation(self, inspection, sent_at, now):
         """
-        Note which incarnation an inspection names; return whether to apply it.
+        Update the known incarnation from an inspection; return whether to apply it.
 
         An answer that was requested before the known incarnation was first listed, and
         names another one, may have been overtaken. The next listing decides.
--- a/magnoliapier/specifications/incarnations.py
+++ b/magnoliapier/specifications/incarnations.py
@@ -32,7 +32,7 @@
 
 A start order that is stopped is settled: it cannot start its run any more. Time passes
 in ticks. A deadline on the clock of the incarnation that receives it is absolute. One
-that was reckoned on an earlier incarnation's clock may be far ahead, so the lease is
+that was computed on an earlier incarnation's clock may be far ahead, so the lease is
 then the longest one allowed, counted from when the call is carried out.
 
 Two parts of the rules are not needed for safety, only to act sooner or to save calls:
--- a/tests/service/test_session.py
+++ b/tests/service/test_session.py
@@ -569,7 +569,7 @@
         self.assertEqual(self.owner.gone_reasons, ["lease_lapsed"])
 
     async def test_lost_listing_may_have_extended_the_lease(self):
-        """Guards against a lapse that is reckoned from the start of the run."""
+        """Guards against a lapse that is computed from the start of the run."""
         self.endpoint.restart()
         await self.session._start(self.live)
         self.clock.now += 1.0
