Play a shard's controller against a model of endpoints under a simulated clock

A model-based test draws sequences of restarts with and without a new entry, silence beyond the lease, lost answers, missing entries, reports of hosts that are down, a slow store, takeovers and submissions at the edges of what is valid, and checks that nothing runs twice and nothing waits beside room.

--- /dev/null
+++ b/tests/service/test_stateful_shard.py
@@ -0,0 +1,259 @@
+import asyncio
+import os
+import unittest
+
+from hypothesis import HealthCheck, given, seed, settings, strategies as st
+
+from magnoliapier.service.directory import EndpointDirectory
+from magnoliapier.service.incarnation import LeaseTerms
+from magnoliapier.service.node import ShardDependencies
+from magnoliapier.service.shard import ShardController
+from magnoliapier.state.lease import (
+    CONTROL_TABLE,
+    LEASE_KEY,
+    HeldLease,
+    LeaseRecord,
+    encode_lease,
+)
+from magnoliapier.state.rows import Put, Row
+from magnoliapier.state.tables import intake_part, submissions_table
+from magnoliapier.submissions.codec import encode
+from magnoliapier.submissions.configuration import Queue
+from magnoliapier.submissions.model import Resources, Step, Submission, TaskName
+from tests.service.fakes import FakeFleet, metrics
+from tests.service.simulation import (
+    CLOCK_RATES,
+    LONGEST_LEASE_MS,
+    Journal,
+    ModelClient,
+    ModelEndpoint,
+    ModelStore,
+    SimulatedLoop,
+)
+
+SERVICE = "desk"
+QUEUE = Queue("q", "h", "/q/", SERVICE, max_attempts=4)
+ENDPOINTS = ("e0", "e1", "e2")
+CI_EXAMPLES = 25
+EXAMPLES = int(os.environ.get("SHARD_EXAMPLES", CI_EXAMPLES))
+SEED = int(os.environ.get("SHARD_SEED", "31"))
+TICK_S = 0.02
+SETTLE_S = 30.0
+ENTRY_TABLE = "servers"
+
+STEPS = {
+    "short": Step(2, Resources(1000, 100), estimated_ms=500),
+    "tiny": Step(2, Resources(500, 50), estimated_ms=30),
+    "spread": Step(3, Resources(1000, 100), estimated_ms=500, max_per_endpoint=1),
+    "serving": Step(2, Resources(500, 100), long_running=True),
+    "nothing": Step(1, Resources(), estimated_ms=100),
+    "accelerator": Step(1, Resources(0, 0, 1), estimated_ms=300),
+    "lost label": Step(1, Resources(100, 10), estimated_ms=100, required_label="lost"),
+    "many": Step(600, Resources(1, 1), estimated_ms=20),
+}
+GAPS_S = st.sampled_from([0.0, 0.05, 0.3, 1.0, 2.5, 7.0])
+INDEXES = st.integers(0, len(ENDPOINTS) - 1)
+EVENTS = st.one_of(
+    st.tuples(st.just("submit"), st.sampled_from(sorted(STEPS)), st.just(0)),
+    st.tuples(st.just("restart"), INDEXES, st.sampled_from([0.03, 0.3, 2.0])),
+    st.tuples(st.just("restart_unseen"), INDEXES, st.sampled_from([0.03, 0.3])),
+    st.tuples(st.just("silence"), INDEXES, st.sampled_from([0.3, 1.5, 7.0, 13.0])),
+    st.tuples(st.just("lose_answers"), INDEXES, st.sampled_from([0.05, 0.5, 2.0])),
+    st.tuples(st.just("entry_missing"), INDEXES, st.sampled_from([1.0, 4.0])),
+    st.tuples(st.just("report_down"), INDEXES, st.just(0)),
+    st.tuples(st.just("slow_store"), st.just(0), st.sampled_from([0.2, 0.9])),
+    st.tuples(st.just("take_over"), st.just(0), st.just(0)),
+)
+SEQUENCES = st.lists(st.tuples(GAPS_S, EVENTS), min_size=3, max_size=14)
+
+
+class ShardSimulation:
+    """
+    The controller of one service against the model, under a simulated clock.
+
+    Each event is a method that is named after it and takes the event's two values.
+    """
+
+    def __init__(self, loop):
+        self._loop = loop
+        self._journal = Journal()
+        self._endpoints = {
+            endpoint_id: ModelEndpoint(
+                endpoint_id, f"rack-{n % 2}", loop, self._journal, CLOCK_RATES[n]
+            )
+            for n, endpoint_id in enumerate(ENDPOINTS)
+        }
+        self._store = ModelStore()
+        self._directory = EndpointDirectory(lambda key, value: value, loop.time)
+        self._fleet = FakeFleet()
+        self._submissions = {}
+        self._shard = None
+        self._token = 0
+        self._hidden_until = {}
+        self._tasks = []
+
+    async def play(self, sequence):
+        """Play the events, let everything settle and return the broken promises."""
+        ticker = asyncio.create_task(self._tick())
+        try:
+            await self.take_over()
+            await asyncio.sleep(1.0)
+            for gap_s, (name, first, second) in sequence:
+                await asyncio.sleep(gap_s)
+                await getattr(self, name)(first, second)
+            await asyncio.sleep(SETTLE_S)
+            return self._journal.violations + self._find_waiting_tasks()
+        finally:
+            ticker.cancel()
+            await self._shard.close()
+            await asyncio.gather(ticker, *self._tasks, return_exceptions=True)
+
+    async def _tick(self):
+        """Let runs end, and endpoints write their entries."""
+        next_entries_at = 0.0
+        while True:
+            for endpoint in self._endpoints.values():
+                if endpoint.up:
+                    endpoint.advance()
+            if self._loop.time() >= next_entries_at:
+                next_entries_at = self._loop.time() + 1.0
+                self._write_entries()
+            await asyncio.sleep(TICK_S)
+
+    def _write_entries(self):
+        for endpoint_id, endpoint in self._endpoints.items():
+            hidden = self._loop.time() < self._hidden_until.get(endpoint_id, 0.0)
+            if endpoint.up and not hidden:
+                row = Row(ENTRY_TABLE, "", endpoint_id, endpoint.record(), 1)
+                self._directory.apply([row], False)
+
+    def _is_long_running(self, task):
+        name = TaskName.parse(task)
+        return self._submissions[name.submission_id].steps[name.step].long_running
+
+    async def submit(self, kind, _):
+        number = len(self._submissions)
+        submission_id = f"{number:016x}"
+        submission = Submission(submission_id, QUEUE.name, "s", (STEPS[kind],), 1)
+        self._submissions[submission_id] = submission
+        for endpoint in self._endpoints.values():
+            endpoint.duration_s = 0.5 if kind != "tiny" else 0.03
+        part = intake_part(SERVICE, submission_id)
+        table = submissions_table(SERVICE)
+        put = Put(table, part, submission_id, encode(submission))
+        self._store._apply([], [put], [])
+
+    async def restart(self, index, outage_s):
+        """Crash an endpoint and start it again; its entry follows at once."""
+        endpoint = self._endpoints[ENDPOINTS[index]]
+        if endpoint.up:
+            endpoint.crash()
+            await asyncio.sleep(outage_s)
+            endpoint.start()
+            self._write_entries()
+
+    async def restart_unseen(self, index, outage_s):
+        """Restart an endpoint whose entry is that of before for three seconds."""
+        self._hidden_until[ENDPOINTS[index]] = self._loop.time() + 3.0
+        await self.restart(index, outage_s)
+
+    async def silence(self, index, seconds):
+        """Let calls to an endpoint get no answer and no effect; it runs on."""
+        endpoint = self._endpoints[ENDPOINTS[index]]
+        endpoint.silent_until = self._loop.time() + seconds
+
+    async def lose_answers(self, index, seconds):
+        """Let calls to an endpoint be carried out without an answer."""
+        endpoint = self._endpoints[ENDPOINTS[index]]
+        endpoint.deaf_until = self._loop.time() + seconds
+
+    async def entry_missing(self, index, seconds):
+        """Let the entry of an endpoint expire and return."""
+        endpoint_id = ENDPOINTS[index]
+        self._hidden_until[endpoint_id] = self._loop.time() + seconds
+        removed = Row(ENTRY_TABLE, "", endpoint_id, b"", 1, True)
+        self._directory.apply([removed], False)
+
+    async def report_down(self, index, _):
+        """Report the host of an endpoint as down, though it may be up again."""
+        self._fleet.crashed = {ENDPOINTS[index]: self._loop.time()}
+
+    async def slow_store(self, _, commit_s):
+        """Let commits take long for two seconds."""
+        self._store.commit_s = commit_s
+        self._loop.call_later(2.0, self._speed_up_store)
+
+    def _speed_up_store(self):
+        self._store.commit_s = ModelStore.commit_s
+
+    async def take_over(self, *_):
+        """Give the shard to the next holder; the present one ends at once."""
+        if self._shard is not None:
+            await self._shard.close()
+        self._token += 1
+        record = LeaseRecord(f"h{self._token}", f"p{self._token}", "", self._token)
+        lease = HeldLease(record)
+        put = Put(CONTROL_TABLE, SERVICE, LEASE_KEY, encode_lease(record))
+        lease.record_renewal(self._store._apply([], [put], []), self._loop.time())
+        dependencies = ShardDependencies(
+            self._store,
+            ModelClient(self._endpoints, self._is_long_running),
+            self._directory,
+            self._refresh,
+            self._loop.time,
+            metrics(),
+            lambda name: QUEUE,
+            self._fleet,
+            LeaseTerms(5500, LONGEST_LEASE_MS),
+            240.0,
+        )
+        self._shard = ShardController(SERVICE, lease, dependencies, self._lost)
+        self._shard.start()
+
+    async def _refresh(self):
+        """Do nothing: the directory is written by the simulation."""
+
+    def _lost(self, shard):
+        """Take the shard back; a slow store may have cost its lease."""
+        self._tasks.append(asyncio.create_task(self.take_over()))
+
+    def _find_waiting_tasks(self):
+        """Return the tasks that wait although every endpoint is idle or sound."""
+        waiting = []
+        for submission_id, submission in self._submissions.items():
+            step = submission.steps[0]
+            if step.required_label == "lost":
+                continue
+            if step.long_running:
+                names = (f"{submission_id}.0.0.{i}" for i in range(step.task_count))
+                waiting += [n for n in names if not self._journal.running(n)]
+                continue
+            state = self._shard.tables.state_of(submission_id)
+            if state != "completed":
+                waiting.append(f"{submission_id} is {state} at the end")
+        return waiting
+
+
+def play(sequence):
+    """Play a sequence on a loop of its own and return the broken promises."""
+    loop = SimulatedLoop()
+    try:
+        return loop.run_until_complete(ShardSimulation(loop).play(sequence))
+    finally:
+        loop.close()
+
+
+class ShardPromiseTests(unittest.TestCase):
+    """Plays sequences of restarts, silence, lost answers, takeovers and odd work."""
+
+    @seed(SEED)
+    @settings(
+        max_examples=EXAMPLES,
+        deadline=None,
+        database=None,
+        suppress_health_check=list(HealthCheck),
+    )
+    @given(SEQUENCES)
+    def test_nothing_runs_twice_and_nothing_waits_beside_room(self, sequence):
+        """Guards against second runs (TWICE) and work that never starts (LOST)."""
+        self.assertEqual(play(sequence), [])
