Keep the comparison of resources beside them, and small names plain

placement no longer imports from pools for it, and the rows of progress are counted only for submissions that have several.

--- a/magnoliapier/placement/scheduler.py
+++ b/magnoliapier/placement/scheduler.py
@@ -9,7 +9,7 @@
 """
 
 from magnoliapier.logs import get_logger
-from magnoliapier.pools.demand import fits
+from magnoliapier.submissions.model import fits
 from magnoliapier.submissions.progress import LiveRun
 
 MAX_UNPLACED_KINDS = 24  # kinds of task that may lack room before a pass ends
--- a/magnoliapier/pools/demand.py
+++ b/magnoliapier/pools/demand.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from magnoliapier.submissions.model import Resources
+from magnoliapier.submissions.model import Resources, fits
 
 USABLE_HOST_SHARE = 0.85  # of each host; tasks of mixed sizes cannot fill it all
 # Keeping a host for so long costs as much as releasing it and getting it back.
@@ -31,15 +31,6 @@
     )
 
 
-def fits(required, available):
-    """Return whether ``required`` is within ``available``, for every resource."""
-    return (
-        required.cpu_millicores <= available.cpu_millicores
-        and required.memory_mb <= available.memory_mb
-        and required.accelerators <= available.accelerators
-    )
-
-
 def tasks_per_host(required, capacity):
     """Return how many tasks fit on an empty host; infinity if they require nothing."""
     pairs = (
--- a/magnoliapier/service/progress_rows.py
+++ b/magnoliapier/service/progress_rows.py
@@ -120,7 +120,8 @@
             values_of.setdefault(submission_id, {})[number] = row.value
         progress_of = {}
         for submission_id, values in values_of.items():
-            self._row_counts[submission_id] = len(values)
+            if len(values) > 1:
+                self._row_counts[submission_id] = len(values)
             try:
                 progress_of[submission_id] = join_progress(values)
             except MessageError as error:
--- a/magnoliapier/service/shard.py
+++ b/magnoliapier/service/shard.py
@@ -396,7 +396,7 @@
 
     async def _commit(self, now):
         dirty = self.tables.dirty
-        batch = self._progress_rows.build_batch(self._take_dirty_progresses())
+        batch = self._progress_rows.build_batch(self._dirty_progresses())
         all_included = len(batch.ids) == len(dirty)
         final_submissions = self._final_states(batch.ids)
         handled_ends = [
@@ -431,8 +431,8 @@
         await asyncio.sleep(COMMIT_RETRY_S)
         self.tables.wake.set()
 
-    def _take_dirty_progresses(self):
-        """Return the progresses to store; those that have just ended get their time."""
+    def _dirty_progresses(self):
+        """Return the progress to store; submissions that have ended get their time."""
         progresses = []
         for submission_id in list(self.tables.dirty):
             progress = self.tables.progresses.get(submission_id)
--- a/magnoliapier/submissions/model.py
+++ b/magnoliapier/submissions/model.py
@@ -46,6 +46,15 @@
     accelerators: int = 0
 
 
+def fits(required, available):
+    """Return whether ``required`` is within ``available``, for every resource."""
+    return (
+        required.cpu_millicores <= available.cpu_millicores
+        and required.memory_mb <= available.memory_mb
+        and required.accelerators <= available.accelerators
+    )
+
+
 class Step(msgspec.Struct, omit_defaults=True):
     """
     A group of tasks of the same kind.
