--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -20,6 +20,7 @@
     supervise,
 )
 from magnoliapier.service.clock import SLOWEST_CLOCK_RATE
+from magnoliapier.service.endpoint_use import EndpointUse
 from magnoliapier.service.incarnation import EndpointIncarnation
 from magnoliapier.service.orders import OrderRefusal, StartOrder
 from magnoliapier.submissions.progress import RunState
@@ -124,17 +125,29 @@
 
     def usable(self, now):
         """Return whether new runs may be placed on the endpoint."""
-        return (
-            self.opened
-            and self.listed
-            and self._restart_suspected_at is None
-            and self._record_is_current()
-            and not self.record.draining
-            and not self.released
-            and not self.leaving
-            and self.failing_since is None
-            and now >= self.blocked_until
-        )
+        return self.use(now) is EndpointUse.USABLE
+
+    def use(self, now):
+        """Return the EndpointUse that tells whether new runs may be placed here."""
+        if not self.opened:
+            return EndpointUse.UNOPENED
+        if not self.listed:
+            return EndpointUse.UNLISTED
+        if self.record.draining:
+            return EndpointUse.DRAINING
+        if self.released:
+            return EndpointUse.RELEASED
+        if self.leaving:
+            return EndpointUse.LEAVING
+        if self.failing_since is not None:
+            return EndpointUse.FAILING
+        if self._restart_suspected_at is not None:
+            return EndpointUse.RESTART_SUSPECTED
+        if not self._record_is_current():
+            return EndpointUse.RECORD_OUTDATED
+        if now < self.blocked_until:
+            return EndpointUse.BLOCKED
+        return EndpointUse.USABLE
 
     def _record_is_current(self):
         """Return whether the record is that of the incarnation listed last."""
--- a/magnoliapier/service/shard.py
+++ b/magnoliapier/service/shard.py
@@ -32,6 +32,7 @@
 )
 from magnoliapier.service.cleanup import FinishedRows
 from magnoliapier.service.clock import unix_ms
+from magnoliapier.service.endpoint_use import count_uses
 from magnoliapier.service.intake import Intake
 from magnoliapier.service.pool import PoolManager, runs_to_evacuate
 from magnoliapier.service.progress_rows import ProgressRows
@@ -281,6 +282,9 @@
         }
         for name, value in values.items():
             self._metrics.gauge(name, value, service=self.service)
+        uses = count_uses(self.tables.sessions.values(), now)
+        for use, count in uses.items():
+            self._metrics.gauge("endpoints", count, service=self.service, use=use)
 
     async def _clean_up(self):
         for submission_id in await self._finished_rows.clean(self._clock(), unix_ms()):
