Call an idle endpoint again whose host was reported down

Callers would see: an idle endpoint gets no work for good (LOST), although it is up, after its host was reported down and one call to it got no answer. If all endpoints of a service are hit, its submissions wait beside them. A session that runs nothing sleeps until it is woken. The check of a report that a host is down calls the endpoint beside that loop and marks it as failing, but woke nobody, so that the call of every second, which added, never began. Evidence: test_idle_endpoint_of_a_host_reported_down_is_called_again failed before (failing_since stayed set, no call in 1.3 s) and passes now. Why it works: whoever marks an endpoint as failing wakes its session, which then calls it every second until it answers. All other fields on which the sleep depends are set by the loop itself or with a wake.

--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -214,7 +214,7 @@
         self._spawn(self._confirm_host_down())
 
     async def _confirm_host_down(self):
-        sent_at = self._clock()
+        sent_at = self._last_call_at = self._clock()
         try:
             await self._client.inspect(self.record, self._token, None, 0, 0)
         except OrderRefusedError as error:
@@ -718,6 +718,7 @@
     def _mark_failing(self, cause):
         if self.failing_since is None:
             self.failing_since = self._clock()
+            self._wake.set()
             # The host of a released endpoint is moved or maintained.
             report = log.routine if self.released else log.warning
             report("endpoint_lost", endpoint=self.endpoint_id, cause=cause)
--- a/tests/service/test_session.py
+++ b/tests/service/test_session.py
@@ -277,6 +277,21 @@
         self.assertIsNone(self.session.failing_since)
         self.assertTrue(self.session.usable(self.clock()))
 
+    async def test_idle_endpoint_of_a_host_reported_down_is_called_again(self):
+        """Guards against an idle endpoint out of use after one lost call (LOST)."""
+        self.session.drop(self.live)
+        self.session.start()
+        await asyncio.sleep(0.3)  # by then, the session sleeps
+        self.endpoint.lost_listings = 1
+        self.clock.now += 1.0
+        self.session.check_host_down(self.clock())
+        await asyncio.sleep(0.05)
+        self.assertIsNotNone(self.session.failing_since)
+        self.clock.now += 1.0
+        await asyncio.sleep(1.3)
+        self.assertIsNone(self.session.failing_since)
+        self.assertTrue(self.session.usable(self.clock()))
+
 
 class AcknowledgementTests(SessionTestCase):
     """An end is stored, and the endpoint may have restarted since it was listed."""
