Count accelerators in the hosts that a pool needs

Callers would see: tasks that request accelerators and little else wait for good (LOST for those that last) although hosts with accelerators stand idle in the standby pool, or are released to it. Evidence: test_pool_asks_for_hosts_for_tasks_that_only_need_accelerators (0 hosts wanted for 4 tasks on one host with one accelerator) and test_accelerators_count_where_hosts_have_them failed before. Why it works: the share is that of the scarcest of the three resources, for hosts that have accelerators.

--- a/magnoliapier/pools/demand.py
+++ b/magnoliapier/pools/demand.py
@@ -1,7 +1,7 @@
 """
 Estimate of the hosts that a pool needs for present and arriving work.
 
-Work is counted in host-seconds: the share of a host that a task takes, by the scarcer
+Work is counted in host-seconds: the share of a host that a task takes, by the scarcest
 resource (its dominant share), times its duration.
 """
 
@@ -24,11 +24,18 @@
 
 
 def host_share(resources, capacity):
-    """Return the share of a host that ``resources`` take, by the scarcer resource."""
-    return max(
+    """
+    Return the share of a host that ``resources`` take, by the scarcest resource.
+
+    Accelerators only count if the host has any: no number of hosts without them helps.
+    """
+    share = max(
         resources.cpu_millicores / max(1, capacity.cpu_millicores),
         resources.memory_mb / max(1, capacity.memory_mb),
     )
+    if not capacity.accelerators:
+        return share
+    return max(share, resources.accelerators / capacity.accelerators)
 
 
 def tasks_per_host(required, capacity):
--- a/tests/pools/test_demand.py
+++ b/tests/pools/test_demand.py
@@ -18,6 +18,12 @@
         """Guards against pools sized by CPU while memory is scarce."""
         self.assertEqual(host_share(Resources(3200, 64_000), CAPACITY), 0.5)
 
+    def test_accelerators_count_where_hosts_have_them(self):
+        """Guards against tasks that only need accelerators and wait for no host."""
+        with_accelerators = Resources(32_000, 128_000, 4)
+        self.assertEqual(host_share(Resources(0, 0, 2), with_accelerators), 0.5)
+        self.assertEqual(host_share(Resources(0, 0, 2), CAPACITY), 0.0)
+
     def test_min_hosts_is_a_lower_bound(self):
         """Guards against releasing hosts over which tasks must be spread."""
         self.assertEqual(hosts_needed(0.1, 0.0, 0.0, min_hosts=5), 5)
--- a/tests/service/test_pool.py
+++ b/tests/service/test_pool.py
@@ -15,7 +15,7 @@
 QUEUE = Queue("filings", "desk.example", "/f/", SERVICE)
 
 
-def make_session(endpoint_id, started_ms=1):
+def make_session(endpoint_id, started_ms=1, accelerators=0):
     """Return an opened session of an endpoint that runs nothing."""
     record = EndpointRecord(
         endpoint_id,
@@ -23,7 +23,7 @@
         "e:1",
         "dc",
         False,
-        Resources(1000, 1000),
+        Resources(1000, 1000, accelerators),
         host=f"host-{endpoint_id}",
         started_ms=started_ms,
     )
@@ -100,6 +100,16 @@
         self.assertEqual(self.released(others_want_hosts=True, has_standby=False), 3)
 
 
+class AcceleratorTests(unittest.TestCase):
+    def test_pool_asks_for_hosts_for_tasks_that_only_need_accelerators(self):
+        """Guards against tasks that wait for good beside idle hosts in standby."""
+        pool = PoolManager(SERVICE, DurationModel(), False, lambda: True)
+        step = Step(4, Resources(0, 0, 1), long_running=True)
+        sessions = [make_session("e1", accelerators=1)]
+        pool.update(sessions, [open_progress("a" * 16, step)], (), False, now=10.0)
+        self.assertGreaterEqual(pool.report().wanted, 3)
+
+
 class WideTaskTests(unittest.TestCase):
     def test_pool_asks_for_a_host_on_which_a_wide_task_fits(self):
         """Guards against a step that never starts beside long-running tasks."""
