Settle the runs of an endpoint whose calls fail unexpectedly

Callers would see: a task waits for good (LOST) after an error of ours in a call to its endpoint: its run neither starts nor ends any more. An unexpected error in the listing after an unanswered start left the run ordered and unsettled, and one in each listing left the endpoint neither failing nor called in any other way, so that no lease of it ever counted as lapsed. Evidence: test_start_that_cannot_be_resolved_is_stopped and test_runs_are_given_up_where_every_listing_fails failed before. Why it works: the run is stopped whatever the listing raised, and a listing that fails in any way makes the endpoint count as unreachable, as one without an answer does.

--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -425,8 +425,8 @@
         """
         try:
             await self._inspect(wait_ms=0)
-        except (OrderRefusedError, EndpointUnreachableError) as error:
-            log.info("start_unresolved", task=live.task.name, error=error)
+        except Exception as error:  # whatever it is, the run has to be settled
+            log.info("start_unresolved", task=live.task.name, error=repr(error))
         if not self._holds(live) or live.run.state != RunState.ORDERED:
             return
         live.run.state = RunState.STOPPING
@@ -517,13 +517,21 @@
             return
 
     async def _try_inspection(self, wait_ms=None):
-        """Inspect the endpoint; return whether it answered."""
+        """
+        Inspect the endpoint; return whether it answered.
+
+        After an unexpected error it counts as unreachable, so that its runs are given
+        up once their lease has lapsed.
+        """
         try:
             await self._inspect(wait_ms)
         except OrderRefusedError as error:
             self._handle_inspection_refusal(error.reason)
         except EndpointUnreachableError as error:
             self._handle_inspection_failure(error)
+        except Exception as error:
+            report_failure("inspection", error)
+            self._handle_inspection_failure(repr(error))
         else:
             return True
         return False
--- a/tests/service/test_session.py
+++ b/tests/service/test_session.py
@@ -645,3 +645,43 @@
         self.session.stop_unknown_run(listed)
         await asyncio.sleep(0.02)
         self.assertEqual(list(self.endpoint.running), [])
+
+
+class UnexpectedErrorTests(SessionTestCase):
+    """A call to an endpoint fails with an error that no handler expects."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        await self.session._inspect()
+
+    def fail_inspections(self, count):
+        """Let the next ``count`` inspections raise ValueError."""
+        inspect = self.endpoints.inspect
+        failures = iter(range(count))
+
+        async def fail_first(*args):
+            if next(failures, None) is not None:
+                raise ValueError("unexpected")
+            return await inspect(*args)
+
+        self.endpoints.inspect = fail_first
+
+    async def test_start_that_cannot_be_resolved_is_stopped(self):
+        """Guards against a run that neither starts nor ends any more (LOST)."""
+        self.endpoint.lost_starts = 1
+        self.fail_inspections(1)
+        self.session.order_start(self.live)
+        await asyncio.sleep(0.1)
+        self.assertEqual(list(self.endpoint.highest_blocked_run.values()), [1])
+
+    async def test_runs_are_given_up_where_every_listing_fails(self):
+        """Guards against runs that nobody hears of any more (LOST)."""
+        self.session.order_start(self.live)
+        await asyncio.sleep(0.02)
+        await self.session._inspect()
+        self.fail_inspections(10**6)
+        self.session.start()
+        await asyncio.sleep(0.05)
+        self.clock.now += 30.0
+        await asyncio.sleep(0.5)
+        self.assertEqual(self.owner.gone_reasons, ["lease_lapsed"])
