Store the submissions of a commit that failed unexpectedly

Callers would see: submissions that were accepted neither start nor end any more (LOST) after one unexpected error while their progress was stored. The submissions of a commit are taken off the list of those to store before it is sent, and only the expected errors of the platform put them back. Their reserved runs held room and were never ordered. Evidence: test_submissions_of_a_commit_that_failed_unexpectedly_are_stored failed before. Why it works: any error puts them back, and the next cycle stores them.

--- a/magnoliapier/service/shard.py
+++ b/magnoliapier/service/shard.py
@@ -419,6 +419,10 @@
         except PlatformError as error:
             await self._retry_commit(batch.ids, error)
             return
+        except Exception:
+            self.tables.dirty.update(batch.ids)  # the next cycle stores them
+            self._last_report = None
+            raise
         self._send_starts(batch.ids)
         self._finish_submissions(final_submissions)
         if all_included:
