Contain an unexpected error of one submission wherever all are looked at

Callers would see: a service takes in nothing, asks for no hosts, or stands still (LOST) for one submission that raises an unexpected error. Evidence: the three tests of OddSubmissionTests failed before. Why it works: each of the three is contained for the one submission, logged and counted. A row that can't be taken in is withheld, as one is whose stored progress can't be used; the next holder tries again.

--- a/magnoliapier/service/intake.py
+++ b/magnoliapier/service/intake.py
@@ -2,6 +2,7 @@
 
 from magnoliapier.exceptions import MessageError
 from magnoliapier.logs import get_logger
+from magnoliapier.service.background import report_failure
 from magnoliapier.service.cleanup import TOMBSTONE
 from magnoliapier.service.clock import unix_ms
 from magnoliapier.service.watch import TableWatcher
@@ -29,7 +30,7 @@
     ``progress_rows`` are the shard's ProgressRows. ``on_arrival(progress)`` is called
     with each submission that is added to the tables. A submission whose stored progress
     cannot be used is not added: its tasks may run or be done, and would be started a
-    second time.
+    second time. Nor is one that raises an unexpected error.
     """
 
     def __init__(self, service, tables, progress_rows, deps, on_arrival):
@@ -100,11 +101,24 @@
                 and row.key not in tables.final_states
                 and row.key not in self._withheld
             ):
-                self._take_in_submission(row)
+                self._contain_take_in(row)
         for submission_id in cancelled_ids:
             self._cancel(submission_id)
         tables.wake.set()
 
+    def _contain_take_in(self, row):
+        """
+        Take in a submission; after an unexpected error in it, withhold it alone.
+
+        An error that ended the watcher would return with the same row for good.
+        """
+        try:
+            self._take_in_submission(row)
+        except Exception as error:
+            report_failure("intake", error, self._deps.metrics)
+            self._tables.progresses.pop(row.key, None)
+            self._withhold(row.key, repr(error))
+
     def _take_in_submission(self, row):
         try:
             submission = decode_submission(row.value)
--- a/magnoliapier/service/pool.py
+++ b/magnoliapier/service/pool.py
@@ -21,6 +21,7 @@
     min_endpoints_for,
 )
 from magnoliapier.pools.report import PoolReport
+from magnoliapier.service.background import report_failure
 from magnoliapier.submissions.progress import RunState
 
 FIRST_SETTLING_S = 16.0  # keeps hosts until a first burst shows the need
@@ -39,6 +40,22 @@
     since: float
 
 
+class PoolNeed(msgspec.Struct):
+    """
+    What the open submissions need of their pool.
+
+    ``long_running_share`` is the sum of the host shares of long-running tasks,
+    ``waiting_host_seconds`` the work of the tasks that wait, and ``min_endpoints`` the
+    number of endpoints over which tasks must be spread. ``waiting`` counts the waiting
+    tasks by (resources, duration in ms).
+    """
+
+    long_running_share: float = 0.0
+    waiting_host_seconds: float = 0.0
+    min_endpoints: int = 1
+    waiting: Counter = msgspec.field(default_factory=Counter)
+
+
 class PoolManager:
     """
     Decides which endpoints of a pool are evacuated and released.
@@ -141,34 +158,43 @@
         for session in staying:
             self._host_capacity = session.record.capacity
             break
-        long_running_share = waiting_work = 0.0
-        min_endpoints = 1
-        waiting = Counter()
+        need = PoolNeed()
         for progress in progresses:
-            if progress.cancelled or progress.failed:
-                continue
-            min_endpoints = max(min_endpoints, min_endpoints_for(progress))
-            if self._host_capacity is None:
-                continue
-            if progress.submission.long_running:
-                long_running_share += sum(
-                    host_share(task.step.resources, self._host_capacity)
-                    for task in progress.tasks()
-                )
-            else:
-                for task in progress.startable_tasks():
-                    waiting_work += self._host_seconds(progress, task.step)
-                    duration_ms = self._durations.task_ms(
-                        progress.queue.name, task.step
-                    )
-                    waiting[(task.step.resources, duration_ms)] += 1
+            if not progress.cancelled and not progress.failed:
+                self._contain_add(need, progress)
         needed = hosts_needed(
-            long_running_share,
+            need.long_running_share,
             self._arrivals.per_second(now),
-            waiting_work,
-            min_endpoints,
+            need.waiting_host_seconds,
+            need.min_endpoints,
         )
-        return max(needed, self._hosts_for_wide_tasks(staying, waiting))
+        return max(needed, self._hosts_for_wide_tasks(staying, need.waiting))
+
+    def _contain_add(self, need, progress):
+        """
+        Add the need of a submission.
+
+        An unexpected error in one must not keep the pool from growing for the others.
+        """
+        try:
+            self._add_need(need, progress)
+        except Exception as error:
+            report_failure("size_submission", error)
+
+    def _add_need(self, need, progress):
+        need.min_endpoints = max(need.min_endpoints, min_endpoints_for(progress))
+        if self._host_capacity is None:
+            return
+        if progress.submission.long_running:
+            need.long_running_share += sum(
+                host_share(task.step.resources, self._host_capacity)
+                for task in progress.tasks()
+            )
+            return
+        for task in progress.startable_tasks():
+            need.waiting_host_seconds += self._host_seconds(progress, task.step)
+            duration_ms = self._durations.task_ms(progress.queue.name, task.step)
+            need.waiting[(task.step.resources, duration_ms)] += 1
 
     def _hosts_for_wide_tasks(self, staying, waiting):
         """Return the need for ``waiting``: {(resources, duration in ms): tasks}."""
--- a/magnoliapier/service/shard.py
+++ b/magnoliapier/service/shard.py
@@ -319,7 +319,9 @@
     def _open_occurrences(self):
         now_ms = unix_ms()
         for progress in self.tables.progresses.values():
-            if progress.submission.repeat_count and progress.open_occurrences(now_ms):
+            if progress.submission.repeat_count and self._contain(
+                "open_occurrences", progress.open_occurrences, now_ms
+            ):
                 self.tables.dirty.add(progress.submission_id)
 
     def _restart_stalled(self, now):
--- a/tests/service/test_contained_errors.py
+++ b/tests/service/test_contained_errors.py
@@ -1,8 +1,59 @@
+from unittest import mock
+
+from magnoliapier.submissions.model import Resources, Step
+from magnoliapier.submissions.progress import Progress
 from tests.service.test_shard import ShardTestCase, short_step, submission
 
+ODD_ID = "a" * 16
 SOUND_ID = "b" * 16
 
 
+class OddSubmissionTests(ShardTestCase):
+    """One submission raises an unexpected error wherever it is looked at."""
+
+    async def test_submission_that_cannot_be_taken_in_stops_no_other(self):
+        """Guards against a service that takes in nothing for one odd row (LOST)."""
+        open_occurrences = Progress.open_occurrences
+
+        def fail_for_odd(progress, now_ms):
+            if progress.submission_id == ODD_ID:
+                raise OverflowError
+            return open_occurrences(progress, now_ms)
+
+        endpoint = self.add_endpoint("e1")
+        with mock.patch.object(Progress, "open_occurrences", fail_for_odd):
+            shard = await self.start_shard()
+            await self.submit(submission(ODD_ID, short_step()))
+            await self.submit(submission(SOUND_ID, short_step()))
+            await self.wait_until(lambda: endpoint.starts)
+        self.assertEqual(endpoint.starts, [(f"{SOUND_ID}.0.0.0", 1)])
+        self.assertTrue(shard.loaded)
+
+    async def test_pool_grows_beside_a_submission_that_cannot_be_sized(self):
+        """Guards against work that waits for hosts nobody asks for (LOST)."""
+        self.add_endpoint("e1")
+        shard = await self.start_shard()
+        await self.submit(submission(ODD_ID, short_step()))
+        await self.wait_until(lambda: ODD_ID in shard.tables.progresses)
+        odd = shard.tables.progresses[ODD_ID]
+        odd.startable_tasks = None  # calling it raises TypeError
+        wide = Step(20, Resources(4000, 100, 0), long_running=True)
+        await self.submit(submission(SOUND_ID, wide))
+        await self.wait_until(lambda: shard._pool.report().wanted > 5)
+
+    async def test_occurrence_that_cannot_be_opened_stops_no_other_submission(self):
+        """Guards against a service that stands still for one schedule (LOST)."""
+        endpoint = self.add_endpoint("e1")
+        shard = await self.start_shard()
+        await self.submit(submission(ODD_ID, short_step()))
+        await self.wait_until(lambda: endpoint.starts)
+        odd = shard.tables.progresses[ODD_ID]
+        odd.submission.repeat_count = 2
+        odd.open_occurrences = None  # calling it raises TypeError
+        await self.submit(submission(SOUND_ID, short_step()))
+        await self.wait_until(lambda: len(endpoint.starts) == 2)
+
+
 class FailedCommitTests(ShardTestCase):
     async def test_submissions_of_a_commit_that_failed_unexpectedly_are_stored(self):
         """Guards against runs that are neither stored nor started any more (LOST)."""
