Wait for the next tick where nothing of the progress can be stored

Callers would see: all processes stand still in turn, for every service (LOST, and no answers), after one valid submission whose progress no transaction holds. The cycle wakes itself as long as anything is left to store. If nothing of it fits, the commit returns without waiting, and the cycle repeats without ever leaving the event loop to others. Its lease lapses, and the next holder does the same. Evidence: test_progress_that_no_transaction_holds_does_not_block_the_process failed before: the loop was blocked until the test's limit of 5 s ended it.

--- a/magnoliapier/service/shard.py
+++ b/magnoliapier/service/shard.py
@@ -430,7 +430,8 @@
         if all_included:
             for session, incarnation, number in handled_ends:
                 session.mark_ends_stored(incarnation, number)
-        if dirty:
+        # What fits in no transaction waits for the next tick, so that others can run.
+        if dirty and batch.ids:
             self.tables.wake.set()
 
     async def _retry_commit(self, ids, error):
--- a/tests/service/test_contained_errors.py
+++ b/tests/service/test_contained_errors.py
@@ -1,11 +1,36 @@
+import asyncio
+import contextlib
+import signal
 from unittest import mock
 
+from magnoliapier.service import progress_rows
 from magnoliapier.submissions.model import Resources, Step
 from magnoliapier.submissions.progress import Progress
 from tests.service.test_shard import ShardTestCase, short_step, submission
 
 ODD_ID = "a" * 16
 SOUND_ID = "b" * 16
+BLOCKED_S = 5.0  # after which an event loop that makes no progress counts as blocked
+
+
+class LoopBlockedError(BaseException):
+    """The event loop is blocked. No handler of errors may catch this."""
+
+
+@contextlib.contextmanager
+def stop_after(seconds):
+    """Raise LoopBlockedError in a block that takes longer, also if it never waits."""
+
+    def fail(*_):
+        raise LoopBlockedError
+
+    previous = signal.signal(signal.SIGALRM, fail)
+    signal.setitimer(signal.ITIMER_REAL, seconds)
+    try:
+        yield
+    finally:
+        signal.setitimer(signal.ITIMER_REAL, 0)
+        signal.signal(signal.SIGALRM, previous)
 
 
 class OddSubmissionTests(ShardTestCase):
@@ -65,3 +90,17 @@
         self.store.fail_next = 1
         await self.wait_until(lambda: endpoint.starts)
         self.assertIsNotNone(self.stored(SOUND_ID))
+
+
+class UnstorableProgressTests(ShardTestCase):
+    async def test_progress_that_no_transaction_holds_does_not_block_the_process(self):
+        """Guards against a cycle that repeats without a pause and blocks all others."""
+        endpoint = self.add_endpoint("e1")
+        shard = await self.start_shard()
+        await self.wait_until(lambda: shard.loaded)
+        with mock.patch.object(progress_rows, "MAX_BATCH_BYTES", 100):
+            await self.submit(submission(ODD_ID, short_step(8)))
+            with stop_after(BLOCKED_S):
+                await asyncio.sleep(0.5)
+        await self.submit(submission(SOUND_ID, short_step()))
+        await self.wait_until(lambda: len(endpoint.starts) == 8)
