Store a progress without its checkpoints where these are too long

Callers would see: a submission that was accepted never starts (LOST), or makes its service go from holder to holder. Evidence: test_largest_submission_is_stored_while_all_its_tasks_have_checkpoints (nothing stored) and test_checkpoint_that_no_row_holds_is_left_out (a row of 96,039 bytes) failed before. Why it works: without checkpoints the largest submission fits, with endpoint ids of the usual length. A task that has none starts anew after a takeover.

--- a/magnoliapier/service/progress_rows.py
+++ b/magnoliapier/service/progress_rows.py
@@ -93,7 +93,7 @@
 
     def _writes_of(self, progress):
         submission_id = progress.submission_id
-        values = encode_progress(progress.to_stored(), MAX_ROW_BYTES)
+        values = self._encode(progress)
         puts = [
             Put(self._table, self._service, row_key(submission_id, number), value)
             for number, value in enumerate(values)
@@ -108,6 +108,21 @@
         ]
         return puts, removes
 
+    def _encode(self, progress):
+        """
+        Return the values of a submission's rows.
+
+        Checkpoints are left out where rows or a transaction can't hold them: a task
+        then starts anew after a takeover, which is better than no task being stored.
+        """
+        stored = progress.to_stored()
+        values = encode_progress(stored, MAX_ROW_BYTES)
+        longest = max(map(len, values))
+        if longest <= MAX_ROW_BYTES and sum(map(len, values)) <= MAX_BATCH_BYTES:
+            return values
+        log.warning("checkpoints_left_out", id=progress.submission_id)
+        return encode_progress(without_checkpoints(stored), MAX_ROW_BYTES)
+
     def read(self, rows, on_unusable):
         """
         Return the stored progress by submission id.
@@ -133,6 +148,12 @@
         self._row_counts.pop(submission_id, None)
 
 
+def without_checkpoints(stored):
+    """Return a StoredProgress whose tasks have no checkpoints."""
+    tasks = (msgspec.structs.replace(task, checkpoint="") for task in stored.tasks)
+    return msgspec.structs.replace(stored, tasks=tuple(tasks))
+
+
 def row_key(submission_id, number):
     """Return the key of a submission's row; the first one, 0, has the plain id."""
     return f"{submission_id}{KEY_SEPARATOR}{number}" if number else submission_id
--- a/tests/service/test_progress_rows.py
+++ b/tests/service/test_progress_rows.py
@@ -1,6 +1,11 @@
 import unittest
 
-from magnoliapier.service.progress_rows import MAX_BATCH_ROWS, ProgressRows
+from magnoliapier.platform.wire import MAX_TASKS
+from magnoliapier.service.progress_rows import (
+    MAX_BATCH_ROWS,
+    MAX_ROW_BYTES,
+    ProgressRows,
+)
 from magnoliapier.state.rows import Row
 from magnoliapier.submissions.configuration import Queue
 from magnoliapier.submissions.model import Resources, Step, Submission
@@ -76,3 +81,22 @@
             self.assertEqual(len(batch.ids), 1)
             progresses = [p for p in progresses if p.submission_id not in batch.ids]
         self.assertEqual(progresses, [])
+
+    def test_largest_submission_is_stored_while_all_its_tasks_have_checkpoints(self):
+        """Guards against a progress that no transaction holds (LOST)."""
+        progress = make_progress(1, MAX_TASKS)
+        for task in progress.tasks():
+            task.checkpoint = "00000bb87a21d94b"
+        batch = self.rows.build_batch([progress])
+        self.assertEqual(batch.ids, [progress.submission_id])
+        stored = self.read(batch.puts)[progress.submission_id]
+        self.assertEqual(len(stored.tasks), MAX_TASKS)
+        self.assertEqual(stored.tasks[-1].runs, ((1, "i-0123456789"),))
+
+    def test_checkpoint_that_no_row_holds_is_left_out(self):
+        """Guards against a row that the store refuses for one long checkpoint."""
+        progress = make_progress(1, tasks=2)
+        next(progress.tasks()).checkpoint = "0" * 2 * MAX_ROW_BYTES
+        batch = self.rows.build_batch([progress])
+        self.assertLessEqual(max(len(put.value) for put in batch.puts), MAX_ROW_BYTES)
+        self.assertEqual(len(self.read(batch.puts)[progress.submission_id].tasks), 2)
