Count the runs of a step once a pass

Callers would see: a service stands still on every holder in turn (LOST) after one valid submission with a wide step that has max_per_server or same_rack, or while a wide lasting step with may_miss is evacuated. To place one task, the runs of all tasks of its step were counted for each endpoint, so that a pass took a time that grows with the square of the step. A pass that outlasts the lease is lost, and the next holder begins the same one. Why it works: the counts of a step are kept for the pass and follow its own reservations, and those of unavailable tasks for one look at an endpoint.

--- a/magnoliapier/placement/scheduler.py
+++ b/magnoliapier/placement/scheduler.py
@@ -8,6 +8,8 @@
 endpoints that are suspect or have failed the task come last.
 """
 
+from collections import Counter
+
 from magnoliapier.logs import get_logger
 from magnoliapier.submissions.model import fits
 from magnoliapier.submissions.progress import LiveRun
@@ -57,6 +59,34 @@
         return (step.required_label, step.fills)
 
 
+class StepRuns:
+    """
+    How many live runs each endpoint has of one step, in one occurrence.
+
+    Kept for a pass: counting them anew for each task and endpoint would take a time
+    that grows with the square of the number of tasks.
+    """
+
+    def __init__(self, tasks):
+        self._counts = Counter(run.endpoint_id for task in tasks for run in task.runs)
+
+    @property
+    def endpoint_ids(self):
+        """Return the ids of the endpoints that have a run."""
+        return {endpoint_id for endpoint_id, count in self._counts.items() if count}
+
+    def on(self, endpoint_id):
+        """Return the number of runs on an endpoint."""
+        return self._counts[endpoint_id]
+
+    def add(self, endpoint_id, count):
+        """Add runs on an endpoint, or remove them if ``count`` is negative."""
+        self._counts[endpoint_id] += count
+
+
+NO_RUNS = StepRuns(())
+
+
 class Scheduler:
     """
     Places startable tasks on usable endpoint sessions and reserves their resources.
@@ -73,6 +103,7 @@
         self._now = now
         self._usable = [s for s in sessions if s.usable(now)]
         self._unplaced_kinds = UnplacedKinds()
+        self._step_runs = {}
         self.passed_over = []
 
     def place(self, progresses):
@@ -100,13 +131,25 @@
 
     def could_place(self, live):
         """Return whether another endpoint can run the task of a live run."""
-        siblings = live.progress.siblings(live.task)
+        runs = self._runs_of(live.progress, live.task)
         return any(
             session.endpoint_id != live.run.endpoint_id
-            and self._accepts(session, live.task, siblings)
+            and self._accepts(session, live.step, runs)
             for session in self._usable
         )
 
+    def _runs_of(self, progress, task):
+        """Return the StepRuns of a task's step, NO_RUNS if they don't matter to it."""
+        step = task.step
+        if not step.max_per_endpoint and not step.same_rack:
+            return NO_RUNS
+        name = task.name
+        key = (name.submission_id, name.occurrence, name.step)
+        runs = self._step_runs.get(key)
+        if runs is None:
+            runs = self._step_runs[key] = StepRuns(progress.siblings(task))
+        return runs
+
     def _place_submission(self, progress, starts):
         full_steps = set()
         gangs = {}
@@ -139,8 +182,14 @@
         run = task.begin_run(session.endpoint_id, self._now, run_number)
         live = LiveRun(progress, task, run)
         session.reserve(live)
+        self._count_run(live, 1)
         return session, live
 
+    def _count_run(self, live, count):
+        runs = self._runs_of(live.progress, live.task)
+        if runs is not NO_RUNS:
+            runs.add(live.run.endpoint_id, count)
+
     def _place_gang(self, progress, tasks, starts):
         """
         Place all tasks of a gang under one run number, or none of them.
@@ -165,38 +214,34 @@
             session.drop(live)
             live.task.runs.remove(live.run)
             live.task.last_run = live.run.number - 1
+            self._count_run(live, -1)
 
     def _best_session(self, progress, task):
-        siblings = progress.siblings(task)
+        step = task.step
+        runs = self._runs_of(progress, task)
+        racks = self._preferred_racks(step, runs)
         best = None
         best_key = None
         for session in self._usable:
-            if not self._accepts(session, task, siblings):
+            if not self._accepts(session, step, runs):
                 continue
-            key = self._sort_key(session, task, siblings)
+            key = self._sort_key(session, task, racks)
             if best_key is None or key < best_key:
                 best, best_key = session, key
         return best
 
-    def _accepts(self, session, task, siblings):
-        step = task.step
+    def _accepts(self, session, step, runs):
         if not session.room.fits(step):
             return False
         if step.required_label and step.required_label not in session.record.labels:
             return False
         if step.max_per_endpoint:
-            runs_here = sum(
-                1
-                for sibling in siblings
-                for run in sibling.runs
-                if run.endpoint_id == session.endpoint_id
-            )
-            return runs_here < step.max_per_endpoint
+            return runs.on(session.endpoint_id) < step.max_per_endpoint
         return True
 
-    def _sort_key(self, session, task, siblings):
+    def _sort_key(self, session, task, racks):
         step = task.step
-        off_rack = self._is_off_rack(session, step, siblings)
+        off_rack = bool(racks) and racks != {session.record.rack}
         failed = session.endpoint_id in task.failed_on
         avoided = failed or session.health.is_suspect(self._now)
         if step.fills:
@@ -206,15 +251,11 @@
             return (avoided, off_rack, sensitive_runs, len(session.live))
         return (avoided, off_rack, session.room.cpu_millicores)
 
-    def _is_off_rack(self, session, step, siblings):
-        rack = session.record.rack
+    def _preferred_racks(self, step, runs):
+        """Return the racks that a task should run in; an empty set for any."""
         if step.data_rack:
-            return rack != step.data_rack
-        if step.same_rack:
-            racks = self._racks_of_runs(siblings)
-            return bool(racks) and racks != {rack}
-        return False
-
-    def _racks_of_runs(self, siblings):
-        endpoints = {run.endpoint_id for task in siblings for run in task.runs}
-        return {s.record.rack for s in self._usable if s.endpoint_id in endpoints}
+            return {step.data_rack}
+        if not step.same_rack:
+            return set()
+        endpoint_ids = runs.endpoint_ids
+        return {s.record.rack for s in self._usable if s.endpoint_id in endpoint_ids}
--- a/magnoliapier/service/pool.py
+++ b/magnoliapier/service/pool.py
@@ -243,11 +243,12 @@
     tasks are stopped if they write checkpoints and run to their end otherwise.
     """
     to_stop = []
+    unavailable_counts = {}
     for live in session.live.values():
         if live.run.state != RunState.CONFIRMED:
             continue
         if live.step.long_running:
-            if may_interrupt(live, now) and could_place(live):
+            if may_interrupt(live, now, unavailable_counts) and could_place(live):
                 to_stop.append(live)
                 return to_stop
         elif live.step.checkpointing:
@@ -255,17 +256,20 @@
     return to_stop
 
 
-def may_interrupt(live, now):
+def may_interrupt(live, now, unavailable_counts):
     """
     Return whether the step of a long-running task may miss it now.
 
-    A step whose ``may_miss`` is 0 sets no limit.
+    A step whose ``may_miss`` is 0 sets no limit. ``unavailable_counts`` keeps how many
+    tasks of each step are unavailable, so that they are counted once for all its runs.
     """
     allowed = live.step.may_miss
     if not allowed:
         return True
-    siblings = live.progress.siblings(live.task)
-    unavailable = sum(
-        not task.available(now) for task in siblings if task is not live.task
-    )
-    return unavailable < allowed
+    name = live.task.name
+    key = (name.submission_id, name.occurrence, name.step)
+    if key not in unavailable_counts:
+        siblings = live.progress.siblings(live.task)
+        unavailable_counts[key] = sum(not task.available(now) for task in siblings)
+    others = unavailable_counts[key] - (not live.task.available(now))
+    return others < allowed
--- a/tests/placement/test_scheduler.py
+++ b/tests/placement/test_scheduler.py
@@ -1,4 +1,5 @@
 import unittest
+from unittest import mock
 
 from magnoliapier.placement.endpoint import EndpointRecord, FreeResources
 from magnoliapier.placement.health import EndpointHealth
@@ -144,3 +145,40 @@
         filling = make_progress(Step(1, Resources(8000, 100), fills=True))
         starts = Scheduler([self.session], 0.0).place([large, filling])
         self.assertEqual(len(starts), 1)
+
+
+class WideStepTests(unittest.TestCase):
+    """A step has many tasks, and where each may run depends on the others."""
+
+    def test_tasks_of_a_step_are_counted_once_a_pass(self):
+        """Guards against a pass whose time grows with the square of a step (LOST)."""
+        for fields in ({"max_per_endpoint": 30}, {"same_rack": True}):
+            for gang in (False, True):
+                with self.subTest(fields, gang=gang):
+                    wide = Step(50, Resources(10, 10), gang=gang, **fields)
+                    progress = make_progress(wide)
+                    sessions = FakeSession("e1"), FakeSession("e2")
+                    siblings = mock.Mock(side_effect=progress.siblings)
+                    with mock.patch.object(progress, "siblings", siblings):
+                        starts = Scheduler(sessions, 0.0).place([progress])
+                    self.assertEqual(len(starts), 50)
+                    self.assertLess(siblings.call_count, 5)
+
+    def test_limit_counts_the_runs_of_earlier_passes(self):
+        """Guards against more tasks on an endpoint than a step allows (ROUTE)."""
+        progress = make_progress(step(3, max_per_endpoint=1))
+        sessions = [FakeSession("e1")]
+        self.assertEqual(len(Scheduler(sessions, 0.0).place([progress])), 1)
+        sessions.append(FakeSession("e2"))
+        starts = Scheduler(sessions, 0.0).place([progress])
+        self.assertEqual([s.endpoint_id for s, _ in starts], ["e2"])
+
+    def test_gang_without_room_for_all_leaves_no_runs_counted(self):
+        """Guards against a gang that never starts once it lacked room (LOST)."""
+        progress = make_progress(step(3, gang=True, max_per_endpoint=1))
+        sessions = [FakeSession("e1"), FakeSession("e2")]
+        scheduler = Scheduler(sessions, 0.0)
+        self.assertEqual(scheduler.place([progress]), [])
+        self.assertEqual(len(scheduler.place([progress])), 0)
+        sessions.append(FakeSession("e3"))
+        self.assertEqual(len(Scheduler(sessions, 0.0).place([progress])), 3)
--- a/tests/service/test_pool.py
+++ b/tests/service/test_pool.py
@@ -1,14 +1,19 @@
 import unittest
+from unittest import mock
 
 from magnoliapier.placement.durations import DurationModel
 from magnoliapier.placement.endpoint import EndpointRecord
 from magnoliapier.pools.report import PoolReport
 from magnoliapier.service.incarnation import LeaseTerms
-from magnoliapier.service.pool import RELEASE_MEMORY_S, PoolManager
+from magnoliapier.service.pool import (
+    RELEASE_MEMORY_S,
+    PoolManager,
+    runs_to_evacuate,
+)
 from magnoliapier.service.session import EndpointSession
 from magnoliapier.submissions.configuration import Queue
 from magnoliapier.submissions.model import Resources, Step, Submission
-from magnoliapier.submissions.progress import LiveRun, Progress
+from magnoliapier.submissions.progress import LiveRun, Progress, RunState
 from tests.service.fakes import FakeClock, FakeEndpoints
 
 SERVICE = "desk"
@@ -121,3 +126,45 @@
         wide = open_progress("b" * 16, Step(1, Resources(800, 100), 1000))
         pool.update(sessions, [serving, wide], (), False, now=10.0)
         self.assertEqual(pool.report().wanted, 1)
+
+
+class EvacuationTests(unittest.TestCase):
+    def setUp(self):
+        step = Step(20, Resources(1, 1), long_running=True, may_miss=2)
+        self.progress = open_progress("a" * 16, step)
+        self.session = make_session("e1")
+        for task in self.progress.tasks():
+            live = LiveRun(self.progress, task, task.begin_run("e1", 0.0))
+            live.run.state = RunState.CONFIRMED
+            live.run.record_listing(100, 0.0)
+            self.session.reserve(live)
+
+    def evacuate(self):
+        return runs_to_evacuate(self.session, lambda live: True, 0.0)
+
+    def miss(self, count):
+        """Let the first ``count`` tasks be unavailable."""
+        for task in list(self.progress.tasks())[:count]:
+            task.runs[0].percent = 0
+
+    def test_step_may_miss_no_more_than_it_allows(self):
+        """Guards against planned stops that end too many tasks of a step (AVAIL)."""
+        self.assertEqual(len(self.evacuate()), 1)
+        self.miss(1)
+        self.assertEqual(len(self.evacuate()), 1)
+        self.miss(3)
+        self.assertEqual(self.evacuate(), [])
+
+    def test_task_that_is_unavailable_itself_does_not_count(self):
+        """Guards against an evacuation that waits for the task that it would stop."""
+        self.miss(2)
+        first = next(self.progress.tasks())
+        self.assertEqual([live.task for live in self.evacuate()], [first])
+
+    def test_tasks_of_a_step_are_counted_once(self):
+        """Guards against a cycle whose time grows with the square of a step (LOST)."""
+        self.miss(20)
+        siblings = mock.Mock(side_effect=self.progress.siblings)
+        with mock.patch.object(self.progress, "siblings", siblings):
+            self.assertEqual(self.evacuate(), [])
+        self.assertEqual(siblings.call_count, 1)
