Bound the orders that are under way to one endpoint

Callers would see: a wide submission keeps the others of its service from running (LOST), as nearly all starts of its endpoints get no answer. All starts of a pass were sent at once. The client opens 24 connections to one address, so the others used up their time limit of 0.7 s waiting for one, were stopped, and the stops were sent again every 0.25 s. Listings waited behind them, so that the endpoint counted as lost. Why it works: an endpoint has at most 20 orders under way. The others wait before their time limit begins, and are checked for lease and need when their turn comes. A listing always finds a connection.

--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -39,6 +39,9 @@
 UNHEALTHY_BACKOFF_S = 0.6
 NO_ROOM_BACKOFF_S = 0.15
 LAPSE_MARGIN_S = 0.1
+# Below the connections that the client opens to one address: an order that waits for a
+# connection uses up its time limit, and a listing must not have to wait for one.
+MAX_CONCURRENT_ORDERS = 20
 CALL_LIMIT_S = 1.0  # after which a call has ended and its connection has been reset
 
 log = get_logger(__name__)
@@ -92,6 +95,7 @@
         self._incarnation = EndpointIncarnation(record.started_ms)
         self._wake = asyncio.Event()
         self._listing_lock = asyncio.Lock()
+        self._order_slots = asyncio.Semaphore(MAX_CONCURRENT_ORDERS)
         self._task = None
         self._orders = set()
 
@@ -306,6 +310,10 @@
 
     async def _start(self, live):
         ordered_at = self._clock()
+        async with self._order_slots:
+            await self._start_in_turn(live, ordered_at)
+
+    async def _start_in_turn(self, live, ordered_at):
         listed = await self._ensure_listed()
         if not self._holds(live):
             return  # given up while its commit was under way
@@ -436,23 +444,31 @@
     async def _stop(self, live):
         key = (str(live.task.name), live.run.number)
         while key in self.live:
-            if self._owner.may_act():
-                try:
-                    await self._client.stop(self.record, key[0], key[1], self._token)
-                except OrderRefusedError as error:
-                    if error.reason != OrderRefusal.UNHEALTHY:
-                        self._handle_stop_refusal(live, error.reason)
-                        return
-                except EndpointUnreachableError as error:
-                    log.info("stop_unanswered", task=key[0], run=key[1], error=error)
-                except Exception as error:
-                    report_failure("stop_order", error)
-                else:
-                    live.settled_at = self._last_answer_at = self._clock()
-                    self._wake.set()
-                    return
+            async with self._order_slots:
+                ended = self._owner.may_act() and await self._try_stop(live, *key)
+            if ended:
+                return
             await asyncio.sleep(RETRY_DELAY_S)
 
+    async def _try_stop(self, live, task, run):
+        """Send a stop order; return whether it needs no other attempt."""
+        try:
+            await self._client.stop(self.record, task, run, self._token)
+        except OrderRefusedError as error:
+            if error.reason == OrderRefusal.UNHEALTHY:
+                return False
+            self._handle_stop_refusal(live, error.reason)
+        except EndpointUnreachableError as error:
+            log.info("stop_unanswered", task=task, run=run, error=error)
+            return False
+        except Exception as error:
+            report_failure("stop_order", error)
+            return False
+        else:
+            live.settled_at = self._last_answer_at = self._clock()
+            self._wake.set()
+        return True
+
     def _handle_stop_refusal(self, live, reason):
         log.info(
             "stop_refused", task=live.task.name, run=live.run.number, reason=reason
@@ -472,9 +488,10 @@
     async def _pace(self, live, percent):
         name = str(live.task.name)
         try:
-            await self._client.set_pace(
-                self.record, name, live.run.number, percent, self._token
-            )
+            async with self._order_slots:
+                await self._client.set_pace(
+                    self.record, name, live.run.number, percent, self._token
+                )
         except (OrderRefusedError, EndpointUnreachableError) as error:
             log.info("pace_failed", task=name, run=live.run.number, error=error)
 
@@ -698,18 +715,16 @@
 
         Nothing is sent without the lease, as the run may be a successor's.
         """
-        if self._owner.may_act():
-            self._spawn(self._stop_once(listed_run))
-
-    async def _stop_once(self, listed_run):
-        try:
-            await self._client.stop(
-                self.record, listed_run.task, listed_run.run, self._token
-            )
-        except (OrderRefusedError, EndpointUnreachableError) as error:
-            log.info(
-                "stop_failed", task=listed_run.task, run=listed_run.run, error=error
-            )
+        self._spawn(self._stop_once(listed_run.task, listed_run.run))
+
+    async def _stop_once(self, task, run):
+        async with self._order_slots:
+            if not self._owner.may_act():
+                return
+            try:
+                await self._client.stop(self.record, task, run, self._token)
+            except (OrderRefusedError, EndpointUnreachableError) as error:
+                log.info("stop_failed", task=task, run=run, error=error)
 
     def _handle_inspection_refusal(self, reason):
         if reason == OrderRefusal.FENCED:
--- a/tests/service/test_session.py
+++ b/tests/service/test_session.py
@@ -5,9 +5,10 @@
 import msgspec
 
 from magnoliapier.placement.endpoint import EndpointRecord
+from magnoliapier.platform.http import CONNECTIONS_PER_ADDRESS
 from magnoliapier.service.incarnation import LeaseTerms
 from magnoliapier.service.orders import Inspection, ListedRun, RunEnd
-from magnoliapier.service.session import EndpointSession
+from magnoliapier.service.session import MAX_CONCURRENT_ORDERS, EndpointSession
 from magnoliapier.submissions.configuration import Queue
 from magnoliapier.submissions.model import Resources, Step, Submission
 from magnoliapier.submissions.progress import LiveRun, Progress, RunState
@@ -647,6 +648,39 @@
         self.assertEqual(list(self.endpoint.running), [])
 
 
+class ManyOrdersTests(SessionTestCase):
+    """Many tasks are started on one endpoint at once."""
+
+    def test_listing_needs_no_connection_of_an_order(self):
+        """Guards against an endpoint that counts as lost beside its own orders."""
+        self.assertLess(MAX_CONCURRENT_ORDERS, CONNECTIONS_PER_ADDRESS)
+
+    async def test_calls_to_one_endpoint_are_bounded(self):
+        """Guards against orders that time out behind one another (LOST)."""
+        await self.session._inspect()
+        calls = under_way = most = 0
+        start = self.endpoints.start
+
+        async def count_start(record, order):
+            nonlocal calls, under_way, most
+            calls += 1
+            under_way += 1
+            most = max(most, under_way)
+            await asyncio.sleep(0.001)
+            under_way -= 1
+            return await start(record, order)
+
+        self.endpoints.start = count_start
+        task = self.live.task
+        for _ in range(4 * MAX_CONCURRENT_ORDERS):
+            live = LiveRun(self.live.progress, task, task.begin_run("e1", 0.0))
+            self.session.reserve(live)
+            self.session.order_start(live)
+        await asyncio.sleep(0.2)
+        self.assertEqual(calls, 4 * MAX_CONCURRENT_ORDERS)
+        self.assertLessEqual(most, MAX_CONCURRENT_ORDERS)
+
+
 class UnexpectedErrorTests(SessionTestCase):
     """A call to an endpoint fails with an error that no handler expects."""
 
