--- a/tests/service/simulation.py
+++ b/tests/service/simulation.py
@@ -74,6 +74,10 @@
         """Record that a run is not on its endpoint any more."""
         self._running.get(task, set()).discard((endpoint_id, run))
 
+    def cut_off(self, endpoint_id, task, run):
+        """Record that planned work ends a run."""
+        self.violations.append(f"{task} run {run} on {endpoint_id} is cut off")
+
     def noted(self, task):
         """Record that a ``done`` end was acknowledged."""
         self._noted_done.add(task)
@@ -125,6 +129,12 @@
             self._journal.ended(self.endpoint_id, task, run)
         self._runs = {}
 
+    def shut_down(self):
+        """End for planned work on the host, which must not cut off any run."""
+        for task, run in self._runs:
+            self._journal.cut_off(self.endpoint_id, task, run)
+        self.crash()
+
     def record(self):
         """Return the record that the endpoint's entry gives."""
         return EndpointRecord(
--- a/tests/service/test_stateful_shard.py
+++ b/tests/service/test_stateful_shard.py
@@ -4,7 +4,8 @@
 
 from hypothesis import HealthCheck, given, seed, settings, strategies as st
 
-from magnoliapier.service.directory import EndpointDirectory
+from magnoliapier.pools.report import FleetPlan
+from magnoliapier.service.directory import RETURN_GRACE_S, EndpointDirectory
 from magnoliapier.service.incarnation import LeaseTerms
 from magnoliapier.service.node import ShardDependencies
 from magnoliapier.service.shard import ShardController
@@ -39,6 +40,10 @@
 SEED = int(os.environ.get("SHARD_SEED", "31"))
 TICK_S = 0.02
 SETTLE_S = 30.0
+PROBE_S = 5.0
+AWAY_S = 2.0  # before the host of a released endpoint comes back
+REPORT_DELAY_S = 1.0
+EXPIRY_MARGIN_S = 0.2
 ENTRY_TABLE = "servers"
 
 STEPS = {
@@ -50,7 +55,16 @@
     "accelerator": Step(1, Resources(0, 0, 1), estimated_ms=300),
     "lost label": Step(1, Resources(100, 10), estimated_ms=100, required_label="lost"),
     "many": Step(600, Resources(1, 1), estimated_ms=20),
+    "everywhere": Step(
+        3, Resources(500, 100), long_running=True, max_per_endpoint=1, may_miss=1
+    ),
+    "gang": Step(3, Resources(1000, 100), estimated_ms=500, gang=True),
+    "same rack": Step(2, Resources(1000, 100), estimated_ms=500, same_rack=True),
+    "speculative": Step(2, Resources(500, 100), estimated_ms=500, speculative=True),
 }
+# Wait for an endpoint that does not come, and are served before all others.
+LOST_STEP = Step(1, Resources(100, 10), long_running=True, required_label="lost")
+CROWD = 30  # submissions; more than the kinds without room that end a pass
 GAPS_S = st.sampled_from([0.0, 0.05, 0.3, 1.0, 2.5, 7.0])
 INDEXES = st.integers(0, len(ENDPOINTS) - 1)
 EVENTS = st.one_of(
@@ -63,6 +77,11 @@
     st.tuples(st.just("report_down"), INDEXES, st.just(0)),
     st.tuples(st.just("slow_store"), st.just(0), st.sampled_from([0.2, 0.9])),
     st.tuples(st.just("take_over"), st.just(0), st.just(0)),
+    st.tuples(st.just("silence_all"), st.just(0), st.sampled_from([0.3, 7.0, 13.0])),
+    st.tuples(st.just("report_all_down"), st.just(0), st.sampled_from([0.05, 0.5])),
+    st.tuples(st.just("lose_entries"), st.just(0), st.sampled_from([1.0, 4.0])),
+    st.tuples(st.just("submit_crowd"), st.just(0), st.just(0)),
+    st.tuples(st.just("maintain"), INDEXES, st.just(0)),
 )
 SEQUENCES = st.lists(st.tuples(GAPS_S, EVENTS), min_size=3, max_size=14)
 
@@ -86,22 +105,27 @@
         self._store = ModelStore()
         self._directory = EndpointDirectory(lambda key, value: value, loop.time)
         self._fleet = FakeFleet()
+        self._ids = list(ENDPOINTS)
+        self._to_maintain = set()
         self._submissions = {}
         self._shard = None
         self._token = 0
         self._hidden_until = {}
         self._tasks = []
+        self._away_since = {}
 
     async def play(self, sequence):
         """Play the events, let everything settle and return the broken promises."""
+        await self.take_over()
         ticker = asyncio.create_task(self._tick())
         try:
-            await self.take_over()
             await asyncio.sleep(1.0)
             for gap_s, (name, first, second) in sequence:
                 await asyncio.sleep(gap_s)
                 await getattr(self, name)(first, second)
             await asyncio.sleep(SETTLE_S)
+            await self.submit("short", 0)  # all endpoints are sound by now
+            await asyncio.sleep(PROBE_S)
             return self._journal.violations + self._find_waiting_tasks()
         finally:
             ticker.cancel()
@@ -118,6 +142,7 @@
             if self._loop.time() >= next_entries_at:
                 next_entries_at = self._loop.time() + 1.0
                 self._write_entries()
+            self._move_hosts()
             await asyncio.sleep(TICK_S)
 
     def _write_entries(self):
@@ -132,12 +157,19 @@
         return self._submissions[name.submission_id].steps[name.step].long_running
 
     async def submit(self, kind, _):
-        number = len(self._submissions)
-        submission_id = f"{number:016x}"
-        submission = Submission(submission_id, QUEUE.name, "s", (STEPS[kind],), 1)
-        self._submissions[submission_id] = submission
+        self._submit_step(STEPS[kind])
         for endpoint in self._endpoints.values():
             endpoint.duration_s = 0.5 if kind != "tiny" else 0.03
+
+    async def submit_crowd(self, *_):
+        """Hand in many submissions that wait before all others."""
+        for _ in range(CROWD):
+            self._submit_step(LOST_STEP)
+
+    def _submit_step(self, step):
+        submission_id = f"{len(self._submissions):016x}"
+        submission = Submission(submission_id, QUEUE.name, "s", (step,), 1)
+        self._submissions[submission_id] = submission
         part = intake_part(SERVICE, submission_id)
         table = submissions_table(SERVICE)
         put = Put(table, part, submission_id, encode(submission))
@@ -145,7 +177,7 @@
 
     async def restart(self, index, outage_s):
         """Crash an endpoint and start it again; its entry follows at once."""
-        endpoint = self._endpoints[ENDPOINTS[index]]
+        endpoint = self._endpoints[self._ids[index]]
         if endpoint.up:
             endpoint.crash()
             await asyncio.sleep(outage_s)
@@ -154,29 +186,81 @@
 
     async def restart_unseen(self, index, outage_s):
         """Restart an endpoint whose entry is that of before for three seconds."""
-        self._hidden_until[ENDPOINTS[index]] = self._loop.time() + 3.0
+        self._hidden_until[self._ids[index]] = self._loop.time() + 3.0
         await self.restart(index, outage_s)
 
     async def silence(self, index, seconds):
         """Let calls to an endpoint get no answer and no effect; it runs on."""
-        endpoint = self._endpoints[ENDPOINTS[index]]
+        endpoint = self._endpoints[self._ids[index]]
         endpoint.silent_until = self._loop.time() + seconds
 
+    async def silence_all(self, _, seconds):
+        """Cut the holder off from all endpoints."""
+        for index in range(len(ENDPOINTS)):
+            await self.silence(index, seconds)
+
+    async def report_all_down(self, _, seconds):
+        """Restart all endpoints, and report that late while answers are lost."""
+        for index in range(len(ENDPOINTS)):
+            await self.restart(index, 0.03)
+        await asyncio.sleep(REPORT_DELAY_S)
+        for index in range(len(ENDPOINTS)):
+            await self.lose_answers(index, seconds)
+        self._fleet.crashed = dict.fromkeys(self._ids, self._loop.time())
+
+    async def lose_entries(self, _, seconds):
+        """Let a holder take over while no endpoint has an entry."""
+        for index in range(len(ENDPOINTS)):
+            await self.entry_missing(index, RETURN_GRACE_S + seconds)
+        await asyncio.sleep(RETURN_GRACE_S + EXPIRY_MARGIN_S)
+        await self.take_over()
+
+    async def maintain(self, index, _):
+        """Ask for the maintenance of a host."""
+        self._to_maintain.add(self._endpoints[self._ids[index]].record().host)
+        self._update_plan()
+
+    def _update_plan(self):
+        self._fleet.plan = FleetPlan(to_maintain=tuple(sorted(self._to_maintain)))
+
+    def _move_hosts(self):
+        """Take the hosts that the pool releases, and bring back what it wants."""
+        now = self._loop.time()
+        report = self._shard._pool.report()
+        for index, endpoint_id in enumerate(self._ids):
+            if endpoint_id in report.released and index not in self._away_since:
+                self._endpoints[endpoint_id].shut_down()
+                self._away_since[index] = now
+                self._to_maintain.discard(report.released[endpoint_id])
+                self._update_plan()
+        rested = [i for i, since in self._away_since.items() if now - since >= AWAY_S]
+        for index in rested[: report.wanted]:
+            del self._away_since[index]
+            self._replace_endpoint(index)
+
+    def _replace_endpoint(self, index):
+        """Let an endpoint with another id run on the host of one that has left."""
+        left = self._endpoints.pop(self._ids[index])
+        endpoint_id = self._ids[index] = f"{left.endpoint_id}n"
+        self._endpoints[endpoint_id] = ModelEndpoint(
+            endpoint_id, left.rack, self._loop, self._journal, CLOCK_RATES[index]
+        )
+
     async def lose_answers(self, index, seconds):
         """Let calls to an endpoint be carried out without an answer."""
-        endpoint = self._endpoints[ENDPOINTS[index]]
+        endpoint = self._endpoints[self._ids[index]]
         endpoint.deaf_until = self._loop.time() + seconds
 
     async def entry_missing(self, index, seconds):
         """Let the entry of an endpoint expire and return."""
-        endpoint_id = ENDPOINTS[index]
+        endpoint_id = self._ids[index]
         self._hidden_until[endpoint_id] = self._loop.time() + seconds
         removed = Row(ENTRY_TABLE, "", endpoint_id, b"", 1, True)
         self._directory.apply([removed], False)
 
     async def report_down(self, index, _):
         """Report the host of an endpoint as down, though it may be up again."""
-        self._fleet.crashed = {ENDPOINTS[index]: self._loop.time()}
+        self._fleet.crashed = {self._ids[index]: self._loop.time()}
 
     async def slow_store(self, _, commit_s):
         """Let commits take long for two seconds."""
