--- a/tests/service/test_stateful_shard.py
+++ b/tests/service/test_stateful_shard.py
@@ -42,6 +42,7 @@
 SETTLE_S = 30.0
 PROBE_S = 5.0
 AWAY_S = 2.0  # before the host of a released endpoint comes back
+SPREAD_S = 5.0  # until a lasting step runs on all endpoints, hosts that return included
 REPORT_DELAY_S = 1.0
 EXPIRY_MARGIN_S = 0.2
 ENTRY_TABLE = "servers"
@@ -209,7 +210,9 @@
         self._fleet.crashed = dict.fromkeys(self._ids, self._loop.time())
 
     async def lose_entries(self, _, seconds):
-        """Let a holder take over while no endpoint has an entry."""
+        """Let a holder take over runs on all endpoints while none has an entry."""
+        await self.submit("everywhere", 0)
+        await asyncio.sleep(SPREAD_S)
         for index in range(len(ENDPOINTS)):
             await self.entry_missing(index, RETURN_GRACE_S + seconds)
         await asyncio.sleep(RETURN_GRACE_S + EXPIRY_MARGIN_S)
