Show which submissions wait for room

Cause: the gauges count what waits, not what a pass tried.

The new tests name the attribute and the gauge, which did not exist before.

Why it works: a pass names each step that could start and found no room. The shard counts their submissions and logs each one that begins to wait.

--- a/magnoliapier/placement/scheduler.py
+++ b/magnoliapier/placement/scheduler.py
@@ -10,9 +10,11 @@
 
 from collections import Counter
 
+import msgspec
+
 from magnoliapier.logs import get_logger
-from magnoliapier.submissions.model import fits
-from magnoliapier.submissions.progress import LiveRun
+from magnoliapier.submissions.model import Step, fits
+from magnoliapier.submissions.progress import LiveRun, Progress
 
 MAX_UNPLACED_KINDS = 24  # kinds of task that may lack room before a pass ends
 
@@ -59,6 +61,13 @@
         return (step.required_label, step.fills)
 
 
+class LackOfRoom(msgspec.Struct, frozen=True):
+    """A submission whose tasks of ``step`` could start but found no room in a pass."""
+
+    progress: Progress
+    step: Step
+
+
 class StepRuns:
     """
     How many live runs each endpoint has of one step, in one occurrence.
@@ -93,6 +102,7 @@
 
     A pass ends early if too many kinds of task lack room. ``passed_over`` lists the
     submissions that it did not come to; they have to come first in the next one.
+    ``without_room`` holds a LackOfRoom for each step that waits for room.
 
     Example::
 
@@ -105,6 +115,7 @@
         self._unplaced_kinds = UnplacedKinds()
         self._step_runs = {}
         self.passed_over = []
+        self.without_room = []
 
     def place(self, progresses):
         """Return (session, live run) pairs; ``progresses`` are in order of service."""
@@ -163,6 +174,7 @@
             session = self._find_room(progress, task)
             if session is None:
                 full_steps.add(step_key)
+                self.without_room.append(LackOfRoom(progress, task.step))
             else:
                 starts.append(self._reserve_run(session, progress, task))
         for tasks in gangs.values():
@@ -197,7 +209,10 @@
         A gang waits until every member can start.
         """
         members = progress.siblings(tasks[0])
-        if len(tasks) < len(members) or self._unplaced_kinds.covers(tasks[0].step):
+        if len(tasks) < len(members):
+            return
+        if self._unplaced_kinds.covers(tasks[0].step):
+            self.without_room.append(LackOfRoom(progress, tasks[0].step))
             return
         run_number = max(task.last_run for task in members) + 1
         reserved = []
@@ -205,6 +220,7 @@
             session = self._best_session(progress, task)
             if session is None:
                 self._cancel_reservations(reserved)
+                self.without_room.append(LackOfRoom(progress, task.step))
                 return
             reserved.append(self._reserve_run(session, progress, task, run_number))
         starts.extend(reserved)
--- a/magnoliapier/service/shard.py
+++ b/magnoliapier/service/shard.py
@@ -74,6 +74,7 @@
         self._committer = FencedCommitter(deps.store, service, lease, deps.boottime)
         self._uncommitted_starts = {}
         self._passed_over = {}
+        self._without_room = set()
         self._tasks = []
         self._pace_adjusted_at = 0.0
         self._gauges_set_at = 0.0
@@ -276,6 +277,7 @@
         values = {
             "submissions_open": len(progresses),
             "submissions_waiting": waiting,
+            "submissions_without_room": len(self._without_room),
             "hosts_in_pool": report.hosts,
             "hosts_wanted": report.wanted,
             "hosts_released": len(report.released),
@@ -371,6 +373,22 @@
             progress.submission_id: self._passes_missed(progress) + 1
             for progress in scheduler.passed_over
         }
+        self._record_lacks_of_room(scheduler.without_room)
+
+    def _record_lacks_of_room(self, lacks):
+        """Record which submissions wait for room, and log those that begin to."""
+        before = self._without_room
+        self._without_room = {lack.progress.submission_id for lack in lacks}
+        for lack in lacks:
+            if lack.progress.submission_id not in before:
+                log.routine(
+                    "waits_for_room",
+                    id=lack.progress.submission_id,
+                    shard=self.service,
+                    resources=lack.step.resources,
+                    label=lack.step.required_label,
+                    gang=lack.step.gang,
+                )
 
     def _passes_missed(self, progress):
         """Return how many passes in a row have not come to a submission."""
--- a/tests/placement/test_scheduler.py
+++ b/tests/placement/test_scheduler.py
@@ -133,6 +133,15 @@
         self.assertEqual(scheduler.place([*waiting, last]), [])
         self.assertIn(last, scheduler.passed_over)
 
+    def test_steps_without_room_are_named(self):
+        """Guards against a submission that waits and nothing tells that room lacks."""
+        lost = make_progress(step(1, required_label="lost"))
+        gang = make_progress(step(9, gang=True))
+        scheduler = Scheduler([self.session], 0.0)
+        scheduler.place([lost, gang, make_progress(step(1))])
+        named = [lack.progress for lack in scheduler.without_room]
+        self.assertEqual(named, [lost, gang])
+
     def test_smaller_task_is_tried_after_a_larger_one(self):
         """Guards against room that stays free because a larger task came first."""
         large = make_progress(Step(1, Resources(8000, 100)))
--- a/tests/service/test_shard.py
+++ b/tests/service/test_shard.py
@@ -1,4 +1,5 @@
 import asyncio
+import re
 import unittest
 
 from magnoliapier.exceptions import PlatformError
@@ -256,6 +257,20 @@
         await self.submit(submission("f" * 16, short_step()))
         await self.wait_until(lambda: endpoint.starts)
 
+    async def test_submission_without_room_is_counted(self):
+        """Guards against a wait for room that looks like a pass that ends early."""
+        self.add_endpoint("e1")
+        shard = await self.start_shard()
+        await self.submit(submission("d" * 16, short_step(required_label="lost")))
+        await self.wait_until(lambda: shard.tables.progresses)
+
+        def counted():
+            shard._gauges_set_at = float("-inf")
+            shard._update_gauges()
+            return re.search("submissions_without_room.* 1", shard._metrics.render())
+
+        await self.wait_until(counted)
+
     async def test_endpoint_capacity_is_never_exceeded(self):
         """Guards against more tasks on an endpoint than its resources hold."""
         endpoint = self.add_endpoint("e1")
