Count the places for a gang instead of trying its members

Callers would see: the work of a service starts late while gangs of thousands of tasks wait for room, as each pass over them blocks the process (LOST, should it outlast a lease).

Each pass reserved room for member after member until one found none, and then took all of it back.

Evidence: test_gang_without_room_for_all_reserves_nothing failed before.

Why it works: the members of a gang are alike, so that what they need is a sum of places over the endpoints. It is exact, with a limit for each endpoint too, and nothing has to be taken back.

The pool's count of tasks that fit on a host is the same, and is shared.

--- a/magnoliapier/placement/endpoint.py
+++ b/magnoliapier/placement/endpoint.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from magnoliapier.submissions.model import Resources
+from magnoliapier.submissions.model import Resources, tasks_that_fit
 
 RACK_LABEL_INDEX = 1
 
@@ -62,6 +62,15 @@
             return False
         return step.fills or required.cpu_millicores <= self.cpu_millicores
 
+    def places(self, step):
+        """Return for how many tasks of ``step`` there is room; it may be infinity."""
+        if not self.fits(step):
+            return 0
+        required = step.resources
+        if step.fills:
+            required = msgspec.structs.replace(required, cpu_millicores=0)
+        return tasks_that_fit(required, self)
+
     def allocate(self, step):
         """Allocate the resources of a task of ``step``."""
         self._change(step, 1)
--- a/magnoliapier/placement/scheduler.py
+++ b/magnoliapier/placement/scheduler.py
@@ -166,25 +166,31 @@
         """
         if not all(task.startable(self._now) for task in tasks):
             return True
-        if not self._rooms_for(tasks[0].step).fit(tasks[0].step):
+        if not self._has_places(progress, tasks):
             return False
         run_number = max(task.last_run for task in tasks) + 1
-        reserved = []
         for task in tasks:
             session = self._best_session(progress, task)
-            if session is None:
-                self._cancel_reservations(reserved)
-                return False
-            reserved.append(self._reserve_run(session, progress, task, run_number))
-        starts.extend(reserved)
+            starts.append(self._reserve_run(session, progress, task, run_number))
         return True
 
-    def _cancel_reservations(self, reserved):
-        for session, live in reserved:
-            session.drop(live)
-            live.task.runs.remove(live.run)
-            live.task.last_run = live.run.number - 1
-            self._count_run(live, -1)
+    def _has_places(self, progress, tasks):
+        """Return whether all tasks of a step have room at once."""
+        step = tasks[0].step
+        runs = self._runs_of(progress, tasks[0])
+        places = 0
+        for session in self._rooms_for(step).sessions:
+            if self._accepts(session, step, runs):
+                places += self._places_on(session, step, runs)
+            if places >= len(tasks):
+                return True
+        return False
+
+    def _places_on(self, session, step, runs):
+        places = session.room.places(step)
+        if step.max_per_endpoint:
+            return min(places, step.max_per_endpoint - runs.on(session.endpoint_id))
+        return places
 
     def _best_session(self, progress, task):
         step = task.step
--- a/magnoliapier/pools/demand.py
+++ b/magnoliapier/pools/demand.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from magnoliapier.submissions.model import Resources, fits
+from magnoliapier.submissions.model import Resources, fits, tasks_that_fit
 
 USABLE_HOST_SHARE = 0.85  # of each host; tasks of mixed sizes cannot fill it all
 # Keeping a host for so long costs as much as releasing it and getting it back.
@@ -38,16 +38,6 @@
     return max(share, resources.accelerators / capacity.accelerators)
 
 
-def tasks_per_host(required, capacity):
-    """Return how many tasks fit on an empty host; infinity if they require nothing."""
-    pairs = (
-        (required.cpu_millicores, capacity.cpu_millicores),
-        (required.memory_mb, capacity.memory_mb),
-        (required.accelerators, capacity.accelerators),
-    )
-    return min((total // each for each, total in pairs if each > 0), default=math.inf)
-
-
 def min_endpoints_for(progress):
     """Return how many endpoints the long-running tasks of a submission need."""
     min_endpoints = 0
@@ -153,7 +143,7 @@
         return 0
     host_seconds = 0.0
     for tasks in wide:
-        per_host = tasks_per_host(tasks.resources, capacity)
+        per_host = tasks_that_fit(tasks.resources, capacity)
         host_seconds += tasks.count * tasks.duration_s / per_host
     return len(occupied) + max(1, math.ceil(host_seconds / CATCH_UP_S))
 
--- a/magnoliapier/submissions/model.py
+++ b/magnoliapier/submissions/model.py
@@ -1,5 +1,6 @@
 """The model of a submission: its steps and tasks, their resources and states."""
 
+import math
 from enum import StrEnum
 
 import msgspec
@@ -55,6 +56,20 @@
     )
 
 
+def tasks_that_fit(required, available):
+    """
+    Return how many tasks that each require ``required`` fit into ``available``.
+
+    It is infinity for tasks that require nothing.
+    """
+    pairs = (
+        (required.cpu_millicores, available.cpu_millicores),
+        (required.memory_mb, available.memory_mb),
+        (required.accelerators, available.accelerators),
+    )
+    return min((total // each for each, total in pairs if each > 0), default=math.inf)
+
+
 class Step(msgspec.Struct, omit_defaults=True):
     """
     A group of tasks of the same kind.
--- a/tests/placement/test_scheduler.py
+++ b/tests/placement/test_scheduler.py
@@ -184,6 +184,20 @@
         starts = Scheduler(sessions, 0.0).place([progress])
         self.assertEqual([s.endpoint_id for s, _ in starts], ["e2"])
 
+    def test_gang_without_room_for_all_reserves_nothing(self):
+        """Guards against a wide gang that takes up each pass with trying (LOST)."""
+        progress = make_progress(Step(50, Resources(100, 10), gang=True))
+        session = FakeSession("e1")
+        with mock.patch.object(session, "reserve", wraps=session.reserve) as reserve:
+            self.assertEqual(Scheduler([session], 0.0).place([progress]), [])
+        reserve.assert_not_called()
+
+    def test_gang_of_a_best_effort_step_needs_no_cpu(self):
+        """Guards against a best-effort gang that waits for CPU it doesn't need."""
+        filling = Step(2, Resources(3000, 100), gang=True, fills=True)
+        starts = Scheduler([FakeSession("e1")], 0.0).place([make_progress(filling)])
+        self.assertEqual(len(starts), 2)
+
     def test_gang_without_room_for_all_leaves_no_runs_counted(self):
         """Guards against a gang that never starts once it lacked room (LOST)."""
         progress = make_progress(step(3, gang=True, max_per_endpoint=1))
