Let submissions take turns for the orders to an endpoint

All starts of the wide submission were in line before an endpoint when the others were placed, and orders left in the order of arrival.

Evidence: test_submissions_take_turns_for_orders failed before.

Why it works: an order waits among those of its submission, and each free slot goes to the next submission in rotation.

--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -22,6 +22,7 @@
 from magnoliapier.service.clock import SLOWEST_CLOCK_RATE
 from magnoliapier.service.endpoint_use import EndpointUse
 from magnoliapier.service.incarnation import EndpointIncarnation
+from magnoliapier.service.order_slots import OrderSlots
 from magnoliapier.service.orders import OrderRefusal, StartOrder
 from magnoliapier.submissions.progress import RunState
 
@@ -95,7 +96,7 @@
         self._incarnation = EndpointIncarnation(record.started_ms)
         self._wake = asyncio.Event()
         self._listing_lock = asyncio.Lock()
-        self._order_slots = asyncio.Semaphore(MAX_CONCURRENT_ORDERS)
+        self._order_slots = OrderSlots(MAX_CONCURRENT_ORDERS)
         self._task = None
         self._orders = set()
 
@@ -310,7 +311,7 @@
 
     async def _start(self, live):
         ordered_at = self._clock()
-        async with self._order_slots:
+        async with self._order_slots.slot(live.progress.submission_id):
             await self._start_in_turn(live, ordered_at)
 
     async def _start_in_turn(self, live, ordered_at):
@@ -444,7 +445,7 @@
     async def _stop(self, live):
         key = (str(live.task.name), live.run.number)
         while key in self.live:
-            async with self._order_slots:
+            async with self._order_slots.slot(live.progress.submission_id):
                 ended = self._owner.may_act() and await self._try_stop(live, *key)
             if ended:
                 return
@@ -488,7 +489,7 @@
     async def _pace(self, live, percent):
         name = str(live.task.name)
         try:
-            async with self._order_slots:
+            async with self._order_slots.slot(live.progress.submission_id):
                 await self._client.set_pace(
                     self.record, name, live.run.number, percent, self._token
                 )
@@ -718,7 +719,8 @@
         self._spawn(self._stop_once(listed_run.task, listed_run.run))
 
     async def _stop_once(self, task, run):
-        async with self._order_slots:
+        submission_id, _, _ = task.partition(".")
+        async with self._order_slots.slot(submission_id):
             if not self._owner.may_act():
                 return
             try:
--- a/tests/service/test_session.py
+++ b/tests/service/test_session.py
@@ -25,6 +25,13 @@
 LEASE = LeaseTerms(extend_ms=5500, longest_ms=10_000)
 
 
+def make_progress(submission_id):
+    submission = Submission(submission_id, "q", "x", STEPS, 0)
+    progress = Progress(submission, Queue("q", "h", "/", "s"))
+    progress.open_occurrences(0)
+    return progress
+
+
 class FakeOwner:
     """Stands for the controller; records why runs were reported as gone."""
 
@@ -70,9 +77,7 @@
             record, self.endpoints, self.owner, 1, LEASE, self.clock
         )
         self.addAsyncCleanup(self.session.close)
-        submission = Submission("00000000000000aa", "q", "x", STEPS, 0)
-        progress = Progress(submission, Queue("q", "h", "/", "s"))
-        progress.open_occurrences(0)
+        progress = make_progress("00000000000000aa")
         task = next(progress.tasks())
         self.live = LiveRun(progress, task, task.begin_run("e1", 0.0))
         self.session.reserve(self.live)
@@ -680,6 +685,22 @@
         self.assertEqual(calls, 4 * MAX_CONCURRENT_ORDERS)
         self.assertLessEqual(most, MAX_CONCURRENT_ORDERS)
 
+    async def test_submissions_take_turns_for_orders(self):
+        """Guards against starts that wait behind all those of a wide submission."""
+        await self.session._inspect()
+        wide = self.live.progress
+        narrow = make_progress("b" * 16)
+        for progress, count in ((wide, 10 * MAX_CONCURRENT_ORDERS), (narrow, 1)):
+            task = next(progress.tasks())
+            for _ in range(count):
+                live = LiveRun(progress, task, task.begin_run("e1", 0.0))
+                self.session.reserve(live)
+                self.session.order_start(live)
+        starts = self.endpoints.by_id["e1"].starts
+        while len(starts) < 3 * MAX_CONCURRENT_ORDERS:
+            await asyncio.sleep(0)
+        self.assertIn((f"{'b' * 16}.0.0.0", 1), starts)
+
 
 class UnexpectedErrorTests(SessionTestCase):
     """A call to an endpoint fails with an error that no handler expects."""
