Order the runs of a wide submission in parts

Callers would see: a submission of 20,000 tasks that request nothing blocks the process that holds its service, for as long as its orders take to prepare; its other services and callers wait, and it may lose its leases.

One pass placed all 20,000 tasks, and all orders were prepared at once.

Evidence: test_runs_of_a_wide_step_are_placed_in_parts failed before.

Why it works: at most 500 runs of a submission wait for their orders to be sent. A later pass places the others, once orders are sent or given up, and takes room and order of service as they are then. Gangs start as a whole, as before.

--- a/magnoliapier/placement/scheduler.py
+++ b/magnoliapier/placement/scheduler.py
@@ -17,6 +17,10 @@
 from magnoliapier.submissions.model import Step
 from magnoliapier.submissions.progress import LiveRun, Progress
 
+# Runs of one submission that wait for their start orders to be sent. Ordering more at
+# once would block the process, and an endpoint takes only so many orders in a second.
+MAX_UNSENT_RUNS = 500
+
 log = get_logger(__name__)
 
 
@@ -123,17 +127,28 @@
                 self.without_room.append(LackOfRoom(progress, step))
 
     def _place_step(self, progress, tasks, starts):
-        """Place the waiting tasks of a step; return whether all of them found room."""
+        """
+        Place waiting tasks of a step, up to ``MAX_UNSENT_RUNS`` of its submission.
+
+        Return whether there was room for them. A later pass places the others.
+        """
         has_room = self._rooms_for(tasks[0].step).fit(tasks[0].step)
+        may_place = MAX_UNSENT_RUNS - self._unsent_runs(progress) if has_room else 1
         for task in tasks:
+            if may_place <= 0:
+                return True
             if not task.startable(self._now):
                 continue
+            may_place -= 1
             session = self._best_session(progress, task) if has_room else None
             if session is None:
                 return False
             starts.append(self._reserve_run(session, progress, task))
         return True
 
+    def _unsent_runs(self, progress):
+        return sum(s.unsent_runs(progress.submission_id) for s in self._usable)
+
     def _rooms_for(self, step):
         """Return the LargestRooms of the usable sessions that have a step's label."""
         label = step.required_label
--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -24,6 +24,7 @@
 from magnoliapier.service.incarnation import EndpointIncarnation
 from magnoliapier.service.order_slots import OrderSlots
 from magnoliapier.service.orders import OrderRefusal, StartOrder
+from magnoliapier.service.unsent_runs import UnsentRuns
 from magnoliapier.submissions.progress import RunState
 
 INSPECT_WAIT_MS = 1000  # how long the endpoint may hold back its answer
@@ -97,6 +98,7 @@
         self._wake = asyncio.Event()
         self._listing_lock = asyncio.Lock()
         self._order_slots = OrderSlots(MAX_CONCURRENT_ORDERS)
+        self._unsent = UnsentRuns()
         self._task = None
         self._orders = set()
 
@@ -184,6 +186,11 @@
         """Reserve resources for a run whose start is ordered after the commit."""
         live.placed_on = self._incarnation
         self._add(live)
+        self._unsent.add(live)
+
+    def unsent_runs(self, submission_id):
+        """Return how many runs of a submission wait for their orders to be sent."""
+        return self._unsent.count(submission_id)
 
     def _add(self, live):
         key = (str(live.task.name), live.run.number)
@@ -198,8 +205,10 @@
 
     def drop(self, live):
         """Remove a run that is not on the endpoint any more and free its resources."""
-        if self.live.pop((str(live.task.name), live.run.number), None) is not None:
-            self.room.release(live.step)
+        held = self.live.pop((str(live.task.name), live.run.number), None)
+        if held is not None:
+            self.room.release(held.step)
+            self._unsent.discard(held)
 
     def mark_ends_stored(self, incarnation, end_number):
         """Record that all ends of an incarnation up to ``end_number`` are stored."""
@@ -355,6 +364,7 @@
     def _start_order(self, live):
         """Return the StartOrder of a run that is to be sent at once."""
         sent_at = self._clock()
+        self._unsent.discard(live)
         self._last_start_at = self._last_extension_at = live.sent_at = sent_at
         return StartOrder(
             str(live.task.name),
--- a/tests/placement/test_scheduler.py
+++ b/tests/placement/test_scheduler.py
@@ -3,7 +3,7 @@
 
 from magnoliapier.placement.endpoint import EndpointRecord, FreeResources
 from magnoliapier.placement.health import EndpointHealth
-from magnoliapier.placement.scheduler import Scheduler
+from magnoliapier.placement.scheduler import MAX_UNSENT_RUNS, Scheduler
 from magnoliapier.submissions.configuration import Queue
 from magnoliapier.submissions.model import Resources, Step, Submission
 from magnoliapier.submissions.progress import Progress
@@ -28,6 +28,9 @@
     def usable(self, now):
         return self._usable
 
+    def unsent_runs(self, submission_id):
+        return sum(not live.sent_at for live in self.live.values())
+
     def reserve(self, live):
         self.live[(str(live.task.name), live.run.number)] = live
         self.room.allocate(live.step)
@@ -175,6 +178,19 @@
                     self.assertEqual(len(starts), 50)
                     self.assertLess(siblings.call_count, 5)
 
+    def test_runs_of_a_wide_step_are_placed_in_parts(self):
+        """Guards against thousands of orders at once that block the process (LOST)."""
+        progress = make_progress(Step(MAX_UNSENT_RUNS + 40))
+        session = FakeSession("e1")
+        starts = Scheduler([session], 0.0).place([progress])
+        self.assertEqual(len(starts), MAX_UNSENT_RUNS)
+        scheduler = Scheduler([session], 0.0)
+        self.assertEqual(scheduler.place([progress]), [])
+        self.assertEqual(scheduler.without_room, [])
+        for _, live in starts:
+            live.sent_at = 1.0
+        self.assertEqual(len(Scheduler([session], 0.0).place([progress])), 40)
+
     def test_limit_counts_the_runs_of_earlier_passes(self):
         """Guards against more tasks on an endpoint than a step allows (ROUTE)."""
         progress = make_progress(step(3, max_per_endpoint=1))
--- a/tests/service/test_session.py
+++ b/tests/service/test_session.py
@@ -685,6 +685,18 @@
         self.assertEqual(calls, 4 * MAX_CONCURRENT_ORDERS)
         self.assertLessEqual(most, MAX_CONCURRENT_ORDERS)
 
+    async def test_runs_count_as_unsent_until_they_are_sent_or_given_up(self):
+        """Guards against a submission that gets no runs as others seem unsent."""
+        await self.session._inspect()
+        progress = self.live.progress
+        given_up = LiveRun(progress, self.live.task, self.live.task.begin_run("e1", 0))
+        self.session.reserve(given_up)
+        self.assertEqual(self.session.unsent_runs(progress.submission_id), 2)
+        self.session.drop(given_up)
+        self.session.order_start(self.live)
+        await asyncio.sleep(0.02)
+        self.assertEqual(self.session.unsent_runs(progress.submission_id), 0)
+
     async def test_submissions_take_turns_for_orders(self):
         """Guards against starts that wait behind all those of a wide submission."""
         await self.session._inspect()
--- a/tests/service/test_shard.py
+++ b/tests/service/test_shard.py
@@ -4,6 +4,7 @@
 
 from magnoliapier.exceptions import PlatformError
 from magnoliapier.placement.endpoint import EndpointRecord
+from magnoliapier.placement.scheduler import MAX_UNSENT_RUNS
 from magnoliapier.service.directory import EndpointDirectory
 from magnoliapier.service.incarnation import LeaseTerms
 from magnoliapier.service.node import ShardDependencies
@@ -257,6 +258,14 @@
         await self.submit(submission("f" * 16, short_step()))
         await self.wait_until(lambda: endpoint.starts)
 
+    async def test_all_tasks_of_a_wide_step_are_started(self):
+        """Guards against tasks beyond those of one pass that never start (LOST)."""
+        endpoint = self.add_endpoint("e1")
+        await self.start_shard()
+        count = 2 * MAX_UNSENT_RUNS + 1
+        await self.submit(submission("c" * 16, Step(count)))
+        await self.wait_until(lambda: len(endpoint.starts) == count)
+
     async def test_submission_without_room_is_counted(self):
         """Guards against a wait for room that looks like a pass that ends early."""
         self.add_endpoint("e1")
