Let the tests of contained errors break the call that is made now

The scheduler reads startable_steps since, so that the submission whose startable_tasks raised was no odd one for it any more: the test passed without the containment in the scheduler. Both tests break startable_steps now, which startable_tasks uses as well. The one of the scheduler was seen failing with the containment taken out.

--- a/tests/service/test_contained_errors.py
+++ b/tests/service/test_contained_errors.py
@@ -61,7 +61,7 @@
         await self.submit(submission(ODD_ID, short_step()))
         await self.wait_until(lambda: ODD_ID in shard.tables.progresses)
         odd = shard.tables.progresses[ODD_ID]
-        odd.startable_tasks = None  # calling it raises TypeError
+        odd.startable_steps = None  # calling it raises TypeError
         wide = Step(20, Resources(4000, 100, 0), long_running=True)
         await self.submit(submission(SOUND_ID, wide))
         await self.wait_until(lambda: shard._pool.report().wanted > 5)
--- a/tests/service/test_shard.py
+++ b/tests/service/test_shard.py
@@ -357,7 +357,7 @@
         await self.submit(submission("d" * 16, short_step(9)))
         await self.wait_until(lambda: len(endpoint.running) == 8)
         odd = shard.tables.progresses["d" * 16]
-        odd.startable_tasks = odd.done_steps = None  # calling them raises TypeError
+        odd.startable_steps = odd.done_steps = None  # calling them raises TypeError
         starts = len(endpoint.starts)
         endpoint.end(f"{'d' * 16}.0.0.0")
         await self.submit(submission("e" * 16, short_step()))
