Ask for hosts only where they help the work that waits

A pool asked for hosts for all its waiting work. Those that it got did not help, so that it went on asking, kept all hosts that stood by, and none was left for the other service.

Why it works: what a pool needs is added up by required label, and what fits on none of its hosts when they are empty is kept apart. For these it asks for hosts with that label, or for one of that size, and the fleet moves no others. The report row has one more field at its end, which older builds ignore. Where no pool stands by, any host is asked for as before: a released host that nobody takes would be lost to its own pool.

--- a/magnoliapier/placement/endpoint.py
+++ b/magnoliapier/placement/endpoint.py
@@ -66,10 +66,7 @@
         """Return for how many tasks of ``step`` there is room; it may be infinity."""
         if not self.fits(step):
             return 0
-        required = step.resources
-        if step.fills:
-            required = msgspec.structs.replace(required, cpu_millicores=0)
-        return tasks_that_fit(required, self)
+        return tasks_that_fit(step.allocated, self)
 
     def allocate(self, step):
         """Allocate the resources of a task of ``step``."""
--- a/magnoliapier/platform/wire.py
+++ b/magnoliapier/platform/wire.py
@@ -281,6 +281,7 @@
             data_centre=self.zone,
             labels=self.labels,
             endpoint_id=self.id or "",
+            capacity=self.capacity.resources(),
         )
 
 
--- a/magnoliapier/pools/demand.py
+++ b/magnoliapier/pools/demand.py
@@ -38,15 +38,11 @@
     return max(share, resources.accelerators / capacity.accelerators)
 
 
-def min_endpoints_for(progress):
-    """Return how many endpoints the long-running tasks of a submission need."""
-    min_endpoints = 0
-    for step in progress.submission.steps:
-        if step.long_running and step.max_per_endpoint:
-            min_endpoints = max(
-                min_endpoints, math.ceil(step.task_count / step.max_per_endpoint)
-            )
-    return min_endpoints
+def min_endpoints_for(step):
+    """Return how many endpoints the tasks of a step need at least."""
+    if step.long_running and step.max_per_endpoint:
+        return math.ceil(step.task_count / step.max_per_endpoint)
+    return 1
 
 
 class ArrivalRate:
--- a/magnoliapier/pools/hosts.py
+++ b/magnoliapier/pools/hosts.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from magnoliapier.submissions.model import Resources
+
 
 class HostState(StrEnum):
     """The state of a host in the platform's host list."""
@@ -20,6 +22,7 @@
     A host of the fleet.
 
     ``service`` names its pool, and ``endpoint_id`` the endpoint that runs on it now.
+    ``capacity`` is zero if it is unknown.
     """
 
     name: str
@@ -28,6 +31,7 @@
     data_centre: str = ""
     labels: tuple[str, ...] = ()
     endpoint_id: str = ""
+    capacity: Resources = Resources()
 
 
 class Wave(msgspec.Struct, frozen=True):
--- a/magnoliapier/pools/planner.py
+++ b/magnoliapier/pools/planner.py
@@ -186,14 +186,11 @@
         free.sort(key=lambda host: (host.name in due, host.service == self._standby))
         orders = []
         for service in self._services_wanting_hosts():
+            for need in self._reports[service].further_needs:
+                lacking = need.count - self._count_arriving(service, need)
+                orders += self._take(free, service, lacking, need)
             wanted = self._reports[service].wanted - self._count_arriving(service)
-            while wanted > 0 and free:
-                host = self._first_outside(free, service)
-                if host is None:
-                    break
-                free.remove(host)
-                orders.append(Move(host.name, service))
-                wanted -= 1
+            orders += self._take(free, service, wanted)
         if self._standby is not None:
             orders.extend(
                 Move(host.name, self._standby)
@@ -202,21 +199,37 @@
             )
         return orders
 
-    def _first_outside(self, free, service):
-        for host in free:
-            if host.service != service:
-                return host
-        return None
+    def _take(self, free, service, count, need=None):
+        """
+        Remove up to ``count`` hosts of other pools from ``free``; return their moves.
+
+        With a HostNeed, only hosts that meet it are taken.
+        """
+        taken = [
+            host
+            for host in free
+            if host.service != service and (need is None or need.is_met_by(host))
+        ][: max(0, count)]
+        for host in taken:
+            free.remove(host)
+        return [Move(host.name, service) for host in taken]
 
     def _services_wanting_hosts(self):
         """Return the services that want hosts, those with the fewest hosts first."""
-        wanting = [s for s, report in self._reports.items() if report.wanted > 0]
+        wanting = [
+            service
+            for service, report in self._reports.items()
+            if report.wanted > 0 or report.further_needs
+        ]
         return sorted(wanting, key=lambda s: self._reports[s].hosts)
 
-    def _count_arriving(self, service):
+    def _count_arriving(self, service, need=None):
+        """Return how many hosts move to a pool, with a HostNeed those that meet it."""
         return sum(
-            isinstance(pending.order, Move) and pending.order.service == service
-            for pending in self._pending.values()
+            isinstance(pending.order, Move)
+            and pending.order.service == service
+            and (need is None or need.is_met_by(self._hosts[name]))
+            for name, pending in self._pending.items()
         )
 
     def hosts_to_empty(self):
--- a/magnoliapier/pools/report.py
+++ b/magnoliapier/pools/report.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from magnoliapier.pools.need import HostNeed
 from magnoliapier.state.decoding import decode_stored
 
 REPORT_KEY = "pool"
@@ -14,12 +15,14 @@
 
     ``released`` maps endpoints to their hosts; nothing runs or will be started there,
     so the hosts may be moved or maintained. ``wanted`` is the number of further hosts
-    that the pool could use now, and ``hosts`` the number that it keeps in use.
+    that the pool could use now, whatever their kind, and ``hosts`` the number that it
+    keeps in use. ``further_needs`` tells which hosts of a kind it could use as well.
     """
 
     released: dict[str, str] = {}
     wanted: int = 0
     hosts: int = 0
+    further_needs: tuple[HostNeed, ...] = ()
 
 
 class FleetPlan(msgspec.Struct, array_like=True):
--- a/magnoliapier/service/node.py
+++ b/magnoliapier/service/node.py
@@ -169,7 +169,8 @@
     def active(self):
         """Return whether any pool wants or releases hosts, or a wave is requested."""
         return bool(self._waves) or any(
-            report.wanted or report.released for report in self._reports.values()
+            report.wanted or report.released or report.further_needs
+            for report in self._reports.values()
         )
 
 
--- a/magnoliapier/service/pool.py
+++ b/magnoliapier/service/pool.py
@@ -6,20 +6,11 @@
 use.
 """
 
-from collections import Counter
-
 import msgspec
 
 from magnoliapier.logs import get_logger
-from magnoliapier.pools.demand import (
-    ArrivalRate,
-    SlidingMaximum,
-    WaitingTasks,
-    host_share,
-    hosts_for_wide_tasks,
-    hosts_needed,
-    min_endpoints_for,
-)
+from magnoliapier.pools.demand import ArrivalRate, SlidingMaximum, host_share
+from magnoliapier.pools.need import PoolNeed
 from magnoliapier.pools.report import PoolReport
 from magnoliapier.service.background import report_failure
 from magnoliapier.submissions.progress import RunState
@@ -40,22 +31,6 @@
     since: float
 
 
-class PoolNeed(msgspec.Struct):
-    """
-    What the open submissions need of their pool.
-
-    ``long_running_share`` is the sum of the host shares of long-running tasks,
-    ``waiting_host_seconds`` the work of the tasks that wait, and ``min_endpoints`` the
-    number of endpoints over which tasks must be spread. ``waiting`` counts the waiting
-    tasks by (resources, duration in ms).
-    """
-
-    long_running_share: float = 0.0
-    waiting_host_seconds: float = 0.0
-    min_endpoints: int = 1
-    waiting: Counter = msgspec.field(default_factory=Counter)
-
-
 class PoolManager:
     """
     Decides which endpoints of a pool are evacuated and released.
@@ -80,6 +55,7 @@
         self._unlisted = {}
         self._wanted = 0
         self._hosts = 0
+        self._further_needs = ()
 
     def restore(self, report):
         """Restore the released endpoints from the report of an earlier holder."""
@@ -87,7 +63,9 @@
 
     def report(self):
         """Return the PoolReport to store."""
-        return PoolReport(dict(self.released), self._wanted, self._hosts)
+        return PoolReport(
+            dict(self.released), self._wanted, self._hosts, self._further_needs
+        )
 
     def submission_arrived(self, progress, now):
         """Add the work of a new submission to the arrival rate."""
@@ -158,17 +136,20 @@
         for session in staying:
             self._host_capacity = session.record.capacity
             break
-        need = PoolNeed()
+        # Without a standby pool the hosts of other pools are asked for, of any kind.
+        need = PoolNeed(
+            staying, self._host_capacity, self._durations, by_kind=self._has_standby()
+        )
         for progress in progresses:
             if not progress.cancelled and not progress.failed:
                 self._contain_add(need, progress)
-        needed = hosts_needed(
-            need.long_running_share,
-            self._arrivals.per_second(now),
-            need.waiting_host_seconds,
-            need.min_endpoints,
-        )
-        return max(needed, self._hosts_for_wide_tasks(staying, need.waiting))
+        self._record_further_needs(need.further())
+        return need.hosts(self._arrivals.per_second(now))
+
+    def _record_further_needs(self, needs):
+        if needs != self._further_needs:
+            log.info("hosts_of_kind_wanted", service=self._service, needs=needs)
+        self._further_needs = needs
 
     def _contain_add(self, need, progress):
         """
@@ -177,38 +158,10 @@
         An unexpected error in one must not keep the pool from growing for the others.
         """
         try:
-            self._add_need(need, progress)
+            need.add(progress)
         except Exception as error:
             report_failure("size_submission", error)
 
-    def _add_need(self, need, progress):
-        need.min_endpoints = max(need.min_endpoints, min_endpoints_for(progress))
-        if self._host_capacity is None:
-            return
-        if progress.submission.long_running:
-            need.long_running_share += sum(
-                host_share(task.step.resources, self._host_capacity)
-                for task in progress.tasks()
-            )
-            return
-        for task in progress.startable_tasks():
-            need.waiting_host_seconds += self._host_seconds(progress, task.step)
-            duration_ms = self._durations.task_ms(progress.queue.name, task.step)
-            need.waiting[(task.step.resources, duration_ms)] += 1
-
-    def _hosts_for_wide_tasks(self, staying, waiting):
-        """Return the need for ``waiting``: {(resources, duration in ms): tasks}."""
-        if not waiting:
-            return 0
-        return hosts_for_wide_tasks(
-            [
-                WaitingTasks(resources, count, duration_ms / 1000)
-                for (resources, duration_ms), count in waiting.items()
-            ],
-            [session.left_by_long_running() for session in staying],
-            self._host_capacity,
-        )
-
     def _choose_surplus(self, staying, min_kept):
         """Mark surplus endpoints with the fewest runs as leaving and return them."""
         surplus = len(staying) - max(min_kept, self._need_window.highest)
--- a/magnoliapier/service/shard.py
+++ b/magnoliapier/service/shard.py
@@ -279,6 +279,7 @@
             "submissions_without_room": len(self._without_room),
             "hosts_in_pool": report.hosts,
             "hosts_wanted": report.wanted,
+            "hosts_of_kind_wanted": sum(n.count for n in report.further_needs),
             "hosts_released": len(report.released),
         }
         for name, value in values.items():
--- a/magnoliapier/submissions/model.py
+++ b/magnoliapier/submissions/model.py
@@ -99,6 +99,13 @@
     fills: bool = False
     may_miss: int = 0
 
+    @property
+    def allocated(self):
+        """Return the Resources that a task is allocated, for best effort no CPU."""
+        if self.fills:
+            return msgspec.structs.replace(self.resources, cpu_millicores=0)
+        return self.resources
+
 
 class QueueTerms(msgspec.Struct, frozen=True, array_like=True):
     """The terms of a queue at the time when it accepted a submission."""
--- a/tests/pools/test_planner.py
+++ b/tests/pools/test_planner.py
@@ -1,8 +1,10 @@
 import unittest
 
 from magnoliapier.pools.hosts import Host, HostState, Wave
+from magnoliapier.pools.need import HostNeed
 from magnoliapier.pools.planner import FleetPlanner, Maintain, Move
 from magnoliapier.pools.report import PoolReport
+from magnoliapier.submissions.model import Resources
 
 STANDBY = "standby"
 
@@ -39,6 +41,31 @@
         self.update(hosts, reports, now=0.5)
         self.assertEqual(self.planner.orders(), [])
 
+    def test_need_for_a_label_moves_only_hosts_with_it(self):
+        """Guards against all hosts in the pool of work that none of them can run."""
+        hosts = [host(1, STANDBY), host(2, STANDBY), host(3, STANDBY)]
+        hosts[1].labels = ("b", "r1")
+        need = HostNeed("b", Resources(), 5)
+        reports = {"a": PoolReport(further_needs=(need,)), "c": PoolReport(wanted=1)}
+        self.update(hosts, reports)
+        orders = self.planner.orders()
+        self.assertIn(Move("h2", "a"), orders)
+        self.assertEqual(len(orders), 2)
+        self.assertIn("c", {order.service for order in orders})
+
+    def test_need_for_a_host_is_met_once(self):
+        """Guards against a second host while the move of the first is pending."""
+        hosts = [host(1, STANDBY), host(2, STANDBY)]
+        for item in hosts:
+            item.capacity = Resources(64_000, 1000)
+        need = HostNeed("", Resources(40_000, 10), 1)
+        reports = {"a": PoolReport(further_needs=(need,))}
+        self.update(hosts, reports)
+        [order] = self.planner.orders()
+        self.planner.record_order(order, 0.0)
+        self.update(hosts, reports, now=0.5)
+        self.assertEqual(self.planner.orders(), [])
+
     def test_barred_hosts_count_as_down(self):
         """Guards against a wave that exceeds its limit after a takeover."""
         wave = Wave(1, ("h1", "h2"), 20.0, 1)
--- a/tests/service/test_pool.py
+++ b/tests/service/test_pool.py
@@ -3,6 +3,7 @@
 
 from magnoliapier.placement.durations import DurationModel
 from magnoliapier.placement.endpoint import EndpointRecord
+from magnoliapier.pools.need import HostNeed
 from magnoliapier.pools.report import PoolReport
 from magnoliapier.service.incarnation import LeaseTerms
 from magnoliapier.service.pool import (
@@ -20,7 +21,7 @@
 QUEUE = Queue("filings", "desk.example", "/f/", SERVICE)
 
 
-def make_session(endpoint_id, started_ms=1, accelerators=0):
+def make_session(endpoint_id, started_ms=1, accelerators=0, labels=()):
     """Return an opened session of an endpoint that runs nothing."""
     record = EndpointRecord(
         endpoint_id,
@@ -29,6 +30,7 @@
         "dc",
         False,
         Resources(1000, 1000, accelerators),
+        labels,
         host=f"host-{endpoint_id}",
         started_ms=started_ms,
     )
@@ -128,6 +130,60 @@
         self.assertEqual(pool.report().wanted, 1)
 
 
+class UnservableWorkTests(unittest.TestCase):
+    """
+    Work waits that no host of the pool can run.
+
+    The pattern is the loss of the only host with a label, and a request that is larger
+    than any host: further hosts of the usual kind would stay empty.
+    """
+
+    def update(self, *steps, has_standby=True, labels=()):
+        pool = PoolManager(SERVICE, DurationModel(), False, lambda: has_standby)
+        progresses = [
+            open_progress(f"{number:016x}", step) for number, step in enumerate(steps)
+        ]
+        sessions = [make_session("e1", labels=labels)]
+        pool.update(sessions, progresses, (), False, now=10.0)
+        return pool.report()
+
+    def test_work_that_requires_a_lost_label_asks_for_hosts_with_it_only(self):
+        """Guards against hosts that one service takes in vain and others wait for."""
+        step = Step(30, Resources(500, 100), long_running=True, required_label="lost")
+        report = self.update(step)
+        self.assertEqual(report.wanted, 0)
+        [need] = report.further_needs
+        self.assertEqual((need.label, need.resources), ("lost", Resources()))
+        self.assertGreaterEqual(need.count, 15)
+
+    def test_work_that_requires_a_present_label_asks_for_more_hosts_with_it(self):
+        """Guards against labelled work that is given up once one host has the label."""
+        step = Step(30, Resources(500, 100), long_running=True, required_label="fast")
+        report = self.update(step, labels=("a", "r1", "fast"))
+        self.assertEqual(report.wanted, 0)
+        self.assertGreaterEqual(report.further_needs[0].count, 14)
+
+    def test_work_larger_than_a_host_asks_for_one_host_that_holds_it(self):
+        """Guards against hosts that are moved for work which none of them holds."""
+        large = [Step(9, Resources(5000 + n, 100), long_running=True) for n in range(3)]
+        report = self.update(*large, Step(9, Resources(100, 9000), estimated_ms=9000))
+        self.assertEqual(report.wanted, 0)
+        self.assertEqual(report.further_needs, (HostNeed("", Resources(100, 9000), 1),))
+
+    def test_other_work_still_gets_hosts(self):
+        """Guards against a pool that stays small beside work that can't run."""
+        lost = Step(30, Resources(500, 100), long_running=True, required_label="lost")
+        sound = Step(8, Resources(500, 100), long_running=True)
+        self.assertGreaterEqual(self.update(lost, sound).wanted, 3)
+
+    def test_any_host_is_wanted_without_a_standby_pool(self):
+        """Guards against hosts that other pools release and nobody takes."""
+        lost = Step(30, Resources(500, 100), long_running=True, required_label="lost")
+        report = self.update(lost, has_standby=False)
+        self.assertGreaterEqual(report.wanted, 15)
+        self.assertEqual(report.further_needs, ())
+
+
 class EvacuationTests(unittest.TestCase):
     def setUp(self):
         step = Step(20, Resources(1, 1), long_running=True, may_miss=2)
