Look at an endpoint's own labels alone when its room shrinks

Each reservation went through all required labels of a pass, and each running step asked every endpoint for its unsent runs. Both are read now only where a task waits, and a host whose lasting tasks fit nowhere is left at once when it is to be emptied. No behaviour changes.

--- a/magnoliapier/placement/scheduler.py
+++ b/magnoliapier/placement/scheduler.py
@@ -20,6 +20,7 @@
 # Runs of one submission that wait for their start orders to be sent. Ordering more at
 # once would block the process, and an endpoint takes only so many orders in a second.
 MAX_UNSENT_RUNS = 500
+NO_LABEL = ""
 
 log = get_logger(__name__)
 
@@ -100,11 +101,14 @@
 
     def could_place(self, live):
         """Return whether another endpoint can run the task of a live run."""
+        rooms = self._rooms_for(live.step)
+        if not rooms.fit(live.step):
+            return False
         runs = self._runs_of(live.progress, live.task)
         return any(
             session.endpoint_id != live.run.endpoint_id
             and self._accepts(session, live.step, runs)
-            for session in self._rooms_for(live.step).sessions
+            for session in rooms.sessions
         )
 
     def _runs_of(self, progress, task):
@@ -132,15 +136,14 @@
 
         Return whether there was room for them. A later pass places the others.
         """
-        has_room = self._rooms_for(tasks[0].step).fit(tasks[0].step)
-        may_place = MAX_UNSENT_RUNS - self._unsent_runs(progress) if has_room else 1
-        for task in tasks:
-            if may_place <= 0:
-                return True
-            if not task.startable(self._now):
-                continue
-            may_place -= 1
-            session = self._best_session(progress, task) if has_room else None
+        waiting = [task for task in tasks if task.startable(self._now)]
+        if not waiting:
+            return True
+        if not self._rooms_for(waiting[0].step).fit(waiting[0].step):
+            return False
+        may_place = max(0, MAX_UNSENT_RUNS - self._unsent_runs(progress))
+        for task in waiting[:may_place]:
+            session = self._best_session(progress, task)
             if session is None:
                 return False
             starts.append(self._reserve_run(session, progress, task))
@@ -162,8 +165,9 @@
         run = task.begin_run(session.endpoint_id, self._now, run_number)
         live = LiveRun(progress, task, run)
         session.reserve(live)
-        for rooms in self._rooms_by_label.values():
-            rooms.reserved(session)
+        for label in (NO_LABEL, *session.record.labels):
+            if label in self._rooms_by_label:
+                self._rooms_by_label[label].reserved(session)
         self._count_run(live, 1)
         return session, live
 
