Leave work that no host can run out of a pool's arrivals

Cause: the rate at which work arrives counted each new submission, also those that require a lost label or more than a host holds.

Why it works: a step counts as an arrival only if hosts like those of the pool help it, as the last estimate of the need tells.

--- a/magnoliapier/pools/need.py
+++ b/magnoliapier/pools/need.py
@@ -151,6 +151,11 @@
             return self._staying
         return [s for s in self._staying if label in s.record.labels]
 
+    def helped_by_any(self, step):
+        """Return whether hosts like those of the pool help tasks of a step."""
+        label = self._label_of(step)
+        return self._is_held(step) and (not label or bool(self._with_label(label)))
+
     def hosts(self, arrival_rate):
         """
         Return how many hosts the pool needs.
--- a/magnoliapier/service/pool.py
+++ b/magnoliapier/service/pool.py
@@ -56,6 +56,7 @@
         self._wanted = 0
         self._hosts = 0
         self._further_needs = ()
+        self._need = None
 
     def restore(self, report):
         """Restore the released endpoints from the report of an earlier holder."""
@@ -73,6 +74,8 @@
             return
         host_seconds = 0.0
         for step in progress.submission.steps:
+            if self._need is not None and not self._need.helped_by_any(step):
+                continue
             host_seconds += step.task_count * self._host_seconds(progress, step)
         self._arrivals.add(host_seconds, now)
 
@@ -137,7 +140,7 @@
             self._host_capacity = session.record.capacity
             break
         # Without a standby pool the hosts of other pools are asked for, of any kind.
-        need = PoolNeed(
+        need = self._need = PoolNeed(
             staying, self._host_capacity, self._durations, by_kind=self._has_standby()
         )
         for progress in progresses:
--- a/tests/service/test_pool.py
+++ b/tests/service/test_pool.py
@@ -170,6 +170,22 @@
         self.assertEqual(report.wanted, 0)
         self.assertEqual(report.further_needs, (HostNeed("", Resources(100, 9000), 1),))
 
+    def test_arrivals_that_no_host_can_run_ask_for_none(self):
+        """Guards against a stream of work that can't run and keeps all hosts."""
+        pool = PoolManager(SERVICE, DurationModel(), False, lambda: True)
+        sessions = [make_session("e1")]
+        pool.update(sessions, [], (), False, now=10.0)
+        for label, size in (("lost", 500), ("", 5000)):
+            step = Step(30, Resources(size, 100), 9000, required_label=label)
+            pool.submission_arrived(open_progress("a" * 16, step), 10.1)
+        pool.update(sessions, [], (), False, now=10.2)
+        self.assertEqual(pool.report().wanted, 0)
+        pool.submission_arrived(
+            open_progress("b" * 16, Step(30, Resources(500, 100), 9000)), 10.3
+        )
+        pool.update(sessions, [], (), False, now=10.4)
+        self.assertGreater(pool.report().wanted, 0)
+
     def test_other_work_still_gets_hosts(self):
         """Guards against a pool that stays small beside work that can't run."""
         lost = Step(30, Resources(500, 100), long_running=True, required_label="lost")
