Keep the report of a pool within its row

Callers would see: 3,000 submissions that each require another lost label, or one with a very long label, and no submission of the service is stored or started any more (LOST), as the report is stored with them and the store refuses a row of over 64 KiB.

Evidence: test_row_holds_the_report_whatever_is_required failed before, with a row of over 48,000 bytes.

Why it works: a report holds 40 needs, of labels of at most 200 characters. The others have their turn 2 s later, so that none that a host could meet stays behind those that none can. For the same reason each size that no host of the pool holds is a need of its own; before, only the smallest was one.

--- a/magnoliapier/pools/need.py
+++ b/magnoliapier/pools/need.py
@@ -21,6 +21,10 @@
 from magnoliapier.submissions.model import Resources, fits
 
 NO_LABEL = ""
+# A pool's report is one row, whatever its submissions require.
+MAX_REPORTED_NEEDS = 40
+MAX_LABEL_CHARS = 200
+NEEDS_TURN_S = 2.0  # enough for the fleet's controller to read the row and send orders
 
 
 class HostNeed(msgspec.Struct, frozen=True, array_like=True):
@@ -40,6 +44,32 @@
         return has_label and fits(self.resources, host.capacity)
 
 
+class NeedsInTurn:
+    """
+    Chooses the HostNeeds that a report can hold, so that each has its turn.
+
+    Example::
+
+        report = PoolReport(further_needs=NeedsInTurn().choose(needs, now))
+    """
+
+    def __init__(self):
+        self._first = 0
+        self._turn_ends_at = 0.0
+
+    def choose(self, needs, now):
+        """Return a tuple of at most ``MAX_REPORTED_NEEDS`` of the needs."""
+        needs = [need for need in needs if len(need.label) <= MAX_LABEL_CHARS]
+        if len(needs) <= MAX_REPORTED_NEEDS:
+            return tuple(needs)
+        if now >= self._turn_ends_at:
+            self._turn_ends_at = now + NEEDS_TURN_S
+            self._first += MAX_REPORTED_NEEDS
+        self._first %= len(needs)
+        in_turn = needs[self._first :] + needs[: self._first]
+        return tuple(in_turn[:MAX_REPORTED_NEEDS])
+
+
 class LabelNeed(msgspec.Struct):
     """
     What the tasks that require one label need, or those that require none.
@@ -83,8 +113,11 @@
         self._durations = durations
         self._by_kind = by_kind
         self._by_label = {NO_LABEL: LabelNeed()}
-        self._too_large = {}
         self._held = {}
+        self._sessions_with = {NO_LABEL: staying}
+        for session in staying:
+            for label in set(session.record.labels):
+                self._sessions_with.setdefault(label, []).append(session)
 
     def add(self, progress):
         """Add the need of a submission."""
@@ -124,11 +157,7 @@
         return self._by_label.setdefault(self._label_of(step), LabelNeed())
 
     def _is_held(self, step):
-        """
-        Return whether a host of the pool, or one like them, holds a task when empty.
-
-        The smallest task with each label that none holds is kept.
-        """
+        """Return whether a host like those of the pool holds a task when empty."""
         if not self._by_kind:
             return True
         key = (step.required_label, step.allocated)
@@ -137,9 +166,6 @@
             held = self._held[key] = any(
                 fits(step.allocated, capacity) for capacity in self._capacities(step)
             )
-        if not held:
-            known = self._too_large.get(step.required_label, step.allocated)
-            self._too_large[step.required_label] = min(known, step.allocated, key=_size)
         return held
 
     def _capacities(self, step):
@@ -147,9 +173,7 @@
         return [s.record.capacity for s in with_label] or [self._host_capacity]
 
     def _with_label(self, label):
-        if not label:
-            return self._staying
-        return [s for s in self._staying if label in s.record.labels]
+        return self._sessions_with.get(label, [])
 
     def helped_by_any(self, step):
         """Return whether hosts like those of the pool help tasks of a step."""
@@ -167,6 +191,8 @@
         held_share = 0.0
         for label, need in self._labelled():
             present = len(self._with_label(label))
+            if not present:
+                continue
             at_least = max(at_least, min(present, self._hosts_with(label, need)))
             held_share += min(need.share, present * USABLE_HOST_SHARE)
         any_host = self._by_label[NO_LABEL]
@@ -179,16 +205,17 @@
         return max(needed, at_least, self._hosts_for_wide(NO_LABEL, any_host))
 
     def further(self):
-        """Return a tuple of the HostNeeds that the present hosts leave."""
+        """Return a list of the HostNeeds that the present hosts leave."""
         needs = [
             HostNeed(label, Resources(), self._lack(label, need))
             for label, need in self._labelled()
         ]
         needs += [
             HostNeed(label, resources, 1)
-            for label, resources in self._too_large.items()
+            for (label, resources), held in self._held.items()
+            if not held
         ]
-        return tuple(need for need in needs if need.count > 0)
+        return [need for need in needs if need.count > 0]
 
     def _labelled(self):
         return [item for item in self._by_label.items() if item[0] != NO_LABEL]
@@ -203,6 +230,8 @@
         needed = hosts_needed(
             need.long_running_share, 0.0, need.waiting_host_seconds, need.min_endpoints
         )
+        if not self._with_label(label):
+            return needed
         return max(needed, self._hosts_for_wide(label, need))
 
     def _hosts_for_wide(self, label, need):
@@ -216,7 +245,3 @@
             [session.left_by_long_running() for session in self._with_label(label)],
             self._host_capacity,
         )
-
-
-def _size(resources):
-    return (resources.cpu_millicores, resources.memory_mb, resources.accelerators)
--- a/magnoliapier/service/pool.py
+++ b/magnoliapier/service/pool.py
@@ -10,7 +10,7 @@
 
 from magnoliapier.logs import get_logger
 from magnoliapier.pools.demand import ArrivalRate, SlidingMaximum, host_share
-from magnoliapier.pools.need import PoolNeed
+from magnoliapier.pools.need import NeedsInTurn, PoolNeed
 from magnoliapier.pools.report import PoolReport
 from magnoliapier.service.background import report_failure
 from magnoliapier.submissions.progress import RunState
@@ -56,6 +56,7 @@
         self._wanted = 0
         self._hosts = 0
         self._further_needs = ()
+        self._needs_in_turn = NeedsInTurn()
         self._need = None
 
     def restore(self, report):
@@ -146,12 +147,18 @@
         for progress in progresses:
             if not progress.cancelled and not progress.failed:
                 self._contain_add(need, progress)
-        self._record_further_needs(need.further())
+        self._record_further_needs(self._needs_in_turn.choose(need.further(), now))
         return need.hosts(self._arrivals.per_second(now))
 
     def _record_further_needs(self, needs):
-        if needs != self._further_needs:
-            log.info("hosts_of_kind_wanted", service=self._service, needs=needs)
+        kinds = {(need.label, need.resources) for need in needs}
+        if kinds != {(need.label, need.resources) for need in self._further_needs}:
+            log.routine(
+                "hosts_of_kind_wanted",
+                service=self._service,
+                kinds=len(kinds),
+                first=needs[0] if needs else "",
+            )
         self._further_needs = needs
 
     def _contain_add(self, need, progress):
--- a/magnoliapier/service/shard.py
+++ b/magnoliapier/service/shard.py
@@ -20,6 +20,7 @@
 from magnoliapier.placement.interference import next_pace, worst_latency_ratio
 from magnoliapier.placement.order import LAST_KEY, order_key
 from magnoliapier.placement.scheduler import Scheduler
+from magnoliapier.pools.need import MAX_LABEL_CHARS
 from magnoliapier.pools.report import (
     REPORT_KEY,
     decode_report,
@@ -384,7 +385,7 @@
                     id=lack.progress.submission_id,
                     shard=self.service,
                     resources=lack.step.resources,
-                    label=lack.step.required_label,
+                    label=lack.step.required_label[:MAX_LABEL_CHARS],
                     gang=lack.step.gang,
                 )
 
