Count work by the hosts that hold it also where their sizes differ

Evidence: test_work_that_few_hosts_hold_asks_for_more_hosts_of_that_size failed before.

Why it works: a step belongs to a kind of host: any, those with a label, or, if only some or none of the present ones hold it, those of its size. Present and further hosts are counted by kind.

--- a/magnoliapier/pools/need.py
+++ b/magnoliapier/pools/need.py
@@ -1,8 +1,8 @@
 """
 What the open submissions need of their pool.
 
-Tasks that require a label are counted by it, as other hosts would not help them and
-would be missing elsewhere. The same holds for tasks that fit on no host of the pool.
+Tasks that run on one kind of host only are counted apart, as other hosts would not help
+them and would be missing elsewhere.
 """
 
 from collections import Counter
@@ -20,7 +20,6 @@
 )
 from magnoliapier.submissions.model import Resources, fits
 
-NO_LABEL = ""
 # A pool's report is one row, whatever its submissions require.
 MAX_REPORTED_NEEDS = 40
 MAX_LABEL_CHARS = 200
@@ -70,9 +69,23 @@
         return tuple(in_turn[:MAX_REPORTED_NEEDS])
 
 
-class LabelNeed(msgspec.Struct):
+class HostKind(msgspec.Struct, frozen=True):
     """
-    What the tasks that require one label need, or those that require none.
+    The hosts that have a label and hold, when empty, a task that requests resources.
+
+    The default is any host.
+    """
+
+    label: str = ""
+    resources: Resources = Resources()
+
+
+ANY_HOST = HostKind()
+
+
+class KindNeed(msgspec.Struct):
+    """
+    What the tasks need that run on one kind of host only.
 
     ``long_running_share`` is the sum of the host shares of long-running tasks,
     ``waiting_host_seconds`` the work of the tasks that wait, and ``min_endpoints`` the
@@ -97,8 +110,8 @@
 
     ``staying`` are the sessions of the hosts that the pool keeps, ``host_capacity`` is
     that of a host, or None if none has been seen, and ``durations`` is a DurationModel.
-    ``by_kind`` is whether other hosts can be asked for by label and size; otherwise all
-    tasks count alike.
+    ``by_kind`` is whether hosts of a kind can be asked for; otherwise all tasks count
+    as if any host held them.
 
     Example::
 
@@ -108,16 +121,15 @@
     """
 
     def __init__(self, staying, host_capacity, durations, by_kind):
-        self._staying = staying
         self._host_capacity = host_capacity
         self._durations = durations
         self._by_kind = by_kind
-        self._by_label = {NO_LABEL: LabelNeed()}
-        self._held = {}
-        self._sessions_with = {NO_LABEL: staying}
+        self._needs = {ANY_HOST: KindNeed()}
+        self._kinds = {}
+        self._sessions = {ANY_HOST: staying}
         for session in staying:
             for label in set(session.record.labels):
-                self._sessions_with.setdefault(label, []).append(session)
+                self._sessions.setdefault(HostKind(label), []).append(session)
 
     def add(self, progress):
         """Add the need of a submission."""
@@ -137,104 +149,102 @@
                 self._add_waiting(progress, tasks[0].step, waiting)
 
     def _add_long_running(self, step, count):
-        if self._is_held(step):
-            share = host_share(step.resources, self._host_capacity)
-            self._need_of(step).long_running_share += count * share
+        share = host_share(step.resources, self._capacity(self._kind_of(step)))
+        self._need_of(step).long_running_share += count * share
 
     def _add_waiting(self, progress, step, count):
-        if not self._is_held(step):
-            return
         need = self._need_of(step)
         duration_ms = self._durations.task_ms(progress.queue.name, step)
-        share = host_share(step.resources, self._host_capacity)
+        share = host_share(step.resources, self._capacity(self._kind_of(step)))
         need.waiting_host_seconds += count * share * duration_ms / 1000
         need.waiting[(step.resources, duration_ms)] += count
 
-    def _label_of(self, step):
-        return step.required_label if self._by_kind else NO_LABEL
-
     def _need_of(self, step):
-        return self._by_label.setdefault(self._label_of(step), LabelNeed())
+        return self._needs.setdefault(self._kind_of(step), KindNeed())
 
-    def _is_held(self, step):
-        """Return whether a host like those of the pool holds a task when empty."""
-        if not self._by_kind:
-            return True
+    def _kind_of(self, step):
+        """Return the HostKind that a step needs, as wide as the present hosts allow."""
+        if not self._by_kind or self._host_capacity is None:
+            return ANY_HOST
         key = (step.required_label, step.allocated)
-        held = self._held.get(key)
-        if held is None:
-            held = self._held[key] = any(
-                fits(step.allocated, capacity) for capacity in self._capacities(step)
-            )
-        return held
-
-    def _capacities(self, step):
-        with_label = self._with_label(step.required_label)
-        return [s.record.capacity for s in with_label] or [self._host_capacity]
-
-    def _with_label(self, label):
-        return self._sessions_with.get(label, [])
+        kind = self._kinds.get(key)
+        if kind is None:
+            kind = self._kinds[key] = self._find_kind(*key)
+        return kind
+
+    def _find_kind(self, label, resources):
+        with_label = self._sessions.get(HostKind(label), [])
+        held_by = [s for s in with_label if fits(resources, s.record.capacity)]
+        if with_label and len(held_by) == len(with_label):
+            return HostKind(label)
+        if not with_label and fits(resources, self._host_capacity):
+            return HostKind(label)
+        kind = HostKind(label, resources)
+        self._sessions[kind] = held_by
+        return kind
+
+    def _capacity(self, kind):
+        """Return the capacity of a present host of a kind, or of any host."""
+        for session in self._sessions.get(kind, ()):
+            return session.record.capacity
+        return self._host_capacity
 
     def helped_by_any(self, step):
         """Return whether hosts like those of the pool help tasks of a step."""
-        label = self._label_of(step)
-        return self._is_held(step) and (not label or bool(self._with_label(label)))
+        kind = self._kind_of(step)
+        if kind == ANY_HOST:
+            return True
+        return kind.resources == ANY_HOST.resources and bool(self._sessions.get(kind))
 
     def hosts(self, arrival_rate):
         """
         Return how many hosts the pool needs.
 
-        ``arrival_rate`` is in host-seconds per second. Work that requires a label
-        counts as far as the present hosts with it can hold it.
+        ``arrival_rate`` is in host-seconds per second. Work that needs a kind of host
+        counts as far as the present hosts of that kind can hold it.
         """
         at_least = 0
         held_share = 0.0
-        for label, need in self._labelled():
-            present = len(self._with_label(label))
-            if not present:
+        for kind, need in self._needs.items():
+            present = len(self._sessions.get(kind, ()))
+            if kind == ANY_HOST or not present:
                 continue
-            at_least = max(at_least, min(present, self._hosts_with(label, need)))
+            at_least = max(at_least, min(present, self._hosts_of(kind, need)))
             held_share += min(need.share, present * USABLE_HOST_SHARE)
-        any_host = self._by_label[NO_LABEL]
+        need = self._needs[ANY_HOST]
         needed = hosts_needed(
-            any_host.long_running_share + held_share,
+            need.long_running_share + held_share,
             arrival_rate,
-            any_host.waiting_host_seconds,
-            any_host.min_endpoints,
+            need.waiting_host_seconds,
+            need.min_endpoints,
         )
-        return max(needed, at_least, self._hosts_for_wide(NO_LABEL, any_host))
+        return max(needed, at_least, self._hosts_for_wide(ANY_HOST, need))
 
     def further(self):
         """Return a list of the HostNeeds that the present hosts leave."""
         needs = [
-            HostNeed(label, Resources(), self._lack(label, need))
-            for label, need in self._labelled()
-        ]
-        needs += [
-            HostNeed(label, resources, 1)
-            for (label, resources), held in self._held.items()
-            if not held
+            HostNeed(kind.label, kind.resources, self._lack(kind, need))
+            for kind, need in self._needs.items()
+            if kind != ANY_HOST
         ]
         return [need for need in needs if need.count > 0]
 
-    def _labelled(self):
-        return [item for item in self._by_label.items() if item[0] != NO_LABEL]
+    def _lack(self, kind, need):
+        present = len(self._sessions.get(kind, ()))
+        if not present and kind.resources != ANY_HOST.resources:
+            return 1  # how much such a host holds shows once it is there
+        return self._hosts_of(kind, need) - present
 
-    def _lack(self, label, need):
-        return self._hosts_with(label, need) - len(self._with_label(label))
-
-    def _hosts_with(self, label, need):
-        """Return how many hosts with a label the tasks that require it need."""
-        if self._host_capacity is None:
-            return need.min_endpoints
+    def _hosts_of(self, kind, need):
+        """Return how many hosts of a kind the tasks need that run on it only."""
         needed = hosts_needed(
             need.long_running_share, 0.0, need.waiting_host_seconds, need.min_endpoints
         )
-        if not self._with_label(label):
+        if not self._sessions.get(kind):
             return needed
-        return max(needed, self._hosts_for_wide(label, need))
+        return max(needed, self._hosts_for_wide(kind, need))
 
-    def _hosts_for_wide(self, label, need):
+    def _hosts_for_wide(self, kind, need):
         if not need.waiting:
             return 0
         return hosts_for_wide_tasks(
@@ -242,6 +252,6 @@
                 WaitingTasks(resources, count, duration_ms / 1000)
                 for (resources, duration_ms), count in need.waiting.items()
             ],
-            [session.left_by_long_running() for session in self._with_label(label)],
-            self._host_capacity,
+            [session.left_by_long_running() for session in self._sessions[kind]],
+            self._capacity(kind),
         )
--- a/tests/service/test_pool.py
+++ b/tests/service/test_pool.py
@@ -177,6 +177,18 @@
             ),
         )
 
+    def test_work_that_few_hosts_hold_asks_for_more_hosts_of_that_size(self):
+        """Guards against small hosts that are moved for work which large ones hold."""
+        pool = PoolManager(SERVICE, DurationModel(), False, lambda: True)
+        large = Step(6, Resources(1000, 100, 2), long_running=True)
+        sessions = [make_session("e1"), make_session("e2", accelerators=2)]
+        pool.update(sessions, [open_progress("a" * 16, large)], (), False, now=10.0)
+        report = pool.report()
+        self.assertEqual(report.wanted, 0)
+        [need] = report.further_needs
+        self.assertEqual(need.resources, Resources(1000, 100, 2))
+        self.assertGreaterEqual(need.count, 5)
+
     def test_row_holds_the_report_whatever_is_required(self):
         """Guards against a row that the store refuses, so that nothing is stored."""
         steps = [
