--- a/magnoliapier/service/shard.py
+++ b/magnoliapier/service/shard.py
@@ -20,7 +20,6 @@
 from magnoliapier.placement.interference import next_pace, worst_latency_ratio
 from magnoliapier.placement.order import LAST_KEY, order_key
 from magnoliapier.placement.scheduler import Scheduler
-from magnoliapier.pools.need import MAX_LABEL_CHARS
 from magnoliapier.pools.report import (
     REPORT_KEY,
     decode_report,
@@ -33,12 +32,12 @@
 )
 from magnoliapier.service.cleanup import FinishedRows
 from magnoliapier.service.clock import unix_ms
-from magnoliapier.service.endpoint_use import count_uses
 from magnoliapier.service.intake import Intake
 from magnoliapier.service.pool import PoolManager, runs_to_evacuate
 from magnoliapier.service.progress_rows import ProgressRows
 from magnoliapier.service.run_events import RunEvents
 from magnoliapier.service.session import EndpointSession
+from magnoliapier.service.shard_gauges import ShardGauges
 from magnoliapier.service.shard_tables import ShardTables
 from magnoliapier.service.start_delays import StartDelays
 from magnoliapier.state.commit import FencedCommitter
@@ -51,7 +50,6 @@
 LOAD_RETRY_S = 0.2
 PACE_INTERVAL_S = 0.4
 REPORT_INTERVAL_S = 0.12
-GAUGE_INTERVAL_S = 1.0
 
 log = get_logger(__name__)
 
@@ -74,10 +72,9 @@
         self._on_lost = on_lost
         self._committer = FencedCommitter(deps.store, service, lease, deps.boottime)
         self._uncommitted_starts = {}
-        self._without_room = set()
         self._tasks = []
         self._pace_adjusted_at = 0.0
-        self._gauges_set_at = 0.0
+        self._gauges = ShardGauges(service, self.tables, deps.metrics)
         self._durations = DurationModel()
         self._pool = PoolManager(
             service,
@@ -261,34 +258,10 @@
         while not self._lost:
             await asyncio.sleep(TICK_S)
             self.tables.wake.set()
-            self._update_gauges()
+            self._gauges.update(self._pool.report(), self._clock())
             if self._finished_rows.due(self._clock()):
                 await self._clean_up()
 
-    def _update_gauges(self):
-        """Set the gauges of the shard, at most once per ``GAUGE_INTERVAL_S``."""
-        now = self._clock()
-        if now - self._gauges_set_at < GAUGE_INTERVAL_S:
-            return
-        self._gauges_set_at = now
-        progresses = self.tables.progresses.values()
-        waiting = sum(not progress.started for progress in progresses)
-        report = self._pool.report()
-        values = {
-            "submissions_open": len(progresses),
-            "submissions_waiting": waiting,
-            "submissions_without_room": len(self._without_room),
-            "hosts_in_pool": report.hosts,
-            "hosts_wanted": report.wanted,
-            "hosts_of_kind_wanted": sum(n.count for n in report.further_needs),
-            "hosts_released": len(report.released),
-        }
-        for name, value in values.items():
-            self._metrics.gauge(name, value, service=self.service)
-        uses = count_uses(self.tables.sessions.values(), now)
-        for use, count in uses.items():
-            self._metrics.gauge("endpoints", count, service=self.service, use=use)
-
     async def _clean_up(self):
         for submission_id in await self._finished_rows.clean(self._clock(), unix_ms()):
             self.tables.final_states.pop(submission_id, None)
@@ -372,22 +345,7 @@
                 (session, live)
             )
             self.tables.dirty.add(submission_id)
-        self._record_lacks_of_room(scheduler.without_room)
-
-    def _record_lacks_of_room(self, lacks):
-        """Record which submissions wait for room, and log those that begin to."""
-        before = self._without_room
-        self._without_room = {lack.progress.submission_id for lack in lacks}
-        for lack in lacks:
-            if lack.progress.submission_id not in before:
-                log.routine(
-                    "waits_for_room",
-                    id=lack.progress.submission_id,
-                    shard=self.service,
-                    resources=lack.step.resources,
-                    label=lack.step.required_label[:MAX_LABEL_CHARS],
-                    gang=lack.step.gang,
-                )
+        self._gauges.record_lacks_of_room(scheduler.without_room)
 
     def _adjust_pace(self, now):
         if now - self._pace_adjusted_at < PACE_INTERVAL_S:
--- a/tests/service/test_shard.py
+++ b/tests/service/test_shard.py
@@ -1,4 +1,5 @@
 import asyncio
+import itertools
 import re
 import unittest
 
@@ -10,6 +11,7 @@
 from magnoliapier.service.node import ShardDependencies
 from magnoliapier.service.progress_rows import MAX_ROW_BYTES
 from magnoliapier.service.shard import ShardController
+from magnoliapier.service.shard_gauges import GAUGE_INTERVAL_S
 from magnoliapier.state.lease import (
     CONTROL_TABLE,
     LEASE_KEY,
@@ -273,12 +275,13 @@
         await self.submit(submission("d" * 16, short_step(required_label="lost")))
         await self.wait_until(lambda: shard.tables.progresses)
 
-        def counted():
-            shard._gauges_set_at = float("-inf")
-            shard._update_gauges()
+        times = itertools.count(self.clock() + GAUGE_INTERVAL_S, GAUGE_INTERVAL_S)
+
+        def shown():
+            shard._gauges.update(shard._pool.report(), next(times))
             return re.search("submissions_without_room.* 1", shard._metrics.render())
 
-        await self.wait_until(counted)
+        await self.wait_until(shown)
 
     async def test_endpoint_capacity_is_never_exceeded(self):
         """Guards against more tasks on an endpoint than its resources hold."""
