Show that hosts which can't be emptied keep a wave waiting

A pool is asked to empty two hosts of a wave at a time, and nothing replaces two that stay occupied.

--- a/tests/pools/test_planner.py
+++ b/tests/pools/test_planner.py
@@ -66,6 +66,17 @@
         self.update(hosts, reports, now=0.5)
         self.assertEqual(self.planner.orders(), [])
 
+    @unittest.expectedFailure  # KNOWN-RED.txt
+    def test_hosts_that_stay_occupied_keep_no_others_from_maintenance(self):
+        """Guards against a wave that waits for two hosts which nothing can empty."""
+        wave = Wave(1, ("h1", "h2", "h3"), 20.0, 3)
+        hosts = [host(1, "a"), host(2, "a"), host(3, "a")]
+        chosen = set()
+        for now in range(60):
+            self.update(hosts, {"a": PoolReport()}, [wave], float(now))
+            chosen.update(self.planner.hosts_to_empty())
+        self.assertIn("h3", chosen)
+
     def test_barred_hosts_count_as_down(self):
         """Guards against a wave that exceeds its limit after a takeover."""
         wave = Wave(1, ("h1", "h2"), 20.0, 1)
