--- a/magnoliapier/placement/rooms.py
+++ b/magnoliapier/placement/rooms.py
@@ -10,8 +10,8 @@
     """
     The sessions whose free room is not within that of another session.
 
-    A task that fits on none of them fits on no session. Room must only shrink, and
-    ``reserved(session)`` has to be called when it does.
+    A task that fits on none of them fits on no session. The answers hold only while
+    free room shrinks, and ``reserved(session)`` has to be called when it does.
 
     Example::
 
--- a/magnoliapier/placement/scheduler.py
+++ b/magnoliapier/placement/scheduler.py
@@ -17,8 +17,8 @@
 from magnoliapier.submissions.model import Step
 from magnoliapier.submissions.progress import LiveRun, Progress
 
-# Runs of one submission that wait for their start orders to be sent. Ordering more at
-# once would block the process, and an endpoint takes only so many orders in a second.
+# Runs of one submission that wait for their start orders to be sent; preparing
+# thousands of orders at once would block the process.
 MAX_UNSENT_RUNS = 500
 NO_LABEL = ""
 
--- a/magnoliapier/pools/need.py
+++ b/magnoliapier/pools/need.py
@@ -20,7 +20,7 @@
 )
 from magnoliapier.submissions.model import Resources, fits
 
-# A pool's report is one row, whatever its submissions require.
+# Bounds of a pool's report, which has to fit in one row of the table.
 MAX_REPORTED_NEEDS = 40
 MAX_LABEL_CHARS = 200
 NEEDS_TURN_S = 2.0  # enough for the fleet's controller to read the row and send orders
