--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,11 +1,11 @@
 """
-A queue whose service changes while its submissions run.
+A queue gets another service while its submissions run.
 
 A lasting and a short-lived submission run, a third has completed. The operator then
-writes a configuration in which the queue's ``service`` is another one. Consumers ask
-for the accepted submissions, one request arrives again some seconds after its 2xx
-response, and the lasting submission is cancelled. ``TROUBLE=steps`` makes the same
-change in two versions: one removes the route, the next adds it with the other service.
+removes the queue's route in one version of the configuration and adds it again, with
+another ``service``, in the next. Consumers ask for the accepted submissions, one
+request arrives again some seconds after its 2xx response, and the lasting submission is
+cancelled. ``TROUBLE=one`` changes the route's service in one version instead.
 """
 
 import asyncio
@@ -50,8 +50,8 @@
 
 
 async def move_queue(cluster):
-    """Send the queue to the other service."""
-    if os.environ.get("TROUBLE") == "steps":
+    """Remove the queue's route and add it with the other service."""
+    if os.environ.get("TROUBLE") != "one":
         cluster.configure([ALERTS, INDEX])
         await asyncio.sleep(BETWEEN_VERSIONS_S)
     cluster.configure([WIRE | {"service": "beta"}, ALERTS, INDEX])
