Log what may still extend a lease, and how much of it is left

Now endpoint_lost names the incarnation, the token and the rest of the lease, inspection_unanswered the calls with a deadline or acknowledgement that may still be carried out, endpoint_restarted both clocks, and run_confirmed the token. Tested in RestartLogTests.

--- a/magnoliapier/service/clock.py
+++ b/magnoliapier/service/clock.py
@@ -99,7 +99,13 @@
             self._received_at = received_at
 
     def lower_bound_ms(self, now):
-        """Return a value that the endpoint's clock has certainly reached at ``now``."""
+        """
+        Return a value that the endpoint's clock has certainly reached at ``now``.
+
+        It is 0 if no reading has arrived.
+        """
+        if not self.known:
+            return 0
         elapsed_ms = max(0.0, now - self._received_at) * 1000
         return int(self._reading_ms + elapsed_ms * SLOWEST_CLOCK_RATE)
 
--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import math
 
 from magnoliapier.exceptions import EndpointUnreachableError, OrderRefusedError
 from magnoliapier.logs import get_logger
@@ -416,6 +417,7 @@
             run=live.run.number,
             endpoint=self.endpoint_id,
             born=incarnation.started_ms if incarnation else "unknown",
+            token=self._token,
             clock_ms=clock_ms,
         )
         live.settled_at = self._clock()
@@ -604,9 +606,14 @@
             can_wait = self.live and self.opened and deadline_ms
             wait_ms = INSPECT_WAIT_MS if can_wait else 0
         acknowledged = self._end_to_acknowledge(sent_at)
-        inspection = await self._client.inspect(
-            self.record, self._token, deadline_ms, acknowledged, wait_ms
-        )
+        try:
+            inspection = await self._client.inspect(
+                self.record, self._token, deadline_ms, acknowledged, wait_ms
+            )
+        except EndpointUnreachableError:
+            if deadline_ms is not None or acknowledged:
+                self._log_unanswered_inspection(deadline_ms, acknowledged)
+            raise
         now = self._clock()
         if not self._recognise_incarnation(inspection, sent_at, now):
             return
@@ -619,6 +626,17 @@
             self.opened = True
             self._owner.session_opened(self)
 
+    def _log_unanswered_inspection(self, deadline_ms, acknowledged):
+        """Log a call that may still extend a lease, or make an endpoint forget ends."""
+        log.info(
+            "inspection_unanswered",
+            endpoint=self.endpoint_id,
+            born=self._incarnation.started_ms,
+            token=self._token,
+            deadline_ms=deadline_ms,
+            acknowledged=acknowledged,
+        )
+
     def _may_extend(self):
         """Return whether a call may extend the endpoint's lease."""
         known = self._incarnation.clock.known
@@ -703,6 +721,7 @@
             born=inspection.started_ms,
             previous=self._incarnation.started_ms,
             clock_ms=inspection.clock_ms,
+            previous_clock_ms=self._incarnation.clock.lower_bound_ms(now),
             runs=len(self.live),
             listed=len(inspection.running),
         )
@@ -773,7 +792,19 @@
             self._wake.set()
             # The host of a released endpoint is moved or maintained.
             report = log.routine if self.released else log.warning
-            report("endpoint_lost", endpoint=self.endpoint_id, cause=cause)
+            report(
+                "endpoint_lost",
+                endpoint=self.endpoint_id,
+                born=self._incarnation.started_ms,
+                token=self._token,
+                lease_left_ms=self._lease_left_ms(),
+                cause=cause,
+            )
+
+    def _lease_left_ms(self):
+        """Return in how many ms all runs have lapsed, or None if that is unknown."""
+        left_s = self.lease_end() - self._clock()
+        return round(left_s * 1000) if math.isfinite(left_s) else None
 
     @property
     def lease_lapsed(self):
--- a/tests/service/test_session.py
+++ b/tests/service/test_session.py
@@ -171,8 +171,24 @@
             self.endpoint.restart()
             await asyncio.sleep(0.2)
         lines = "\n".join(handler.formatted_records)
-        self.assertRegex(lines, "event=run_confirmed .* born=1 clock_ms=500")
+        self.assertRegex(lines, "event=run_confirmed .* born=1 token=1 clock_ms=500")
         self.assertRegex(lines, "event=endpoint_restarted .* born=2 previous=1")
+        self.assertRegex(lines, r"clock_ms=500\d previous_clock_ms=50\d\d runs=1")
+
+    async def test_log_tells_what_an_unanswered_call_may_still_do(self):
+        """
+        Guards against logs that do not show what may extend a lease later.
+
+        The time left shows when the holder expects all runs to have lapsed.
+        """
+        with logbook.TestHandler() as handler:
+            self.session.start()
+            await asyncio.sleep(0.02)
+            self.endpoint.silent = True
+            await asyncio.sleep(0.4)
+        lines = "\n".join(handler.formatted_records)
+        self.assertRegex(lines, r"event=inspection_unanswered .* deadline_ms=10\d+ ")
+        self.assertRegex(lines, r"event=endpoint_lost .* born=1 .* lease_left_ms=\d+")
 
 
 class RestartTests(SessionTestCase):
