Let no start be followed by an earlier acknowledgement, and no session by calls of one before

Two sequences that the first form of the fence left open, both by reading: - An acknowledgement is under way when a start goes out. Both reach an incarnation that nobody has listed, the start first: the end of its run is forgotten unread and the task repeated after a noted end (TWICE). The start now carries a higher token than the acknowledgement. - The record of an idle endpoint is missing for some seconds, and its session is opened anew: below the token of the one before, it would be refused for good. A new session now begins above all sessions that were closed. A holder whose tokens are used up leaves the shard to the next one.

test_start_is_not_followed_by_the_acknowledgement and MissingRecordTests failed before.

--- a/magnoliapier/service/fencing.py
+++ b/magnoliapier/service/fencing.py
@@ -1,7 +1,5 @@
 """The fencing tokens of a holder's calls to one endpoint."""
 
-from magnoliapier.state.lease import TOKENS_PER_TERM
-
 
 class EndpointFencing:
     """
@@ -13,13 +11,13 @@
     answered a listing with a higher token than all calls that were meant for another
     incarnation, none of them can be carried out there any more.
 
-    ``first_token`` is that of the holder's lease. Its range holds ``TOKENS_PER_TERM``
-    tokens, and all those of later holders are higher. If the range is used up, the
-    endpoint stays unusable until another holder takes the shard.
+    The tokens from ``first_token`` to ``last_token`` are this session's own: all calls
+    of former holders, and of a closed session, have lower ones. Once they are used up,
+    the endpoint can't be used before another holder takes the shard.
 
     Example::
 
-        fencing = EndpointFencing(lease.token)
+        fencing = EndpointFencing(first_token=1, last_token=100)
         token = fencing.bind()  # for a call with a deadline on the known clock
         fencing.expect_restart()
         fencing.record_listing(token)  # was requested before
@@ -28,11 +26,12 @@
         assert not fencing.pending
     """
 
-    def __init__(self, first_token):
+    def __init__(self, first_token, last_token):
         self._token = first_token
-        self._last_token = first_token + TOKENS_PER_TERM - 1
+        self._last_token = last_token
         self._last_bound = self._listed = first_token - 1
         self._required = first_token
+        self._acknowledging = None
 
     @property
     def token(self):
@@ -49,6 +48,27 @@
         self._last_bound = self._token
         return self._token
 
+    @property
+    def used_up(self):
+        """Return whether no call can outdate the earlier ones any more."""
+        return self._token >= self._last_token
+
+    def bind_acknowledgement(self):
+        """Return the token of a bound call that acknowledges ends."""
+        self._acknowledging = self.bind()
+        return self._acknowledging
+
+    def bind_start(self):
+        """
+        Return the token of a start order.
+
+        An incarnation that carries it out refuses an acknowledgement that is under way,
+        which may be meant for another one and would make it forget an end unread.
+        """
+        if self._acknowledging == self._token:
+            self.outdate_calls()
+        return self.bind()
+
     def outdate_calls(self):
         """Let the next answered call outdate all those that were sent before."""
         self._token = min(self._token + 1, self._last_token)
--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -22,7 +22,6 @@
 )
 from magnoliapier.service.endpoint_lease import EndpointLease
 from magnoliapier.service.endpoint_use import EndpointUse
-from magnoliapier.service.fencing import EndpointFencing
 from magnoliapier.service.incarnation import EndpointIncarnation
 from magnoliapier.service.order_slots import OrderSlots
 from magnoliapier.service.orders import OrderRefusal, StartOrder
@@ -55,7 +54,7 @@
 
 class EndpointSession:
     """
-    Controls one endpoint under the shard's fencing token.
+    Controls one endpoint under the tokens of ``fencing``, an EndpointFencing.
 
     ``owner`` is the ``RunEvents`` of the shard's controller: it is notified of listed,
     ended and gone runs, and its ``may_act()`` tells whether the shard's lease still
@@ -71,7 +70,7 @@
     endpoints.
     """
 
-    def __init__(self, record, client, owner, token, lease, clock):
+    def __init__(self, record, client, owner, fencing, lease, clock):
         self.record = record
         self.room = FreeResources(record.capacity)
         self.live = {}
@@ -90,7 +89,7 @@
         self._leaves_at = clock() + record.leaves_in_s
         self._client = client
         self._owner = owner
-        self._fencing = EndpointFencing(token)
+        self._fencing = fencing
         self._clock = clock
         self._lease = EndpointLease(lease, clock())
         self.lease_end_recorded = False
@@ -117,6 +116,16 @@
         """Return the EndpointHealth of the known incarnation."""
         return self._incarnation.health
 
+    @property
+    def last_token(self):
+        """Return the highest token of the calls so far."""
+        return self._fencing.token
+
+    @property
+    def tokens_used_up(self):
+        """Return whether only another holder can still use the endpoint safely."""
+        return self._fencing.used_up
+
     @property
     def has_long_running(self):
         """Return whether the endpoint runs a long-running task."""
@@ -404,7 +413,7 @@
             live.run.number,
             live.progress.submission.spec,
             self._lease.extend(self._incarnation, sent_at),
-            self._fencing.bind(),
+            self._fencing.bind_start(),
             live.checkpoint,
         )
 
@@ -624,7 +633,7 @@
             wait_ms = INSPECT_WAIT_MS if can_wait else 0
         acknowledged = self._end_to_acknowledge(sent_at)
         bound = deadline_ms is not None or acknowledged
-        token = self._fencing.bind() if bound else self._fencing.token
+        token = self._inspection_token(deadline_ms, acknowledged)
         try:
             inspection = await self._client.inspect(
                 self.record, token, deadline_ms, acknowledged, wait_ms
@@ -646,6 +655,12 @@
             self.opened = True
             self._owner.session_opened(self)
 
+    def _inspection_token(self, deadline_ms, acknowledged):
+        """Return the token of an inspection, which is bound if it changes anything."""
+        if acknowledged:
+            return self._fencing.bind_acknowledgement()
+        return self._fencing.token if deadline_ms is None else self._fencing.bind()
+
     def _log_unanswered_inspection(self, token, deadline_ms, acknowledged):
         """Log a call that may still extend a lease, or make an endpoint forget ends."""
         log.info(
--- a/magnoliapier/service/shard.py
+++ b/magnoliapier/service/shard.py
@@ -32,6 +32,7 @@
 )
 from magnoliapier.service.cleanup import FinishedRows
 from magnoliapier.service.clock import unix_ms
+from magnoliapier.service.fencing import EndpointFencing
 from magnoliapier.service.intake import Intake
 from magnoliapier.service.lease_ends import LeaseEnds
 from magnoliapier.service.pool import (
@@ -113,6 +114,8 @@
         )
         self._lease_ends = LeaseEnds(service, deps.store.table_clock)
         self._lost = False
+        # Above the tokens of sessions that were closed: their calls may come late.
+        self._next_token = lease.token
 
     @property
     def loaded(self):
@@ -239,7 +242,7 @@
             record,
             self._deps.endpoint_client,
             self._events,
-            self.lease.token,
+            EndpointFencing(self._next_token, self.lease.last_token),
             self._deps.endpoint_lease,
             self._clock,
         )
@@ -252,6 +255,7 @@
         """Close the session of an endpoint that is unlisted and runs nothing."""
         if self.tables.sessions.pop(session.endpoint_id, None) is not None:
             log.routine("endpoint_gone", endpoint=session.endpoint_id)
+            self._next_token = max(self._next_token, session.last_token + 1)
             self._tasks.append(asyncio.create_task(session.close()))
 
     def _check_crashed_endpoints(self):
@@ -288,6 +292,9 @@
             self._contain("update_pool", self._update_pool, now)
             self._schedule(now)
         await self._commit(now)
+        if any(session.tokens_used_up for session in self.tables.sessions.values()):
+            log.warning("fencing_tokens_used_up", shard=self.service)
+            self._give_up()
 
     def _contain(self, name, function, *args, default=None):
         """
@@ -402,8 +409,7 @@
             await self._committer.commit(puts, batch.removes)
         except FencedError as error:
             log.warning("shard_lost", shard=self.service, error=error)
-            self._lost = True
-            self._on_lost(self)
+            self._give_up()
             return
         except PlatformError as error:
             await self._retry_commit(batch.ids, error)
@@ -423,6 +429,12 @@
         if dirty and batch.ids:
             self.tables.wake.set()
 
+    def _give_up(self):
+        """Leave the shard to the next holder."""
+        if not self._lost:
+            self._lost = True
+            self._on_lost(self)
+
     async def _retry_commit(self, ids, error):
         self.tables.dirty.update(ids)
         self._last_report = None
--- a/magnoliapier/state/lease.py
+++ b/magnoliapier/state/lease.py
@@ -142,9 +142,14 @@
 
     @property
     def token(self):
-        """Return the fencing token of this holder."""
+        """Return the first fencing token of this holder."""
         return self.record.token
 
+    @property
+    def last_token(self):
+        """Return the last fencing token of this holder; the next has higher ones."""
+        return self.record.token + TOKENS_PER_TERM - 1
+
     def record_renewal(self, version, sent_at):
         """Record a confirmed renewal that was sent at ``sent_at``."""
         self.version = version
--- a/tests/service/test_fencing.py
+++ b/tests/service/test_fencing.py
@@ -1,19 +1,19 @@
 import unittest
 
 from magnoliapier.service.fencing import EndpointFencing
-from magnoliapier.state.lease import TOKENS_PER_TERM
 
 FIRST = 7
+LAST = 12
 
 
 class EndpointFencingTests(unittest.TestCase):
     def setUp(self):
-        self.fencing = EndpointFencing(FIRST)
+        self.fencing = EndpointFencing(FIRST, LAST)
         self.fencing.record_listing(self.fencing.token)
 
     def test_first_listing_outdates_the_calls_of_former_holders(self):
         """Guards against an endpoint that is never used, or used before it answers."""
-        fencing = EndpointFencing(FIRST)
+        fencing = EndpointFencing(FIRST, LAST)
         self.assertTrue(fencing.pending)
         fencing.record_listing(FIRST)
         self.assertFalse(fencing.pending)
@@ -47,10 +47,18 @@
 
     def test_tokens_stay_below_those_of_the_next_holder(self):
         """Guards against two holders whose calls an endpoint can't tell apart."""
-        for _ in range(TOKENS_PER_TERM + 2):
+        for _ in range(LAST):
             self.fencing.outdate_calls()
-        self.assertEqual(self.fencing.token, FIRST + TOKENS_PER_TERM - 1)
+        self.assertEqual(self.fencing.token, LAST)
+        self.assertTrue(self.fencing.used_up)
         self.fencing.bind()
         self.fencing.expect_restart()
         self.fencing.record_listing(self.fencing.token)
         self.assertTrue(self.fencing.pending)
+
+    def test_start_outdates_an_acknowledgement_under_way(self):
+        """Guards against an end that is forgotten unread (TWICE)."""
+        acknowledging = self.fencing.bind_acknowledgement()
+        start = self.fencing.bind_start()
+        self.assertGreater(start, acknowledging)
+        self.assertEqual(self.fencing.bind_start(), start)
--- a/tests/service/test_pool.py
+++ b/tests/service/test_pool.py
@@ -7,6 +7,7 @@
 from magnoliapier.placement.endpoint import EndpointRecord
 from magnoliapier.pools.need import HostNeed
 from magnoliapier.pools.report import PoolReport, encode
+from magnoliapier.service.fencing import EndpointFencing
 from magnoliapier.service.incarnation import LeaseTerms
 from magnoliapier.service.pool import (
     RELEASE_MEMORY_S,
@@ -40,9 +41,12 @@
         started_ms=started_ms,
     )
     lease = LeaseTerms(5500, 6000)
-    session = EndpointSession(record, FakeEndpoints(), None, 1, lease, FakeClock())
+    fencing = EndpointFencing(1, 1000)
+    fencing.record_listing(1)
+    session = EndpointSession(
+        record, FakeEndpoints(), None, fencing, lease, FakeClock()
+    )
     session.opened = True
-    session._fencing.record_listing(1)
     return session
 
 
--- a/tests/service/test_session.py
+++ b/tests/service/test_session.py
@@ -4,8 +4,10 @@
 import logbook
 import msgspec
 
+from magnoliapier.exceptions import OrderRefusedError
 from magnoliapier.placement.endpoint import EndpointRecord
 from magnoliapier.platform.http import CONNECTIONS_PER_ADDRESS
+from magnoliapier.service.fencing import EndpointFencing
 from magnoliapier.service.incarnation import LeaseTerms
 from magnoliapier.service.orders import Inspection, ListedRun, RunEnd
 from magnoliapier.service.session import (
@@ -91,7 +93,12 @@
         """Return the session of a holder with the endpoint."""
         record = EndpointRecord("e1", "s", "e1:1", "dc", False, Resources(1000, 1000))
         session = EndpointSession(
-            record, self.endpoints, self.owner, token, LEASE, self.clock
+            record,
+            self.endpoints,
+            self.owner,
+            EndpointFencing(token, token + 1000),
+            LEASE,
+            self.clock,
         )
         self.addAsyncCleanup(session.close)
         return session
@@ -441,6 +448,35 @@
         self.assertEqual(self.endpoint.acknowledged, 0)
 
 
+class AcknowledgementUnderWayTests(SessionTestCase):
+    """A start is sent while a call that acknowledges ends has no answer yet."""
+
+    async def test_start_is_not_followed_by_the_acknowledgement(self):
+        """
+        Guards against a task that is repeated after a noted end (TWICE).
+
+        The start and then the acknowledgement reach an incarnation that nobody has
+        listed. It would forget the end of the run, which is counted anew, unread.
+        """
+        await self.session._inspect()
+        self.session.incarnation.handle_end(1, self.clock())
+        self.session.mark_ends_stored(self.session.incarnation, 1)
+        inspect, self.endpoints.inspect = self.endpoints.inspect, self.hold_back
+        late = asyncio.create_task(self.session._inspect())
+        await asyncio.sleep(0)
+        self.endpoint.restart()
+        self.endpoint.instant = True
+        await self.session._start(self.live)
+        late.cancel()
+        with self.assertRaises(OrderRefusedError):
+            await inspect(self.session.record, *self.held_call)
+        self.assertEqual(len(self.endpoint.ended), 1)
+
+    async def hold_back(self, record, *call):
+        self.held_call = call
+        await asyncio.sleep(3600)
+
+
 class ManyEndsTests(SessionTestCase):
     """More runs have ended on an endpoint than one listing holds."""
 
@@ -731,7 +767,7 @@
 
     async def test_higher_clock_is_not_taken_for_that_of_the_known_incarnation(self):
         """Guards against a run that is given up on a lease of a former one (TWICE)."""
-        self.endpoint.restart(first_clock_ms=FIRST_CLOCK_MS + 800_000)
+        self.endpoint.restart(first_clock_ms=FIRST_CLOCK_MS + 8000)
         await self.session._start(self.live)
         await self.go_silent_for(10.0)
         self.assertEqual(self.owner.gone_reasons, [])
--- a/tests/service/test_shard_restarts.py
+++ b/tests/service/test_shard_restarts.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import msgspec
+
 from magnoliapier.exceptions import EndpointUnreachableError
 from magnoliapier.submissions.model import SubmissionState
 from tests.service.fakes import crash_report
@@ -62,6 +64,32 @@
         self.assertEqual(len(self.endpoint.starts), 2)
 
 
+class MissingRecordTests(IncarnationTestCase):
+    """The record of an idle endpoint is missing for longer than a store outage."""
+
+    async def test_endpoint_that_is_back_refuses_the_calls_of_before(self):
+        """
+        Guards against endpoints that refuse their holder for good (LOST).
+
+        The session of before had raised its token, and its calls may still come.
+        """
+        endpoint = self.add_endpoint("e1")
+        shard = await self.start_shard()
+        await self.wait_until(lambda: "e1" in shard.tables.sessions)
+        former = shard.tables.sessions["e1"]
+        await self.wait_until(lambda: former.opened)
+        endpoint.restart()
+        former.update(msgspec.structs.replace(former.record, started_ms=2))
+        await self.wait_until(lambda: former.incarnation.started_ms == 2)
+        used = endpoint.token
+        record = self.directory._records.pop("e1")
+        await self.wait_until(lambda: not shard.tables.sessions)
+        self.directory._records["e1"] = record
+        await self.wait_until(lambda: "e1" in shard.tables.sessions)
+        await self.wait_until(lambda: shard.tables.sessions["e1"].opened)
+        self.assertGreater(endpoint.token, used)
+
+
 class RestartDuringACommitTests(IncarnationTestCase):
     """An endpoint restarts while a commit that holds one of its ends is under way."""
 
