Release a lease over a renewal that got no answer

A process that is stopped may leave a shard without a holder for 2.2 s.

Cause: a shard that closes cancels its commit. If that had renewed the lease, the release expects a version that is gone, and failed for good.

Fix: the release is repeated under the version that the conflict names, if the row is still this holder's.

Evidence: test_lease_is_released_after_a_renewal_without_an_answer fails without the change ('me' != ''); a lease that another host has taken is kept in both cases.

--- a/magnoliapier/service/leases.py
+++ b/magnoliapier/service/leases.py
@@ -176,7 +176,7 @@
 
     async def _write(self, shard, record, expected):
         """Write a lease; return its version, or None if another host was faster."""
-        expect = Expect(CONTROL_TABLE, shard, LEASE_KEY, expected)
+        expect = _expect_version(shard, expected)
         put = Put(CONTROL_TABLE, shard, LEASE_KEY, encode_lease(record))
         for attempt in range(1, WRITE_ATTEMPTS + 1):
             try:
@@ -193,13 +193,26 @@
 
 
 async def release(store, shard, lease):
-    """Release a shard's lease so that another host can take it at once."""
+    """
+    Release a shard's lease so that another host can take it at once.
+
+    A holder that closes cancels its commit, which may renew the lease unseen.
+    """
     record = LeaseRecord("", lease.record.process, "", lease.record.token)
-    expect = Expect(CONTROL_TABLE, shard, LEASE_KEY, lease.version)
     put = Put(CONTROL_TABLE, shard, LEASE_KEY, encode_lease(record))
     try:
-        await store.commit([expect], [put])
+        try:
+            await store.commit([_expect_version(shard, lease.version)], [put])
+        except ConflictError as error:
+            row = error.rows.get(LEASE_KEY)
+            if read_lease(row) != lease.record:
+                raise
+            await store.commit([_expect_version(shard, row.version)], [put])
     except PlatformError as error:
         log.info("release_failed", shard=shard, error=error)
     else:
         log.info("shard_released", shard=shard)
+
+
+def _expect_version(shard, version):
+    return Expect(CONTROL_TABLE, shard, LEASE_KEY, version)
--- a/tests/service/test_leases.py
+++ b/tests/service/test_leases.py
@@ -7,12 +7,14 @@
     OUTAGE_GRACE_S,
     LeaseDirectory,
     LeaseTaker,
+    release,
 )
 from magnoliapier.service.node import Identity
 from magnoliapier.state.lease import (
     CONTROL_TABLE,
     LEASE_KEY,
     LEASE_TTL_S,
+    HeldLease,
     LeaseRecord,
     decode_lease,
     encode_lease,
@@ -139,3 +141,32 @@
         self.clock.now += 60
         await asyncio.sleep(0.35)
         self.assertEqual(len(self.taken), 1)
+
+
+class ReleaseTests(unittest.IsolatedAsyncioTestCase):
+    """A holder that closes cancels a commit whose renewal has taken effect."""
+
+    async def asyncSetUp(self):
+        self.store = FakeStore()
+        self.lease = HeldLease(LeaseRecord("me", "p", "127.0.0.1:2", 3))
+        self.lease.record_renewal(await self.store_lease(self.lease.record), 0.0)
+
+    async def store_lease(self, record):
+        put = Put(CONTROL_TABLE, SHARD, LEASE_KEY, encode_lease(record))
+        return await self.store.commit([], [put])
+
+    async def stored(self):
+        changes = await self.store.read(CONTROL_TABLE, SHARD)
+        return decode_lease(changes.rows[0].value)
+
+    async def test_lease_is_released_after_a_renewal_without_an_answer(self):
+        """Guards against a shard that nobody holds until the lease has expired."""
+        await self.store_lease(self.lease.record)
+        await release(self.store, SHARD, self.lease)
+        self.assertEqual((await self.stored()).holder, "")
+
+    async def test_lease_of_another_holder_is_kept(self):
+        """Guards against the release of a shard that another host has taken."""
+        await self.store_lease(OTHER)
+        await release(self.store, SHARD, self.lease)
+        self.assertEqual(await self.stored(), OTHER)
