Keep a task on its endpoint while its unanswered start may come late

Callers could see two runs of a task at once (TWICE): a start got no answer, one incarnation was told to stop the run or listed none, the task started elsewhere, the endpoint restarted, and the new incarnation, which nobody had called yet, carried the first start out. No fence reaches an incarnation that does not exist yet, and waiting for seconds would leave tasks undone (LOST). So for 15 s the task may only start on that endpoint, unless it leaves: then its second run ends with the endpoint, and the next listing shows the late one.

--- a/magnoliapier/placement/scheduler.py
+++ b/magnoliapier/placement/scheduler.py
@@ -6,6 +6,9 @@
 tasks (``Step.fills``) go to endpoints without latency-sensitive tasks if possible.
 Endpoints in another rack than the task prefers come after those in that rack, and
 endpoints that are suspect or have failed the task come last.
+
+A task whose start got no answer stays on its endpoint for a while, unless that leaves:
+if the endpoint restarts, and carries that start out late, no other run is beside it.
 """
 
 from collections import Counter
@@ -75,6 +78,7 @@
     def __init__(self, sessions, now):
         self._now = now
         self._usable = [s for s in sessions if s.usable(now)]
+        self._staying_ids = {s.endpoint_id for s in sessions if s.stays}
         self._rooms_by_label = {}
         self._step_runs = {}
         self.without_room = []
@@ -156,11 +160,17 @@
         may_place = max(0, MAX_UNSENT_RUNS - self._unsent_runs(progress))
         for task in waiting[:may_place]:
             session = self._best_session(progress, task)
-            if session is None:
+            if session is not None:
+                starts.append(self._reserve_run(session, progress, task))
+            elif not self._endpoint_kept_on(task):
                 return False
-            starts.append(self._reserve_run(session, progress, task))
         return True
 
+    def _endpoint_kept_on(self, task):
+        """Return the id of the only endpoint that a task may start on, or ''."""
+        endpoint_id = task.endpoint_kept_on(self._now)
+        return endpoint_id if endpoint_id in self._staying_ids else ""
+
     def _unsent_runs(self, progress):
         return sum(s.unsent_runs(progress.submission_id) for s in self._usable)
 
@@ -197,6 +207,8 @@
         """
         if not all(task.startable(self._now) for task in tasks):
             return True
+        if any(self._endpoint_kept_on(task) for task in tasks):
+            return True
         if not self._has_places(progress, tasks):
             return False
         run_number = max(task.last_run for task in tasks) + 1
@@ -229,9 +241,12 @@
         step = task.step
         runs = self._runs_of(progress, task)
         racks = self._preferred_racks(step, runs)
+        kept_on = self._endpoint_kept_on(task)
         best = None
         best_key = None
         for session in self._rooms_for(step).sessions:
+            if kept_on and session.endpoint_id != kept_on:
+                continue
             if not self._accepts(session, step, runs):
                 continue
             key = self._sort_key(session, task, racks)
--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -24,7 +24,7 @@
     report_failure,
     supervise,
 )
-from magnoliapier.service.endpoint_lease import EndpointLease
+from magnoliapier.service.endpoint_lease import LATE_CALL_LIMIT_S, EndpointLease
 from magnoliapier.service.endpoint_use import EndpointUse
 from magnoliapier.service.incarnation import EndpointIncarnation
 from magnoliapier.service.order_slots import OrderSlots
@@ -182,6 +182,12 @@
         """Return whether the record is that of the incarnation listed last."""
         return self.record.started_ms in (0, self._incarnation.started_ms)
 
+    @property
+    def stays(self):
+        """Return whether the endpoint is listed and nothing makes it leave the pool."""
+        leaves = self.record.draining or self.leaving or self.released
+        return self.listed and not leaves
+
     def belongs_to_pool(self):
         """Return whether the endpoint counts as part of the pool, opened or not."""
         return (
@@ -202,6 +208,7 @@
     def adopt(self, live):
         """Take over a run that an earlier holder of the shard recorded."""
         live.settled_at = 0.0  # the higher fencing token blocks its start order
+        live.late_until = self._clock() + LATE_CALL_LIMIT_S
         self._add(live)
 
     def reserve(self, live):
@@ -417,6 +424,7 @@
         sent_at = self._clock()
         self._unsent.discard(live)
         self._last_start_at = live.sent_at = sent_at
+        live.late_until = sent_at + LATE_CALL_LIMIT_S
         return StartOrder(
             str(live.task.name),
             live.run.number,
@@ -434,6 +442,7 @@
         later one has confirmed the start.
         """
         live.incarnation = incarnation
+        live.late_until = 0.0
         if incarnation is None:
             self._suspect_restart("other_clock")
             self._spawn(self._try_inspection(wait_ms=0))
@@ -803,12 +812,14 @@
                 self._owner.unknown_run(self, listed_run)
             else:
                 live.incarnation = self._incarnation
+                live.late_until = 0.0
                 self._owner.run_listed(self, live, listed_run, now)
         if not inspection.lists_all_ends or self._fencing.pending:
             return  # the run, or the end of one that is not listed, may come later
         for key, live in list(self.live.items()):
             settled = live.settled_at is not None and live.settled_at < sent_at
             if key not in listed and settled:
+                live.task.keep_on(self.endpoint_id, live.late_until)
                 self._owner.run_gone(self, live, self._reason_unlisted(live))
 
     def _reason_unlisted(self, live):
--- a/magnoliapier/submissions/progress.py
+++ b/magnoliapier/submissions/progress.py
@@ -79,7 +79,13 @@
 
 
 class Task:
-    """A task with its attempts and its live runs."""
+    """
+    A task with its attempts and its live runs.
+
+    Until ``kept_until``, it may only start on the endpoint ``kept_on``: a start of
+    before may still be carried out there, by an incarnation that begins later. Times
+    are monotonic seconds.
+    """
 
     __slots__ = (
         "name",
@@ -91,6 +97,8 @@
         "runs",
         "failed_on",
         "not_before",
+        "kept_on",
+        "kept_until",
     )
 
     def __init__(self, name, step):
@@ -103,6 +111,18 @@
         self.runs = []
         self.failed_on = set()
         self.not_before = 0.0
+        self.kept_on = ""
+        self.kept_until = 0.0
+
+    def keep_on(self, endpoint_id, until):
+        """Let the task start on no other endpoint until then."""
+        if until > self.kept_until:
+            self.kept_on = endpoint_id
+            self.kept_until = until
+
+    def endpoint_kept_on(self, now):
+        """Return the id of the only endpoint that the task may start on, or ''."""
+        return self.kept_on if now < self.kept_until else ""
 
     def run_numbered(self, number):
         """Return the live run with ``number``, or None."""
@@ -145,7 +165,8 @@
     that it is gone. ``settled_at`` is None while its start order may still take effect.
     ``placed_on`` is the endpoint's incarnation that the run was placed on, and
     ``incarnation`` the one that is known to have confirmed or listed it, or None.
-    ``sent_at`` is when the start order was sent, or None if this holder has sent none.
+    ``sent_at`` is when the start order was sent, or None if this holder has sent none,
+    and ``late_until`` until when it may still be carried out, 0 if it got an answer.
     ``checkpoint`` is the one that it starts from. Times are monotonic seconds.
     """
 
@@ -157,6 +178,7 @@
         "step",
         "incarnation",
         "sent_at",
+        "late_until",
         "placed_on",
         "checkpoint",
     )
@@ -169,6 +191,7 @@
         self.settled_at = settled_at
         self.incarnation = None
         self.sent_at = None
+        self.late_until = 0.0
         self.placed_on = None
         self.checkpoint = task.checkpoint
 
--- a/tests/placement/test_scheduler.py
+++ b/tests/placement/test_scheduler.py
@@ -23,6 +23,7 @@
         self.room = FreeResources(CAPACITY)
         self.health = EndpointHealth()
         self.live = {}
+        self.stays = True
         self._usable = usable
 
     def usable(self, now):
@@ -62,6 +63,37 @@
         starts = self.place(make_progress(step(2)), *sessions)
         self.assertEqual({s.endpoint_id for s, _ in starts}, {"e2"})
 
+    def test_task_stays_where_its_start_may_come_late(self):
+        """Guards against a second run beside a late start of the first (TWICE)."""
+        sessions = FakeSession("e1"), FakeSession("e2", usable=False)
+        progress = make_progress(step(2))
+        next(progress.tasks()).keep_on("e2", until=15.0)
+        starts = self.place(progress, *sessions)
+        self.assertEqual([live.task.name.index for _, live in starts], [1])
+        sessions[1]._usable = True
+        starts = self.place(progress, *sessions)
+        self.assertEqual([s.endpoint_id for s, _ in starts], ["e2"])
+
+    def test_task_does_not_stay_on_an_endpoint_that_leaves(self):
+        """Guards against a task that waits for an endpoint that is gone (LOST)."""
+        for leaving in (True, False):
+            sessions = [FakeSession("e1")]
+            if leaving:
+                sessions.append(FakeSession("e2", usable=False))
+                sessions[1].stays = False
+            progress = make_progress(step(1))
+            next(progress.tasks()).keep_on("e2", until=15.0)
+            starts = self.place(progress, *sessions)
+            self.assertEqual([s.endpoint_id for s, _ in starts], ["e1"])
+
+    def test_gang_waits_for_a_member_that_stays(self):
+        """Guards against a gang of which one member has no place."""
+        progress = make_progress(step(2, gang=True))
+        next(progress.tasks()).keep_on("e1", until=15.0)
+        scheduler = Scheduler([FakeSession("e1"), FakeSession("e2")], 0.0)
+        self.assertEqual(scheduler.place([progress]), [])
+        self.assertEqual(scheduler.without_room, [])
+
     def test_task_needs_an_endpoint_with_its_required_label(self):
         """Guards against a task on an endpoint without the label that it requires."""
         sessions = FakeSession("e1"), FakeSession("e2", ("a", "r1", "fast"))
