Let the soak's endpoints carry out unanswered calls seconds late

The platform may carry out any call that got no answer, also a /hold, seconds after it arrived, after newer calls, and by a later incarnation under the same id. The stand-in delayed only orders, by at most 1.5 s, and a crash discarded them. Its clock began at 1000 in each incarnation, so that a lower reading gave each restart away.

A call that it leaves unanswered is now carried out 2 to 10 s later by the incarnation that holds the id then, with its fence, bars and the longest lease; it is lost if the endpoint is down. Each clock begins at an arbitrary value. The log names a call's token, deadline, granted lease, and for a late one the incarnation that it was sent for.

The test of a late order that a crash loses sets the delay by its new name and keeps its assertions. The one that expects a lower clock after a restart keeps that assertion on a clock that begins at 1, and another test covers both a lower and a higher one.

--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -13,10 +13,13 @@
 HOLD_MAX_MS = 6000
 STOP_DELAY_S = 0.1
 HEARTBEAT_INTERVAL_S = 1.0
-LATE_ORDER_S = 1.5  # limit for executing a late order; its connection is then cut
+LATE_CALL_RANGE_S = (2.0, 10.0)  # until a call that got no answer is carried out
+UNANSWERED_CUT_S = 2.0  # until the connection of such a call is cut
+CLOCK_START_RANGE_MS = (1000, 900_000)
 TICK_S = 0.02
 CAPACITY = {"cpu": 32_000, "mem_mb": 64_000, "gpu": 0}
 INSTANCE_HEADER = "X-Magnoliapier-Target-Instance"
+LOGGED_FIELDS = ("task", "run", "deadline_ms", "acked_through", "sent_for")
 
 
 class RunningTask(msgspec.Struct):
@@ -53,13 +56,27 @@
     slowdown: float = 1.0
 
 
+def logged_fields(body):
+    """
+    Return what the log tells of a call.
+
+    ``sent_for`` is the start of the incarnation that a late call had reached.
+    """
+    fields = {name: body[name] for name in LOGGED_FIELDS if body.get(name) is not None}
+    late = str("sent_for" in body).lower()
+    return fields | {"token": body["fencing_token"], "late": late}
+
+
 class EndpointStandIn:
     """
     One incarnation of an endpoint, on a host in the pool of a service.
 
-    It measures leases on a clock of its own, which runs up to 2 percent slow. A
-    successor of ``previous`` has its id, address and faults and knows nothing else of
-    it.
+    It measures leases on a clock of its own, which begins at an arbitrary value and
+    runs up to 2 percent slow. A successor of ``previous`` has its id, address and
+    faults and knows nothing else of it.
+
+    A call that gets no answer is carried out seconds later, after newer calls, by the
+    incarnation that then holds the id. It is lost if the endpoint is down at that time.
     """
 
     def __init__(self, endpoint_id, host, service, rng, store, ledger, previous=None):
@@ -73,7 +90,11 @@
         self._rng = rng
         self._store = store
         self._ledger = ledger
+        self._previous = previous
+        self._successor = None
+        self._late_calls = set()
         self._clock_rate = rng.uniform(0.98, 1.0)
+        self._clock_start_ms = rng.randint(*CLOCK_START_RANGE_MS)
         self._started_at = time.monotonic()
         self._started_ms = int(time.time() * 1000)
         self._running = {}
@@ -100,7 +121,9 @@
             self.proxy = LinkProxy(port)
             await self.proxy.start()
         self.proxy.target_port = port
-        self._log("endpoint_started")
+        if self._previous is not None:
+            self._previous._successor = self
+        self._log("endpoint_started", clock_ms=self._clock_ms())
         self._tasks = [
             asyncio.create_task(self._heartbeat(entry_delay_s)),
             asyncio.create_task(self._end_due_runs()),
@@ -115,8 +138,7 @@
         """
         End at once with all runs; row and address stay for a successor.
 
-        Orders that it has not executed yet are lost, whether it has read them or its
-        link holds them back.
+        What its link holds back is lost. Calls that it has left unanswered are not.
         """
         self._log("endpoint_crashed", runs=len(self._running))
         self.up = False
@@ -140,9 +162,8 @@
             )
 
     def _clock_ms(self):
-        return (
-            int((time.monotonic() - self._started_at) * 1000 * self._clock_rate) + 1000
-        )
+        elapsed_ms = (time.monotonic() - self._started_at) * 1000
+        return int(elapsed_ms * self._clock_rate) + self._clock_start_ms
 
     async def _heartbeat(self, delay_s):
         await asyncio.sleep(delay_s)
@@ -203,42 +224,67 @@
         body = msgspec.json.decode(await request.read())
         if not self.up:
             return cut_connection(request)
+        if self._rng.random() < self.faults.late_share:
+            return await self._leave_unanswered(request, body)
+        return await self._carry_out(request.path, body)
+
+    async def _leave_unanswered(self, request, body):
+        late_call = asyncio.create_task(self._carry_out_late(request.path, body))
+        self._late_calls.add(late_call)
+        late_call.add_done_callback(self._late_calls.discard)
+        await asyncio.sleep(UNANSWERED_CUT_S)
+        return cut_connection(request)
+
+    async def _carry_out_late(self, path, body):
+        self._log("unanswered", path=path, **logged_fields(body))
+        await asyncio.sleep(self._rng.uniform(*LATE_CALL_RANGE_S))
+        holder = self
+        while holder._successor is not None:
+            holder = holder._successor
+        if holder.up:
+            late_body = body | {"wait_ms": 0, "sent_for": self._started_ms}
+            answer = await holder._carry_out(path, late_body)
+            holder._log(
+                "carried_out_late",
+                path=path,
+                answer=answer.body.decode(),
+                **logged_fields(late_body),
+            )
+
+    async def _carry_out(self, path, body):
+        if body["fencing_token"] < self._highest_token:
+            return self._refuse("fence")
+        self._highest_token = body["fencing_token"]
         handler = {
             "/run-start": self._start_run,
             "/run-stop": self._stop_run,
             "/hold": self._hold,
             "/pace": self._pace,
-        }[request.path]
-        if request.path != "/hold" and self._rng.random() < self.faults.late_share:
-            asyncio.create_task(self._execute_late(handler, body))
-            await asyncio.sleep(LATE_ORDER_S)
-            return cut_connection(request)
-        if body["fencing_token"] < self._highest_token:
-            return self._refuse("fence")
-        self._highest_token = body["fencing_token"]
+        }[path]
         return await handler(body)
 
-    async def _execute_late(self, handler, body):
-        await asyncio.sleep(self._rng.uniform(0.2, LATE_ORDER_S))
-        if self.up and body["fencing_token"] >= self._highest_token:
-            self._highest_token = body["fencing_token"]
-            await handler(body)
-
     def _refuse(self, reason, status=409):
         return json_answer({"clock_ms": self._clock_ms(), "reason": reason}, status)
 
     def _accept(self, **fields):
         return json_answer({"clock_ms": self._clock_ms()} | fields)
 
-    def _extend_lease(self, deadline_ms):
-        longest = self._clock_ms() + HOLD_MAX_MS
-        self._lease_end_ms = max(self._lease_end_ms, min(deadline_ms, longest))
+    def _extend_lease(self, body):
+        clock_ms = self._clock_ms()
+        granted_until_ms = min(body["deadline_ms"], clock_ms + HOLD_MAX_MS)
+        self._lease_end_ms = max(self._lease_end_ms, granted_until_ms)
+        self._log(
+            "lease_extended",
+            clock_ms=clock_ms,
+            lease_ms=self._lease_end_ms - clock_ms,
+            **logged_fields(body),
+        )
 
     async def _start_run(self, body):
         name, run = body["task"], body["run"]
         if body["deadline_ms"] <= self._clock_ms():
             return self._refuse("late")
-        self._extend_lease(body["deadline_ms"])
+        self._extend_lease(body)
         if (name, run) in self._running:
             return self._accept()
         if run <= self._barred_through.get(name, 0):
@@ -250,6 +296,7 @@
         if not self._fits(step):
             return self._refuse("room")
         self._begin_run(name, run, step)
+        self._log("begun", **logged_fields(body))
         return self._accept()
 
     def _step_of(self, name):
@@ -276,11 +323,10 @@
             ends_at = now + self._rng.uniform(0.2, 3.0)
         self._running[name, run] = RunningTask(name, run, step, now, ends_at, reason)
         self._ledger.record_start(self.endpoint_id, name, run)
-        self._log("begun", task=name, run=run, token=self._highest_token)
 
     async def _stop_run(self, body):
         name, run = body["task"], body["run"]
-        self._log("stop_ordered", task=name, run=run)
+        self._log("stop_ordered", **logged_fields(body))
         task = self._running.get((name, run))
         if task is not None and task.stops_at is None:
             task.stops_at = time.monotonic() + STOP_DELAY_S
@@ -292,7 +338,7 @@
 
     async def _hold(self, body):
         if body.get("deadline_ms") is not None:
-            self._extend_lease(body["deadline_ms"])
+            self._extend_lease(body)
         self._acknowledge(body["acked_through"])
         if body.get("wait_ms") and not self._ended:
             listed = self._end_listed
@@ -306,7 +352,7 @@
         ended = [[e.number, e.name, e.run, e.reason, ""] for e in self._ended]
         self._log(
             "listed",
-            acked_through=body["acked_through"],
+            **logged_fields(body),
             running=len(running),
             ended=len(ended),
         )
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -94,6 +94,7 @@
         """Record a broken invariant."""
         at = round(time.monotonic() - self._began_at, 2)
         self.violations.append(Violation(invariant, detail, at))
+        self.log_event("violation", invariant=repr(invariant), detail=repr(detail))
 
     def log_event(self, event, **fields):
         """Write an event at an endpoint as a line like those of the product's logs."""
--- a/tests/soak/test_endpoints.py
+++ b/tests/soak/test_endpoints.py
@@ -63,6 +63,10 @@
             await asyncio.sleep(0.01)
         return listing
 
+    async def restart(self):
+        await self.machines.restart_endpoint(self.endpoint, 0.05, 0.0, False)
+        self.endpoint = self.host.endpoint
+
 
 class CrashTests(EndpointTestCase):
     step = STEP | {"long_running": True}
@@ -70,7 +74,7 @@
     async def test_late_order_is_lost_in_a_crash(self):
         """Guards against runs that start on a crashed endpoint and never end."""
         self.endpoint.faults.late_share = 1.0
-        with mock.patch.object(endpoints, "LATE_ORDER_S", 0.3):
+        with mock.patch.object(endpoints, "LATE_CALL_RANGE_S", (0.2, 0.3)):
             order = asyncio.create_task(self.begin(TASK))
             await asyncio.sleep(0.1)
             await self.endpoint.crash()
@@ -81,16 +85,13 @@
 
 
 class RestartTests(EndpointTestCase):
-    async def restart(self):
-        await self.machines.restart_endpoint(self.endpoint, 0.05, 0.0, False)
-        self.endpoint = self.host.endpoint
-
     async def test_successor_has_id_and_address_and_knows_nothing_else(self):
         """Guards against a restart that leaves the product something of before."""
         first = self.endpoint
         await self.begin(TASK, run=3, token=2)
         before = await self.list_ended(1)
-        await self.restart()
+        with mock.patch.object(endpoints, "CLOCK_START_RANGE_MS", (1, 1)):
+            await self.restart()
         after = await self.list_runs(token=1)
         self.assertEqual(self.endpoint.endpoint_id, first.endpoint_id)
         self.assertEqual(self.endpoint.proxy.port, first.proxy.port)
@@ -102,6 +103,13 @@
         listing = await self.list_ended(1)
         self.assertEqual(listing["ended"][0][:4], [1, TASK, 1, "done"])
 
+    async def test_clock_begins_anew_before_or_after_that_of_before(self):
+        """Guards against a soak in which a lower clock gives each restart away."""
+        for start_ms in (1000, 1_000_000):
+            with mock.patch.object(endpoints, "CLOCK_START_RANGE_MS", [start_ms] * 2):
+                await self.restart()
+            self.assertIn((await self.list_runs())["clock_ms"] - start_ms, range(1000))
+
     async def test_run_ends_with_its_endpoint(self):
         """Guards against a run that counts as alive after the restart, or survives."""
         self.ledger.submissions[ID].steps[0] |= {"estimated_ms": FAR_MS}
@@ -146,3 +154,78 @@
         with self.assertRaises(aiohttp.ClientError):
             self.endpoint = first
             await self.list_runs()
+
+
+class LateCallTests(EndpointTestCase):
+    """Leaves calls unanswered, which are carried out 0.3 to 0.4 s later."""
+
+    step = STEP | {"long_running": True}
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        patch = mock.patch.multiple(
+            endpoints, LATE_CALL_RANGE_S=(0.3, 0.4), UNANSWERED_CUT_S=0.02
+        )
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    async def leave_unanswered(self, path, **body):
+        self.endpoint.faults.late_share = 1.0
+        with self.assertRaises(aiohttp.ClientError):
+            await self.call(path, 2, **body)
+        self.endpoint.faults.late_share = 0.0
+
+    async def running(self, token=2):
+        return [run[:2] for run in (await self.list_runs(token=token))["running"]]
+
+    async def test_start_is_carried_out_by_the_later_incarnation(self):
+        """Guards against a soak in which a restart forgets what was on its way."""
+        await self.leave_unanswered("/run-start", task=TASK, run=1, deadline_ms=FAR_MS)
+        await self.restart()
+        self.assertEqual(await self.running(), [])
+        await asyncio.sleep(0.4)
+        self.assertEqual(await self.running(), [[TASK, 1]])
+
+    async def test_start_is_lost_while_the_endpoint_is_down(self):
+        """Guards against calls that wait for an endpoint to come back."""
+        await self.leave_unanswered("/run-start", task=TASK, run=1, deadline_ms=FAR_MS)
+        await self.machines.restart_endpoint(self.endpoint, 0.5, 0.0, False)
+        self.endpoint = self.host.endpoint
+        self.assertEqual(await self.running(), [])
+
+    async def test_fence_applies_when_a_call_is_carried_out(self):
+        """Guards against reports of runs that a raised token prevents."""
+        await self.leave_unanswered("/run-start", task=TASK, run=1, deadline_ms=FAR_MS)
+        await self.restart()
+        await self.list_runs(token=3)
+        await asyncio.sleep(0.4)
+        self.assertEqual(await self.running(token=3), [])
+
+    async def test_bar_applies_when_a_call_is_carried_out(self):
+        """Guards against reports of runs that a stop prevents."""
+        await self.leave_unanswered("/run-start", task=TASK, run=1, deadline_ms=FAR_MS)
+        await self.restart()
+        await self.call("/run-stop", 2, task=TASK, run=1)
+        await asyncio.sleep(0.4)
+        self.assertEqual(await self.running(), [])
+
+    async def test_hold_extends_the_later_lease_by_the_longest_at_most(self):
+        """Guards against a soak that misses runs which outlive the computed lease."""
+        await self.leave_unanswered("/hold", deadline_ms=FAR_MS, acked_through=0)
+        await self.restart()
+        with mock.patch.object(endpoints, "HOLD_MAX_MS", 400):
+            began_at = asyncio.get_running_loop().time()
+            await self.begin(TASK)
+            await self.list_ended(1)
+        lasted_s = asyncio.get_running_loop().time() - began_at
+        self.assertTrue(0.55 < lasted_s < 0.9, lasted_s)
+
+    async def test_hold_acknowledges_ends_of_the_later_incarnation(self):
+        """Guards against a soak in which a late acknowledgement does no harm."""
+        await self.leave_unanswered("/hold", acked_through=7)
+        await self.restart()
+        await self.begin(TASK)
+        await self.call("/run-stop", 2, task=TASK, run=1)
+        self.assertEqual(len((await self.list_ended(1))["ended"]), 1)
+        await asyncio.sleep(0.4)
+        self.assertEqual((await self.list_runs())["ended"], [])
