Add a soak fault that cuts restarted endpoints off while they run on

Endpoints leave calls unanswered, start again under their ids, take long tasks and are soon silenced for longer than the longest lease; sometimes the node that holds the shard is killed around the cut. The fault is a series with a random stream of its own, so that the others inject what they did for each seed.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -2,7 +2,8 @@
 The faults that a soak injects, by name. Each ends after a limited time.
 
 ``RESTARTS`` are those in which endpoints start again under their ids. They are a series
-of their own, because the names in ``FAULTS`` determine what each seed injects.
+of their own, because the names in ``FAULTS`` determine what each seed injects. So is
+``recut_endpoints``.
 """
 
 import asyncio
@@ -11,6 +12,7 @@
 
 import msgspec
 
+from magnoliapier.state.lease import CONTROL_TABLE, LEASE_KEY, decode_lease
 from tests.soak.endpoints import HEARTBEAT_INTERVAL_S
 from tests.soak.proxy import LinkFault
 from tests.soak.store import DEFAULT_DELAY_S
@@ -21,6 +23,13 @@
 TAKEOVER_S = 3.5  # long enough for a successor to take the lease and send orders
 ORDER_WAIT_S = 2.0
 ENDPOINT_OUTAGE_RANGE_S = (0.05, 1.0)  # until an endpoint starts under its id again
+RECUT_OUTAGE_RANGE_S = (0.5, 0.7)
+RECUT_LATE_SHARE = 0.8
+UNANSWERED_RANGE_S = (0.3, 1.5)  # before the crash
+RUN_ON_RANGE_S = (1.0, 4.0)  # from the restart to the cut
+CUT_RANGE_S = (8.0, 10.0)  # longer than the longest lease
+LONG_TASK_SLOWDOWN = 8.0  # makes tasks last up to 14 s
+RECUT_KILL_SHARE = 0.4
 QUIET_S = 3.0  # tasks last up to 1.8 s, and their ends are acknowledged 1.2 s later
 IDLE_POLL_S = 0.05
 RESTART_DELAY_S = 0.3  # until the platform restarts a process that has ended
@@ -52,10 +61,13 @@
 @fault
 async def kill(soak, rng, seconds):
     """Kill a process and start it again."""
-    node = rng.choice(soak.nodes)
+    await _kill(rng.choice(soak.nodes), min(seconds, 2.0))
+
+
+async def _kill(node, seconds):
     node.record_disturbance()
     node.kill()
-    await asyncio.sleep(min(seconds, 2.0))
+    await asyncio.sleep(seconds)
     if not node.running:
         node.launch()
     node.record_disturbance()
@@ -282,9 +294,10 @@
     return [e for e in soak.endpoints() if e.up and e.service in services]
 
 
-async def _restart_endpoint(soak, rng, endpoint):
+async def _restart_endpoint(soak, rng, endpoint, outage_s=None):
     """Start an endpoint again under its id; its new entry may be stored later."""
-    outage_s = rng.uniform(*ENDPOINT_OUTAGE_RANGE_S)
+    if outage_s is None:
+        outage_s = rng.uniform(*ENDPOINT_OUTAGE_RANGE_S)
     entry_delay_s = rng.choice([0.0, rng.uniform(0.0, HEARTBEAT_INTERVAL_S)])
     shown_down = rng.random() < 0.5
     await soak.machines.restart_endpoint(endpoint, outage_s, entry_delay_s, shown_down)
@@ -329,3 +342,56 @@
         if endpoint is not None:
             await _restart_endpoint(soak, rng, endpoint)
         await asyncio.sleep(rng.uniform(0.1, 1.5))
+
+
+async def recut_endpoints(soak, rng):
+    """
+    Restart two endpoints of a service under their ids and soon cut them off.
+
+    They leave calls unanswered before, which their later incarnations may carry out,
+    and take long tasks between the restart and the cut. Sometimes the node that holds
+    the shard is killed around the cut.
+    """
+    service = rng.choice(soak.queues).service
+    up = [e for e in _endpoints_up(soak) if e.service == service]
+    chosen = rng.sample(up, min(2, len(up)))
+    for endpoint in chosen:
+        endpoint.faults.late_share = RECUT_LATE_SHARE
+    await asyncio.sleep(rng.uniform(*UNANSWERED_RANGE_S))
+    for endpoint in chosen:
+        endpoint.faults.late_share = 0.0
+        endpoint.faults.slowdown = LONG_TASK_SLOWDOWN
+    outage_s = rng.uniform(*RECUT_OUTAGE_RANGE_S)
+    await asyncio.gather(
+        *(_restart_endpoint(soak, rng, each, outage_s) for each in chosen)
+    )
+    run_on_s = rng.uniform(*RUN_ON_RANGE_S)
+    kill_after_s = rng.uniform(0.0, 2 * run_on_s)
+    cut = _cut_off(soak, chosen, run_on_s, rng.uniform(*CUT_RANGE_S))
+    if rng.random() < RECUT_KILL_SHARE:
+        await asyncio.gather(cut, _kill_holder(soak, service, kill_after_s))
+    else:
+        await cut
+
+
+async def _cut_off(soak, endpoints, after_s, seconds):
+    """Silence the links to endpoints, whose further tasks are of usual length."""
+    await asyncio.sleep(after_s)
+    names = ",".join(endpoint.endpoint_id for endpoint in endpoints)
+    soak.ledger.log_event("cut_off", endpoints=names, seconds=seconds)
+    for endpoint in endpoints:
+        endpoint.faults.slowdown = 1.0
+    links = [endpoint.proxy for endpoint in endpoints]
+    await _inject_link_fault(links, LinkFault.SILENT, seconds)
+    soak.ledger.log_event("cut_ended", endpoints=names)
+
+
+async def _kill_holder(soak, service, after_s):
+    """Kill the node that holds the shard of a service and start it again."""
+    await asyncio.sleep(after_s)
+    value = soak.store.value(CONTROL_TABLE, service, LEASE_KEY)
+    holder = decode_lease(base64.b64decode(value)).holder if value else ""
+    for node in soak.nodes:
+        if node.name == holder:
+            soak.ledger.log_event("holder_killed", node=holder, service=service)
+            await _kill(node, TAKEOVER_S)
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from tests.soak.callers import MAX_ATTEMPTS, Callers
-from tests.soak.faults import FAULTS, RESTARTS
+from tests.soak.faults import FAULTS, RESTARTS, recut_endpoints
 from tests.soak.ledger import Ledger
 from tests.soak.machines import MachinesStandIn
 from tests.soak.nodes import Node, wait_until_ready
@@ -144,15 +144,24 @@
         await self.callers.start()
 
     async def _inject_all(self, seconds):
-        """Inject both series of faults; restarts draw from a stream of their own."""
+        """Inject three series of faults; two draw from streams of their own."""
         rng = self._child_rng()
         names = iter(lambda: rng.choice(sorted(FAULTS)), None)
         restart_rng = random.Random(f"restarts {self.seed}")
         await asyncio.gather(
             self._inject(FAULTS, names, rng, seconds),
             self._inject(RESTARTS, shuffled_rounds(restart_rng), restart_rng, seconds),
+            self._inject_recuts(random.Random(f"recuts {self.seed}"), seconds),
         )
 
+    async def _inject_recuts(self, rng, seconds):
+        """Cut restarted endpoints off, one time after the other; each takes 14 s."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        while loop.time() < until:
+            self._injected.append("recut_endpoints")
+            await recut_endpoints(self, self._fault_rng(rng))
+
     async def _inject(self, faults, names, rng, seconds):
         """Start faults at random intervals, often overlapping, and await their end."""
         loop = asyncio.get_running_loop()
--- a/tests/soak/test_faults.py
+++ b/tests/soak/test_faults.py
@@ -1,3 +1,4 @@
+import base64
 import random
 import signal
 import unittest
@@ -6,9 +7,19 @@
 from types import SimpleNamespace
 from unittest import mock
 
+from magnoliapier.state.lease import LeaseRecord, encode_lease
 from tests.soak import faults
-from tests.soak.faults import FAULTS, RESTARTS, reload, restart_idle_endpoints
+from tests.soak.endpoints import EndpointFaults
+from tests.soak.faults import (
+    FAULTS,
+    RESTARTS,
+    recut_endpoints,
+    reload,
+    restart_idle_endpoints,
+)
+from tests.soak.ledger import Ledger
 from tests.soak.nodes import Node
+from tests.soak.proxy import LinkFault
 from tests.soak.soak_run import shuffled_rounds
 
 
@@ -51,6 +62,52 @@
         self.assertEqual(soak.callers.quiet_services, set())
 
 
+class RecutTests(unittest.IsolatedAsyncioTestCase):
+    async def test_mute_then_restarted_endpoints_are_cut_off_and_the_holder_killed(
+        self,
+    ):
+        """Guards against a cut that no call of before the restart can come after."""
+        events = []
+        endpoint = SimpleNamespace(
+            endpoint_id="e1",
+            service="alpha",
+            up=True,
+            faults=EndpointFaults(),
+            proxy=SimpleNamespace(set_fault=events.append),
+        )
+
+        async def restart(endpoint, outage_s, *args):
+            endpoint.slow = endpoint.faults.slowdown
+            events.append(("restart", shares[0]))
+
+        async def sleep(seconds):
+            shares.append(endpoint.faults.late_share)
+
+        shares = []
+        record = LeaseRecord("node-1", "process", "address", 1)
+        nodes = [mock.Mock(running=True) for _ in range(2)]
+        for index, node in enumerate(nodes):
+            node.name = f"node-{index}"
+        soak = SimpleNamespace(
+            queues=[SimpleNamespace(service="alpha")],
+            machines=SimpleNamespace(restart_endpoint=restart),
+            endpoints=lambda: [endpoint],
+            nodes=nodes,
+            store=mock.Mock(value=lambda *_: base64.b64encode(encode_lease(record))),
+            ledger=Ledger(),
+        )
+        with (
+            mock.patch.object(faults.asyncio, "sleep", sleep),
+            mock.patch.object(faults, "RECUT_KILL_SHARE", 1.0),
+        ):
+            await recut_endpoints(soak, random.Random(1))
+        restarted = ("restart", faults.RECUT_LATE_SHARE)
+        self.assertEqual(events, [restarted, LinkFault.SILENT, LinkFault.NONE])
+        self.assertEqual(endpoint.slow, faults.LONG_TASK_SLOWDOWN)
+        self.assertEqual(endpoint.faults, EndpointFaults())
+        self.assertEqual([node.kill.call_count for node in nodes], [0, 1])
+
+
 class ReloadTests(unittest.IsolatedAsyncioTestCase):
     async def reload_with(self, status):
         """Reload a node whose process has ``status`` afterwards; None means it runs."""
