Cut endpoints off while they surely run long tasks

In most soaks the endpoints ran nothing when they were cut off, as only the two that had restarted made their tasks long, and too little time passed before the cut. All endpoints of the service do so now, and the cut comes 2 to 5 s after the restart.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -26,7 +26,7 @@
 RECUT_OUTAGE_RANGE_S = (0.5, 0.7)
 RECUT_LATE_SHARE = 0.8
 UNANSWERED_RANGE_S = (0.3, 1.5)  # before the crash
-RUN_ON_RANGE_S = (1.0, 4.0)  # from the restart to the cut
+RUN_ON_RANGE_S = (2.0, 5.0)  # from the restart to the cut
 CUT_RANGE_S = (8.0, 10.0)  # longer than the longest lease
 LONG_TASK_SLOWDOWN = 8.0  # makes tasks last up to 14 s
 RECUT_KILL_SHARE = 0.4
@@ -348,38 +348,38 @@
     """
     Restart two endpoints of a service under their ids and soon cut them off.
 
-    They leave calls unanswered before, which their later incarnations may carry out,
-    and take long tasks between the restart and the cut. Sometimes the node that holds
-    the shard is killed around the cut.
+    They leave calls unanswered before, which their later incarnations may carry out.
+    All tasks of the service that begin before the cut are long. Sometimes the node that
+    holds the shard is killed around the cut.
     """
     service = rng.choice(soak.queues).service
     up = [e for e in _endpoints_up(soak) if e.service == service]
     chosen = rng.sample(up, min(2, len(up)))
+    for endpoint in up:
+        endpoint.faults.slowdown = LONG_TASK_SLOWDOWN
     for endpoint in chosen:
         endpoint.faults.late_share = RECUT_LATE_SHARE
     await asyncio.sleep(rng.uniform(*UNANSWERED_RANGE_S))
     for endpoint in chosen:
         endpoint.faults.late_share = 0.0
-        endpoint.faults.slowdown = LONG_TASK_SLOWDOWN
     outage_s = rng.uniform(*RECUT_OUTAGE_RANGE_S)
     await asyncio.gather(
         *(_restart_endpoint(soak, rng, each, outage_s) for each in chosen)
     )
     run_on_s = rng.uniform(*RUN_ON_RANGE_S)
     kill_after_s = rng.uniform(0.0, 2 * run_on_s)
-    cut = _cut_off(soak, chosen, run_on_s, rng.uniform(*CUT_RANGE_S))
-    if rng.random() < RECUT_KILL_SHARE:
-        await asyncio.gather(cut, _kill_holder(soak, service, kill_after_s))
-    else:
-        await cut
+    kill = rng.random() < RECUT_KILL_SHARE
+    killing = _kill_holder(soak, service, kill_after_s) if kill else asyncio.sleep(0)
+    cut_s = rng.uniform(*CUT_RANGE_S)
+    await asyncio.gather(killing, _cut_off(soak, chosen, up, run_on_s, cut_s))
 
 
-async def _cut_off(soak, endpoints, after_s, seconds):
-    """Silence the links to endpoints, whose further tasks are of usual length."""
+async def _cut_off(soak, endpoints, slow, after_s, seconds):
+    """Silence the links to endpoints; ``slow`` ones are of usual speed from then on."""
     await asyncio.sleep(after_s)
     names = ",".join(endpoint.endpoint_id for endpoint in endpoints)
     soak.ledger.log_event("cut_off", endpoints=names, seconds=seconds)
-    for endpoint in endpoints:
+    for endpoint in slow:
         endpoint.faults.slowdown = 1.0
     links = [endpoint.proxy for endpoint in endpoints]
     await _inject_link_fault(links, LinkFault.SILENT, seconds)
