Recut endpoints that are busy when they fall silent

In 18 soaks most endpoints had no call under way with a deadline as they crashed, since an idle one gets none, and the silence was shorter than the interval of the holds. They now run long tasks for a second first, and leave calls unanswered for 1 to 2 s.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -25,7 +25,8 @@
 ENDPOINT_OUTAGE_RANGE_S = (0.05, 1.0)  # until an endpoint starts under its id again
 RECUT_OUTAGE_RANGE_S = (0.5, 0.7)
 RECUT_LATE_SHARE = 0.8
-UNANSWERED_RANGE_S = (0.3, 1.5)  # before the crash
+UNANSWERED_RANGE_S = (1.0, 2.0)  # before the crash; holds come every 1.2 s at least
+RECUT_LOAD_S = 1.0  # until endpoints run some long tasks
 RUN_ON_RANGE_S = (2.0, 5.0)  # from the restart to the cut
 CUT_RANGE_S = (8.0, 10.0)  # longer than the longest lease
 LONG_TASK_SLOWDOWN = 8.0  # makes tasks last up to 14 s
@@ -346,7 +347,7 @@
 
 async def recut_endpoints(soak, rng):
     """
-    Restart two endpoints of a service under their ids and soon cut them off.
+    Restart two busy endpoints of a service under their ids and soon cut them off.
 
     They leave calls unanswered before, which their later incarnations may carry out.
     All tasks of the service that begin before the cut are long. Sometimes the node that
@@ -354,9 +355,11 @@
     """
     service = rng.choice(soak.queues).service
     up = [e for e in _endpoints_up(soak) if e.service == service]
-    chosen = rng.sample(up, min(2, len(up)))
     for endpoint in up:
         endpoint.faults.slowdown = LONG_TASK_SLOWDOWN
+    await asyncio.sleep(RECUT_LOAD_S)
+    busy = [e for e in up if e.up and not e.idle]
+    chosen = rng.sample(busy, min(2, len(busy)))
     for endpoint in chosen:
         endpoint.faults.late_share = RECUT_LATE_SHARE
     await asyncio.sleep(rng.uniform(*UNANSWERED_RANGE_S))
--- a/tests/soak/test_faults.py
+++ b/tests/soak/test_faults.py
@@ -72,13 +72,14 @@
             endpoint_id="e1",
             service="alpha",
             up=True,
+            idle=False,
             faults=EndpointFaults(),
             proxy=SimpleNamespace(set_fault=events.append),
         )
 
         async def restart(endpoint, outage_s, *args):
             endpoint.slow = endpoint.faults.slowdown
-            events.append(("restart", shares[0]))
+            events.append(("restart", list(shares)))
 
         async def sleep(seconds):
             shares.append(endpoint.faults.late_share)
@@ -101,7 +102,7 @@
             mock.patch.object(faults, "RECUT_KILL_SHARE", 1.0),
         ):
             await recut_endpoints(soak, random.Random(1))
-        restarted = ("restart", faults.RECUT_LATE_SHARE)
+        restarted = ("restart", [0.0, faults.RECUT_LATE_SHARE])
         self.assertEqual(events, [restarted, LinkFault.SILENT, LinkFault.NONE])
         self.assertEqual(endpoint.slow, faults.LONG_TASK_SLOWDOWN)
         self.assertEqual(endpoint.faults, EndpointFaults())
