--- a/tests/soak/seeds.py
+++ b/tests/soak/seeds.py
@@ -6,7 +6,8 @@
 # fault, or changing the sorted order of the fault names, changes what every seed
 # injects, so such a change has to find new seeds. Restarts of endpoints under their ids
 # are a series beside it, drawn from random.Random("restarts SEED"), so that they change
-# nothing else that a seed injects. The same rule holds for their names.
+# nothing else that a seed injects. The same rule holds for their names. The endpoints
+# that are cut off after a restart are a third one, from random.Random("recuts SEED").
 REGRESSION_SEEDS = (
     (
         51,
@@ -33,4 +34,19 @@
         8.0,
         "ends of a restarted endpoint were acknowledged by an earlier one's number",
     ),
+    (
+        16,
+        6.0,
+        "late calls to a former incarnation extended a lease and acknowledged ends",
+    ),
+    (
+        26,
+        6.0,
+        "a late call to a former incarnation extended the lease of a cut off endpoint",
+    ),
+    (
+        29,
+        6.0,
+        "late calls to a former incarnation extended a lease and started a run again",
+    ),
 )
