Test that late calls break the incarnations without fence

A third test keeps the bound on delays to the one scenario in which runs of an unlisted incarnation are given up.

--- a/tests/specifications/test_modelcheck.py
+++ b/tests/specifications/test_modelcheck.py
@@ -132,3 +132,29 @@
         confirmed = steps.index("the start of t0 is answered")
         self.assertLess(steps.index("i1 crashes and starts again"), confirmed)
         self.assertEqual(steps[-1], "the listing of i2 is received")
+
+    def test_late_call_after_a_listing_without_fence_repeats_a_run(self):
+        """Guards against a specification that allows the repeats of issue 48."""
+        steps = self.assert_mistake_violates(
+            "trusts_listing_with_old_token", "one_run_at_a_time"
+        )
+        listed = steps.index("the listing of i2 is received")
+        late = {"the start of t0 arrives", "an inspection arrives at i2"}
+        self.assertTrue(late & set(steps[listed:]))
+        self.assertEqual(steps[-1], "t0 is given up without an answer")
+
+    def test_start_that_was_stopped_before_a_restart_repeats_a_run(self):
+        """Guards against a specification in which a stop settles a late start."""
+        steps = self.assert_mistake_violates("stop_settles_start", "one_run_at_a_time")
+        arrives = steps.index("the start of t0 arrives")
+        self.assertLess(steps.index("t0 is stopped"), arrives)
+        self.assertLess(steps.index("i1 crashes and starts again"), arrives)
+
+    def test_delays_are_bounded_only_where_unlisted_runs_are_given_up(self):
+        """Guards against rules that rest on a bounded delay of calls unnoticed."""
+        bounded = [
+            name
+            for name, bounds in self.specification.scenarios.items()
+            if bounds["late_ticks"] is not None
+        ]
+        self.assertEqual(bounded, ["unlisted"])
