--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -18,18 +18,21 @@
     OrderRefusedError,
 )
 from magnoliapier.logs import get_logger
-from magnoliapier.placement.endpoint import FreeResources
 from magnoliapier.service.background import (
     cancel_tasks,
     report_failure,
     supervise,
 )
+from magnoliapier.service.crash_evidence import (
+    START_SENDING_LIMIT_S,
+    ended_with_crash,
+)
 from magnoliapier.service.endpoint_lease import LATE_CALL_LIMIT_S, EndpointLease
+from magnoliapier.service.endpoint_runs import EndpointRuns, live_key
 from magnoliapier.service.endpoint_use import EndpointUse
 from magnoliapier.service.incarnation import EndpointIncarnation
 from magnoliapier.service.order_slots import OrderSlots
 from magnoliapier.service.orders import OrderRefusal, StartOrder
-from magnoliapier.service.unsent_runs import UnsentRuns
 from magnoliapier.submissions.progress import RunState
 
 INSPECT_WAIT_MS = 1000  # how long the endpoint may hold back its answer
@@ -48,9 +51,6 @@
 # Below the connections that the client opens to one address: an order that waits for a
 # connection uses up its time limit, and a listing must not have to wait for one.
 MAX_CONCURRENT_ORDERS = 20
-# By how much the state in the platform's host list may be older than the list.
-HOST_LIST_LAG_S = 2.0
-START_SENDING_LIMIT_S = 10.0  # after a run is stored, its start is sent or given up
 LEAVES_SOON_S = 1.0  # enough to stop what runs there
 
 log = get_logger(__name__)
@@ -76,8 +76,6 @@
 
     def __init__(self, record, client, owner, fencing, lease, clock):
         self.record = record
-        self.room = FreeResources(record.capacity)
-        self.live = {}
         self.opened = False
         self.listed = True
         self.failing_since = None
@@ -101,7 +99,7 @@
         self._wake = asyncio.Event()
         self._listing_lock = asyncio.Lock()
         self._order_slots = OrderSlots(MAX_CONCURRENT_ORDERS)
-        self._unsent = UnsentRuns()
+        self._runs = EndpointRuns(record.capacity)
         self._task = None
         self._orders = set()
 
@@ -120,6 +118,16 @@
         """Return the EndpointHealth of the known incarnation."""
         return self._incarnation.health
 
+    @property
+    def live(self):
+        """Return the live runs by task and run number."""
+        return self._runs.by_key
+
+    @property
+    def room(self):
+        """Return the FreeResources that the live runs leave."""
+        return self._runs.room
+
     @property
     def last_token(self):
         """Return the highest token of the calls so far."""
@@ -133,7 +141,7 @@
     @property
     def has_long_running(self):
         """Return whether the endpoint runs a long-running task."""
-        return any(live.step.long_running for live in self.live.values())
+        return self._runs.any_long_running
 
     @property
     def draining(self):
@@ -146,11 +154,7 @@
 
     def left_by_long_running(self):
         """Return the Resources that long-running tasks leave of the endpoint."""
-        left = FreeResources(self.record.capacity)
-        for live in self.live.values():
-            if live.step.long_running:
-                left.allocate(live.step)
-        return left.as_resources()
+        return self._runs.left_by_long_running(self.record.capacity)
 
     def usable(self, now):
         """Return whether new runs may be placed on the endpoint."""
@@ -215,30 +219,20 @@
     def reserve(self, live):
         """Reserve resources for a run whose start is ordered after the commit."""
         live.placed_on = self._incarnation
-        self._add(live)
-        self._unsent.add(live)
+        self._runs.reserve(live)
+        self._wake.set()
 
     def unsent_runs(self, submission_id):
         """Return how many runs of a submission wait for their orders to be sent."""
-        return self._unsent.count(submission_id)
+        return self._runs.unsent(submission_id)
 
     def _add(self, live):
-        key = (str(live.task.name), live.run.number)
-        if key in self.live:
-            return
-        self.live[key] = live
-        self.room.allocate(live.step)
+        self._runs.add(live)
         self._wake.set()
 
-    def _holds(self, live):
-        return (str(live.task.name), live.run.number) in self.live
-
     def drop(self, live):
         """Remove a run that is not on the endpoint any more and free its resources."""
-        held = self.live.pop((str(live.task.name), live.run.number), None)
-        if held is not None:
-            self.room.release(held.step)
-            self._unsent.discard(held)
+        self._runs.drop(live)
 
     def mark_ends_stored(self, incarnation, end_number):
         """Record that all ends of an incarnation up to ``end_number`` are stored."""
@@ -282,23 +276,9 @@
         """
         self._mark_failing("host_down")
         for live in list(self.live.values()):
-            if self._ended_with_crash(live, report):
+            if ended_with_crash(live, report, self._incarnation):
                 self._owner.run_gone(self, live, "host_down")
 
-    def _ended_with_crash(self, live, report):
-        """Return whether a run was there when the endpoint was last known to be up."""
-        if live.incarnation is not None:
-            first_listed_at = self._incarnation.first_listed_at
-            return (
-                live.incarnation is self._incarnation
-                and first_listed_at is not None
-                and first_listed_at <= report.last_up_at - HOST_LIST_LAG_S
-            )
-        if live.sent_at is not None or not live.run.ordered_ms:
-            return False
-        sent_by_ms = live.run.ordered_ms + START_SENDING_LIMIT_S * 1000
-        return sent_by_ms <= report.last_up_ms - HOST_LIST_LAG_S * 1000
-
     def order_start(self, live):
         """Send the start order of a reserved run."""
         self._spawn(self._start_or_resolve(live))
@@ -339,7 +319,7 @@
         if record is not self.record:
             self._leaves_at = self._clock() + record.leaves_in_s
         if record.capacity != self.record.capacity:
-            self.room = self._room_left_by_runs(record.capacity)
+            self._runs.set_capacity(record.capacity)
         known = (self.record.started_ms, self._incarnation.started_ms)
         self.record = record
         if record.started_ms not in known:
@@ -360,12 +340,6 @@
         )
         self._wake.set()
 
-    def _room_left_by_runs(self, capacity):
-        room = FreeResources(capacity)
-        for live in self.live.values():
-            room.allocate(live.step)
-        return room
-
     async def _start_or_resolve(self, live):
         try:
             await self._start(live)
@@ -380,7 +354,7 @@
 
     async def _start_in_turn(self, live, ordered_at):
         listed = await self._ensure_listed()
-        if not self._holds(live):
+        if not self._runs.holds(live):
             return  # given up while its commit was under way
         if not listed or not self._may_start(live):
             self._owner.run_gone(self, live, "not_sent")
@@ -425,7 +399,7 @@
     def _start_order(self, live):
         """Return the StartOrder of a run that is to be sent at once."""
         sent_at = self._clock()
-        self._unsent.discard(live)
+        self._runs.mark_sent(live)
         self._last_start_at = live.sent_at = sent_at
         live.late_until = sent_at + LATE_CALL_LIMIT_S
         return StartOrder(
@@ -523,23 +497,23 @@
                 await self._inspect(wait_ms=0)
         except Exception as error:  # whatever it is, the run has to be settled
             log.info("start_unresolved", task=live.task.name, error=repr(error))
-        if not self._holds(live) or live.run.state != RunState.ORDERED:
+        if not self._runs.holds(live) or live.run.state != RunState.ORDERED:
             return
         live.run.state = RunState.STOPPING
         live.run.stop_reason = "start_unanswered"
         await self._stop(live)
 
     async def _stop(self, live):
-        key = (str(live.task.name), live.run.number)
-        while key in self.live:
+        while self._runs.holds(live):
             async with self._order_slots.slot(live.progress.submission_id):
-                ended = self._owner.may_act() and await self._try_stop(live, *key)
+                ended = self._owner.may_act() and await self._try_stop(live)
             if ended:
                 return
             await asyncio.sleep(RETRY_DELAY_S)
 
-    async def _try_stop(self, live, task, run):
+    async def _try_stop(self, live):
         """Send a stop order; return whether it needs no other attempt."""
+        task, run = live_key(live)
         token = self._fencing.token
         try:
             await self._client.stop(self.record, task, run, token)
--- a/tests/service/test_endpoint_use.py
+++ b/tests/service/test_endpoint_use.py
@@ -20,7 +20,7 @@
 
     async def test_idle_endpoint_without_room_is_shown(self):
         """Guards against an endpoint without room that looks like any other."""
-        self.session.room = FreeResources(Resources())
+        self.session._runs.room = FreeResources(Resources())
         self.assertEqual(self.count(), {EndpointUse.ROOM_MISCOUNTED})
 
     async def test_reason_of_an_unusable_endpoint_is_shown(self):
--- a/tests/service/test_late_calls.py
+++ b/tests/service/test_late_calls.py
@@ -7,8 +7,8 @@
 import msgspec
 
 from magnoliapier.exceptions import EndpointUnreachableError, OrderRefusedError
+from magnoliapier.service.crash_evidence import HOST_LIST_LAG_S, START_SENDING_LIMIT_S
 from magnoliapier.service.orders import RunEnd
-from magnoliapier.service.session import HOST_LIST_LAG_S, START_SENDING_LIMIT_S
 from magnoliapier.submissions.model import Resources, Step, SubmissionState
 from tests.service.fakes import FakeEndpoints, crash_report
 from tests.service.test_session import LEASE, SessionTestCase
--- a/tests/service/test_session.py
+++ b/tests/service/test_session.py
@@ -7,15 +7,11 @@
 from magnoliapier.exceptions import OrderRefusedError
 from magnoliapier.placement.endpoint import EndpointRecord
 from magnoliapier.platform.http import CONNECTIONS_PER_ADDRESS
+from magnoliapier.service.crash_evidence import HOST_LIST_LAG_S, START_SENDING_LIMIT_S
 from magnoliapier.service.fencing import EndpointFencing
 from magnoliapier.service.incarnation import LeaseTerms
 from magnoliapier.service.orders import Inspection, ListedRun, RunEnd
-from magnoliapier.service.session import (
-    HOST_LIST_LAG_S,
-    MAX_CONCURRENT_ORDERS,
-    START_SENDING_LIMIT_S,
-    EndpointSession,
-)
+from magnoliapier.service.session import MAX_CONCURRENT_ORDERS, EndpointSession
 from magnoliapier.submissions.configuration import Queue
 from magnoliapier.submissions.model import Resources, Step, Submission
 from magnoliapier.submissions.progress import LiveRun, Progress, RunState
