--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -28,11 +28,12 @@
     ended_with_crash,
 )
 from magnoliapier.service.endpoint_lease import LATE_CALL_LIMIT_S, EndpointLease
-from magnoliapier.service.endpoint_runs import EndpointRuns, live_key
+from magnoliapier.service.endpoint_runs import EndpointRuns
 from magnoliapier.service.endpoint_use import EndpointUse
 from magnoliapier.service.incarnation import EndpointIncarnation
 from magnoliapier.service.order_slots import OrderSlots
 from magnoliapier.service.orders import OrderRefusal, StartOrder
+from magnoliapier.service.run_control import RETRY_DELAY_S, RunControl
 from magnoliapier.submissions.progress import RunState
 
 INSPECT_WAIT_MS = 1000  # how long the endpoint may hold back its answer
@@ -44,7 +45,6 @@
 # A start follows a listing of at most this age, so that a restart is noticed first. It
 # is longer than a listing that is held back, and the gap after it.
 START_LISTING_AGE_S = 1.5
-RETRY_DELAY_S = 0.25
 LOST_RETRY_DELAY_S = 1.0  # for an endpoint that does not answer and runs nothing
 UNHEALTHY_BACKOFF_S = 0.6
 NO_ROOM_BACKOFF_S = 0.15
@@ -99,6 +99,7 @@
         self._wake = asyncio.Event()
         self._listing_lock = asyncio.Lock()
         self._order_slots = OrderSlots(MAX_CONCURRENT_ORDERS)
+        self._control = RunControl(self, client, owner, fencing, self._order_slots)
         self._runs = EndpointRuns(record.capacity)
         self._task = None
         self._orders = set()
@@ -226,6 +227,10 @@
         """Return how many runs of a submission wait for their orders to be sent."""
         return self._runs.unsent(submission_id)
 
+    def holds(self, live):
+        """Return whether a run is live."""
+        return self._runs.holds(live)
+
     def _add(self, live):
         self._runs.add(live)
         self._wake.set()
@@ -295,13 +300,11 @@
             )
             live.run.state = RunState.STOPPING
             live.run.stop_reason = reason
-            self._spawn(self._stop(live))
+            self._spawn(self._control.stop(live))
 
     def order_pace(self, live, percent):
         """Throttle a run to ``percent`` of its full speed."""
-        live.run.pace = percent
-        live.run.pace_known = True
-        self._spawn(self._pace(live, percent))
+        self._spawn(self._control.set_pace(live, percent))
 
     def _spawn(self, coroutine):
         task = asyncio.create_task(coroutine)
@@ -455,7 +458,8 @@
 
     def _handle_start_refusal(self, live, reason, token):
         now = self._clock()
-        self._record_answer(reason)
+        if reason != OrderRefusal.WRONG_INSTANCE:
+            self.record_answer()
         self._owner.count_refusal(reason)
         if self._fenced_by_another(reason, token):
             self._owner.fenced(self)
@@ -501,66 +505,16 @@
             return
         live.run.state = RunState.STOPPING
         live.run.stop_reason = "start_unanswered"
-        await self._stop(live)
-
-    async def _stop(self, live):
-        while self._runs.holds(live):
-            async with self._order_slots.slot(live.progress.submission_id):
-                ended = self._owner.may_act() and await self._try_stop(live)
-            if ended:
-                return
-            await asyncio.sleep(RETRY_DELAY_S)
-
-    async def _try_stop(self, live):
-        """Send a stop order; return whether it needs no other attempt."""
-        task, run = live_key(live)
-        token = self._fencing.token
-        try:
-            await self._client.stop(self.record, task, run, token)
-        except OrderRefusedError as error:
-            if error.reason == OrderRefusal.UNHEALTHY:
-                return False
-            if error.reason == OrderRefusal.FENCED and self._fencing.is_outdated(token):
-                return False
-            self._handle_stop_refusal(live, error.reason)
-        except EndpointUnreachableError as error:
-            log.info("stop_unanswered", task=task, run=run, error=error)
-            return False
-        except Exception as error:
-            report_failure("stop_order", error)
-            return False
-        else:
-            live.settled_at = self._last_answer_at = self._clock()
-            self._wake.set()
-        return True
+        await self._control.stop(live)
 
-    def _handle_stop_refusal(self, live, reason):
-        log.info(
-            "stop_refused", task=live.task.name, run=live.run.number, reason=reason
-        )
-        self._record_answer(reason)
-        if reason == OrderRefusal.FENCED:
-            self._owner.fenced(self)
-        elif reason != OrderRefusal.WRONG_INSTANCE:
-            live.settled_at = self._clock()
-            self._wake.set()
-
-    def _record_answer(self, refusal):
-        """Record that the endpoint refused a call, if it was this endpoint."""
-        if refusal != OrderRefusal.WRONG_INSTANCE:
-            self._last_answer_at = self._clock()
+    def settle(self, live):
+        """Record that the endpoint has answered a stop, which bars the start too."""
+        live.settled_at = self._last_answer_at = self._clock()
+        self._wake.set()
 
-    async def _pace(self, live, percent):
-        name = str(live.task.name)
-        try:
-            async with self._order_slots.slot(live.progress.submission_id):
-                await self._client.set_pace(
-                    self.record, name, live.run.number, percent, self._fencing.token
-                )
-        except (OrderRefusedError, EndpointUnreachableError) as error:
-            log.info("pace_failed", task=name, run=live.run.number, error=error)
-            live.run.pace_known = False
-            self._fencing.outdate_calls()  # this one must not undo the next if late
+    def record_answer(self):
+        """Record that the endpoint has answered a call."""
+        self._last_answer_at = self._clock()
 
     async def _run(self):
         while True:
@@ -820,24 +774,15 @@
 
         Nothing is sent without the lease, as the run may be a successor's.
         """
-        self._spawn(self._stop_once(listed_run.task, listed_run.run))
-
-    async def _stop_once(self, task, run):
-        submission_id, _, _ = task.partition(".")
-        async with self._order_slots.slot(submission_id):
-            if not self._owner.may_act():
-                return
-            try:
-                await self._client.stop(self.record, task, run, self._fencing.token)
-            except (OrderRefusedError, EndpointUnreachableError) as error:
-                log.info("stop_failed", task=task, run=run, error=error)
+        self._spawn(self._control.stop_once(listed_run.task, listed_run.run))
 
     def _handle_inspection_refusal(self, reason, token):
         if reason == OrderRefusal.FENCED:
             if self._fenced_by_another(reason, token):
                 self._owner.fenced(self)
             return
-        self._record_answer(reason)
+        if reason != OrderRefusal.WRONG_INSTANCE:
+            self.record_answer()
         self._mark_failing(reason)
         self._check_lease_lapse()
 
--- a/tests/service/test_session.py
+++ b/tests/service/test_session.py
@@ -67,6 +67,9 @@
     def count_restart(self):
         pass
 
+    def count_refusal(self, reason):
+        pass
+
     def endpoint_gone(self, session):
         pass
 
