Keep a task on its endpoint also across takeovers, and list anew before its start

Found by the review, each with a test of KeptTaskTests that failed before: - A successor forgot where a start may come late, and started the task elsewhere. The endpoint and the time are stored with the task now. - After the 15 s, an endpoint that can't be reached may still run a start that was carried out just before: the task waits for the longest lease as well. - The next run was sent to the same endpoint by a listing of up to 1.5 s before; an incarnation that nobody had noticed may have carried the first start out. Such a start now follows a listing of its own. - A run that one incarnation had stopped, carried out by the next, was taken for one that ends soon, and ran on. It is stopped again. - A run of a finished submission took no room while it was stopped (LIMIT). Tasks that are kept no longer use up a pass; a refused pace raises no token. The fakes give each holder a range of tokens, as the service does.

--- a/magnoliapier/placement/scheduler.py
+++ b/magnoliapier/placement/scheduler.py
@@ -78,7 +78,7 @@
     def __init__(self, sessions, now):
         self._now = now
         self._usable = [s for s in sessions if s.usable(now)]
-        self._staying_ids = {s.endpoint_id for s in sessions if s.stays}
+        self._staying = {s.endpoint_id: s for s in sessions if s.stays}
         self._rooms_by_label = {}
         self._step_runs = {}
         self.without_room = []
@@ -157,19 +157,24 @@
             return True
         if not self._rooms_for(waiting[0].step).fit(waiting[0].step):
             return False
-        may_place = max(0, MAX_UNSENT_RUNS - self._unsent_runs(progress))
-        for task in waiting[:may_place]:
+        may_place = MAX_UNSENT_RUNS - self._unsent_runs(progress)
+        for task in waiting:
+            if may_place <= 0:
+                break
             session = self._best_session(progress, task)
             if session is not None:
                 starts.append(self._reserve_run(session, progress, task))
+                may_place -= 1
             elif not self._endpoint_kept_on(task):
                 return False
         return True
 
     def _endpoint_kept_on(self, task):
         """Return the id of the only endpoint that a task may start on, or ''."""
-        endpoint_id = task.endpoint_kept_on(self._now)
-        return endpoint_id if endpoint_id in self._staying_ids else ""
+        session = self._staying.get(task.kept_on)
+        if session is None or not session.may_run_late(task.kept_until, self._now):
+            return ""
+        return session.endpoint_id
 
     def _unsent_runs(self, progress):
         return sum(s.unsent_runs(progress.submission_id) for s in self._usable)
--- a/magnoliapier/service/endpoint_lease.py
+++ b/magnoliapier/service/endpoint_lease.py
@@ -18,13 +18,14 @@
     knows keeps the deadline on the endpoint's clock. Calls of former holders, and those
     that reach an incarnation which is not known, may have extended the lease as far as
     endpoints allow, counted from when they are carried out. ``listed`` is whether the
-    directory lists the endpoint: one that has ended carries nothing out late. Times are
-    seconds on the monotonic clock; ``now`` is the time at which the session began.
+    directory lists the endpoint: one that has ended carries nothing out late.
+    ``longest_s`` is the longest lease on the slowest clock. Times are seconds on the
+    monotonic clock; ``now`` is the time at which the session began.
     """
 
     def __init__(self, terms, now):
         self._terms = terms
-        self._longest_s = terms.longest_ms / 1000 / SLOWEST_CLOCK_RATE
+        self.longest_s = terms.longest_ms / 1000 / SLOWEST_CLOCK_RATE
         self._began_at = now
         self._recorded_end = math.inf
         self._extended_at = 0.0
@@ -88,7 +89,7 @@
 
     def _longest_end(self, sent_at, listed):
         delay_s = LATE_CALL_LIMIT_S if listed else CALL_LIMIT_S
-        return sent_at + delay_s + self._longest_s
+        return sent_at + delay_s + self.longest_s
 
 
 def may_be_on_unknown(live, incarnation):
--- a/magnoliapier/service/run_control.py
+++ b/magnoliapier/service/run_control.py
@@ -2,7 +2,11 @@
 
 import asyncio
 
-from magnoliapier.exceptions import EndpointUnreachableError, OrderRefusedError
+from magnoliapier.exceptions import (
+    EndpointNotReachedError,
+    EndpointUnreachableError,
+    OrderRefusedError,
+)
 from magnoliapier.logs import get_logger
 from magnoliapier.service.background import report_failure
 from magnoliapier.service.endpoint_runs import live_key
@@ -98,7 +102,10 @@
                 await self._client.set_pace(
                     self._session.record, task, run, percent, self._fencing.token
                 )
-        except (OrderRefusedError, EndpointUnreachableError) as error:
+        except (OrderRefusedError, EndpointNotReachedError) as error:
             log.info("pace_failed", task=task, run=run, error=error)
             live.run.pace_known = False
+        except EndpointUnreachableError as error:
+            log.info("pace_unanswered", task=task, run=run, error=error)
+            live.run.pace_known = False
             self._fencing.outdate_calls()  # this one must not undo the next if late
--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -23,6 +23,7 @@
     report_failure,
     supervise,
 )
+from magnoliapier.service.clock import unix_ms
 from magnoliapier.service.crash_evidence import (
     START_SENDING_LIMIT_S,
     ended_with_crash,
@@ -193,6 +194,12 @@
         leaves = self.record.draining or self.leaving or self.released
         return self.listed and not leaves
 
+    def may_run_late(self, until, now):
+        """Return whether a start that may be carried out until then may run here."""
+        if self.failing_since is not None:
+            until += self._lease.longest_s  # nobody can tell whether it was
+        return now < until
+
     def belongs_to_pool(self):
         """Return whether the endpoint counts as part of the pool, opened or not."""
         return (
@@ -356,7 +363,8 @@
             await self._start_in_turn(live, ordered_at)
 
     async def _start_in_turn(self, live, ordered_at):
-        listed = await self._ensure_listed()
+        kept = self.may_run_late(live.task.kept_until, ordered_at)
+        listed = await self._ensure_listed(anew=kept)
         if not self._runs.holds(live):
             return  # given up while its commit was under way
         if not listed or not self._may_start(live):
@@ -440,16 +448,17 @@
             live.run.state = RunState.CONFIRMED
         self._wake.set()
 
-    async def _ensure_listed(self):
+    async def _ensure_listed(self, anew=False):
         """
-        List the runs of an endpoint that has not been listed lately.
+        List the runs of an endpoint that has not been listed lately, or ``anew``.
 
         Return whether it answers. Concurrent callers wait for one call.
         """
         async with self._listing_lock:
             if self.failing_since is not None:
                 return False
-            return self._listed_lately() or await self._try_inspection(wait_ms=0)
+            listed = self._listed_lately() and not anew
+            return listed or await self._try_inspection(wait_ms=0)
 
     def _listed_lately(self):
         if self._last_listing_at is None or self._fencing.pending:
@@ -744,6 +753,8 @@
             if live is None:
                 self._owner.unknown_run(self, listed_run)
             else:
+                if self._began_after_its_stop(live):
+                    self._spawn(self._control.stop(live))
                 live.incarnation = self._incarnation
                 live.late_until = 0.0
                 self._owner.run_listed(self, live, listed_run, now)
@@ -752,9 +763,21 @@
         for key, live in list(self.live.items()):
             settled = live.settled_at is not None and live.settled_at < sent_at
             if key not in listed and settled:
-                live.task.keep_on(self.endpoint_id, live.late_until)
+                self._keep_task_here(live, now)
                 self._owner.run_gone(self, live, self._reason_unlisted(live))
 
+    def _began_after_its_stop(self, live):
+        """Return whether an incarnation lists a run that only another one stopped."""
+        stopped = live.run.state == RunState.STOPPING and live.settled_at is not None
+        return stopped and live.incarnation is not self._incarnation
+
+    def _keep_task_here(self, live, now):
+        """Keep a task on the endpoint while its start may still be carried out."""
+        late_s = live.late_until - now
+        if late_s > 0:
+            until_s = math.ceil(unix_ms() / 1000 + late_s)
+            live.task.keep_on(self.endpoint_id, live.late_until, until_s)
+
     def _reason_unlisted(self, live):
         """Return why the endpoint does not list a run any more."""
         if live.incarnation not in (None, self._incarnation):
@@ -772,8 +795,10 @@
         """
         Send one stop order for a listed run whose task the shard does not know.
 
-        Nothing is sent without the lease, as the run may be a successor's.
+        Nothing is sent without the lease, as the run may be a successor's. It takes
+        room until it has ended, so nothing is placed beside it.
         """
+        self.blocked_until = self._clock() + START_LISTING_AGE_S
         self._spawn(self._control.stop_once(listed_run.task, listed_run.run))
 
     def _handle_inspection_refusal(self, reason, token):
--- a/magnoliapier/submissions/progress.py
+++ b/magnoliapier/submissions/progress.py
@@ -15,6 +15,7 @@
 
 FULL_PERCENT = 100  # a run at full speed, or a long-running task in full operation
 LISTING_MAX_AGE_S = 1.6
+KEPT_LIMIT_S = 60.0  # bounds what clocks that differ may make of a stored time
 
 
 class RunState:
@@ -87,7 +88,7 @@
 
     Until ``kept_until``, it may only start on the endpoint ``kept_on``: a start of
     before may still be carried out there, by an incarnation that begins later. Times
-    are monotonic seconds.
+    are monotonic seconds; ``kept_until_s`` is the same in Unix seconds, for successors.
     """
 
     __slots__ = (
@@ -102,6 +103,7 @@
         "not_before",
         "kept_on",
         "kept_until",
+        "kept_until_s",
     )
 
     def __init__(self, name, step):
@@ -116,16 +118,14 @@
         self.not_before = 0.0
         self.kept_on = ""
         self.kept_until = 0.0
+        self.kept_until_s = 0
 
-    def keep_on(self, endpoint_id, until):
+    def keep_on(self, endpoint_id, until, until_s):
         """Let the task start on no other endpoint until then."""
         if until > self.kept_until:
             self.kept_on = endpoint_id
             self.kept_until = until
-
-    def endpoint_kept_on(self, now):
-        """Return the id of the only endpoint that the task may start on, or ''."""
-        return self.kept_on if now < self.kept_until else ""
+            self.kept_until_s = until_s
 
     def run_numbered(self, number):
         """Return the live run with ``number``, or None."""
@@ -216,7 +216,7 @@
     The stored form of a task that has been started or is done.
 
     ``ordered_s`` holds for each run when it was placed, in full seconds on the table's
-    clock, or 0 if unknown.
+    clock, or 0 if unknown. ``kept_on`` and ``kept_until_s`` are those of the task.
     """
 
     occurrence: int
@@ -228,6 +228,8 @@
     checkpoint: str
     runs: tuple[tuple[int, str], ...]
     ordered_s: tuple[int, ...] = ()
+    kept_on: str = ""
+    kept_until_s: int = 0
 
 
 class StoredProgress(msgspec.Struct, array_like=True):
@@ -424,6 +426,8 @@
                 "" if task.done else task.checkpoint,
                 tuple((run.number, run.endpoint_id) for run in task.runs),
                 tuple(math.ceil(run.ordered_ms / 1000) for run in task.runs),
+                task.kept_on,
+                task.kept_until_s,
             )
             for task in self.tasks()
             if task.last_run or task.done
@@ -451,6 +455,8 @@
             task.failures = item.failures
             task.done = item.done
             task.checkpoint = item.checkpoint
+            kept_s = min(item.kept_until_s - now_ms / 1000, KEPT_LIMIT_S)
+            task.keep_on(item.kept_on, now + kept_s, item.kept_until_s)
             task.runs = [
                 Run(number, endpoint, now, ordered_s * 1000)
                 for (number, endpoint), ordered_s in zip_longest(
--- a/tests/placement/test_scheduler.py
+++ b/tests/placement/test_scheduler.py
@@ -29,6 +29,9 @@
     def usable(self, now):
         return self._usable
 
+    def may_run_late(self, until, now):
+        return now < until
+
     def unsent_runs(self, submission_id):
         return sum(not live.sent_at for live in self.live.values())
 
@@ -67,7 +70,7 @@
         """Guards against a second run beside a late start of the first (TWICE)."""
         sessions = FakeSession("e1"), FakeSession("e2", usable=False)
         progress = make_progress(step(2))
-        next(progress.tasks()).keep_on("e2", until=15.0)
+        next(progress.tasks()).keep_on("e2", 15.0, 0)
         starts = self.place(progress, *sessions)
         self.assertEqual([live.task.name.index for _, live in starts], [1])
         sessions[1]._usable = True
@@ -82,14 +85,14 @@
                 sessions.append(FakeSession("e2", usable=False))
                 sessions[1].stays = False
             progress = make_progress(step(1))
-            next(progress.tasks()).keep_on("e2", until=15.0)
+            next(progress.tasks()).keep_on("e2", 15.0, 0)
             starts = self.place(progress, *sessions)
             self.assertEqual([s.endpoint_id for s, _ in starts], ["e1"])
 
     def test_gang_waits_for_a_member_that_stays(self):
         """Guards against a gang of which one member has no place."""
         progress = make_progress(step(2, gang=True))
-        next(progress.tasks()).keep_on("e1", until=15.0)
+        next(progress.tasks()).keep_on("e1", 15.0, 0)
         scheduler = Scheduler([FakeSession("e1"), FakeSession("e2")], 0.0)
         self.assertEqual(scheduler.place([progress]), [])
         self.assertEqual(scheduler.without_room, [])
--- a/tests/service/test_late_calls.py
+++ b/tests/service/test_late_calls.py
@@ -8,6 +8,7 @@
 
 from magnoliapier.exceptions import EndpointUnreachableError, OrderRefusedError
 from magnoliapier.service.crash_evidence import HOST_LIST_LAG_S, START_SENDING_LIMIT_S
+from magnoliapier.service.endpoint_lease import LATE_CALL_LIMIT_S
 from magnoliapier.service.orders import RunEnd
 from magnoliapier.submissions.model import Resources, Step, SubmissionState
 from tests.service.fakes import FakeEndpoints, crash_report
@@ -162,6 +163,136 @@
         self.assertEqual(self.first.starts, [(TASK, 1)])
 
 
+class KeptTaskTests(LateShardTestCase):
+    """A task whose unanswered start may come late is kept on its endpoint."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.first = self.add_endpoint("e1")
+        self.endpoints.keep_starts = 1
+        self.shard = await self.start_shard()
+        self.sessions = self.shard.tables.sessions
+
+    async def give_up_the_start(self, step=None):
+        """Let a start get no answer, and its run be gone by a stop and a listing."""
+        await self.submit(submission("1" * 16, step or short_step()))
+        await self.wait_until(lambda: self.endpoints.kept_starts)
+        await self.wait_until(lambda: self.first.highest_blocked_run)
+        progress = self.shard.tables.progresses["1" * 16]
+        [task] = progress.tasks()
+        for _ in range(100):
+            await self.pass_time(0.02)
+            if not task.runs and not self.shard.tables.dirty:
+                return
+        self.fail("the run is not gone")
+
+    def add_fullest_endpoint(self):
+        """Add an endpoint that is the best fit, and return it."""
+        second = self.add_endpoint("e2")
+        record = self.directory._records["e2"]
+        fullest = msgspec.structs.replace(record, capacity=Resources(2000, 2000, 0))
+        self.directory._records["e2"] = fullest
+        return second
+
+    async def carry_out_after_a_restart(self):
+        self.first.restart()
+        await self.endpoints.carry_out_starts()
+        self.assertEqual(self.first.starts[-1], (TASK, 1))
+
+    def assert_runs_once(self, second):
+        self.assertFalse(TASK in self.first.running and TASK in second.running)
+
+    async def test_successor_keeps_the_task_too(self):
+        """Guards against a handover that forgets where a start may come late."""
+        await self.give_up_the_start()
+        await self.shard.close()
+        second = self.add_fullest_endpoint()
+        successor = await self.start_shard()
+        await self.open_endpoint(successor)
+        await self.pass_time(SETTLE_S)
+        await self.carry_out_after_a_restart()
+        self.assert_runs_once(second)
+
+    async def test_task_is_kept_while_nobody_can_tell_whether_it_runs(self):
+        """Guards against a late start just before its endpoint is cut off."""
+        await self.give_up_the_start()
+        second = self.add_endpoint("e2")
+        self.clock.now += LATE_CALL_LIMIT_S - 1.0
+        await self.carry_out_after_a_restart()
+        self.first.silent = True
+        self.clock.now += 1.5
+        await self.pass_time(SETTLE_S)
+        self.assert_runs_once(second)
+
+    async def test_next_run_is_not_sent_beside_a_late_one(self):
+        """Guards against two runs on one endpoint whose restart nobody has noticed."""
+        await self.give_up_the_start()
+        await self.carry_out_after_a_restart()
+        beside = []
+        start = self.endpoints.start
+
+        async def record_start(record, order):
+            beside.append(self.first.running.get(order.task))
+            return await start(record, order)
+
+        self.endpoints.start = record_start
+        await self.pass_time(1.5)
+        self.assertEqual(set(beside) - {None}, set())
+
+    async def test_late_run_of_a_stopped_one_is_stopped_again(self):
+        """Guards against a lasting task that nobody stops once it is cancelled."""
+        await self.submit(submission("1" * 16, short_step(long_running=True)))
+        await self.wait_until(lambda: self.endpoints.kept_starts)
+        await self.wait_until(lambda: self.first.highest_blocked_run)
+        await self.carry_out_after_a_restart()
+        await self.pass_time(2.0)
+        self.assertNotEqual(self.first.running.get(TASK), 1)
+
+    async def finish_on_the_first(self, step):
+        """Let the second run of the task complete its submission."""
+        self.first.instant = True
+        await self.submit(submission("1" * 16, step))
+        await self.wait_until(lambda: self.endpoints.kept_starts)
+        for _ in range(100):
+            await self.pass_time(0.04)
+            if "1" * 16 not in self.shard.tables.progresses:
+                break
+        self.assertEqual(self.first.starts, [(TASK, 2)])
+        self.first.instant = False
+
+    async def test_nothing_is_placed_beside_a_run_of_a_finished_submission(self):
+        """Guards against an endpoint over its capacity (LIMIT)."""
+        whole = Step(1, Resources(CAPACITY.cpu_millicores, 100, 0), estimated_ms=100)
+        await self.finish_on_the_first(whole)
+        await self.carry_out_after_a_restart()
+        self.endpoints.slow_stops = True
+        record = self.directory._records["e1"]
+        self.directory._records["e1"] = msgspec.structs.replace(record, started_ms=2)
+        session = self.sessions["e1"]
+        await self.wait_until(lambda: session.incarnation.started_ms == 2)
+        await self.submit(submission("2" * 16, whole))
+        await self.pass_time(1.0)
+        self.assertEqual(len(self.first.running), 1)
+
+    @unittest.expectedFailure
+    async def test_finished_task_does_not_run_again(self):
+        """Guards against a late start after a noted end (TWICE)."""
+        await self.finish_on_the_first(short_step())
+        self.first.restart()
+        await self.endpoints.carry_out_starts()
+        self.assertEqual(self.first.starts, [(TASK, 2)])
+
+    @unittest.expectedFailure
+    async def test_task_of_an_unlisted_endpoint_does_not_run_twice(self):
+        """Guards against a missing entry that is taken for the end of an endpoint."""
+        await self.give_up_the_start()
+        second = self.add_endpoint("e2")
+        self.directory._records.pop("e1")
+        await self.pass_time(SETTLE_S)
+        await self.carry_out_after_a_restart()
+        self.assert_runs_once(second)
+
+
 class LateAcknowledgementTests(LateShardTestCase):
     """An acknowledgement reaches a later incarnation than the one it was meant for."""
 
--- a/tests/service/test_shard.py
+++ b/tests/service/test_shard.py
@@ -16,7 +16,9 @@
 from magnoliapier.service.shard_gauges import GAUGE_INTERVAL_S
 from magnoliapier.state.lease import (
     CONTROL_TABLE,
+    FIRST_TOKEN,
     LEASE_KEY,
+    TOKENS_PER_TERM,
     HeldLease,
     LeaseRecord,
     encode_lease,
@@ -84,7 +86,7 @@
         self.fleet = FakeFleet()
         self.queue = QUEUE
         self.shards = []
-        self.token = 0
+        self.token = FIRST_TOKEN - TOKENS_PER_TERM
 
     async def asyncTearDown(self):
         for shard in self.shards:
@@ -109,7 +111,7 @@
 
     async def start_shard(self):
         """Take the shard's lease under the next token and start a controller."""
-        self.token += 1
+        self.token += TOKENS_PER_TERM
         record = LeaseRecord(f"host-{self.token}", f"p{self.token}", "", self.token)
         lease = HeldLease(record)
         put = Put(CONTROL_TABLE, SERVICE, LEASE_KEY, encode_lease(record))
