Let a lasting task not wait for room where it is kept, and say what bound calls are

From the review: a lasting task that is kept on a full endpoint would be away beside free room (LOST). Two tests for checks that no test covered; names and comments that stopped the reviewer.

--- a/magnoliapier/placement/scheduler.py
+++ b/magnoliapier/placement/scheduler.py
@@ -8,7 +8,8 @@
 endpoints that are suspect or have failed the task come last.
 
 A task whose start got no answer stays on its endpoint for a while, unless that leaves:
-if the endpoint restarts, and carries that start out late, no other run is beside it.
+if the endpoint restarts, and carries that start out late, the next run has ended with
+what ran there before. A lasting task does not wait for room there.
 """
 
 from collections import Counter
@@ -174,7 +175,8 @@
         session = self._staying.get(task.kept_on)
         if session is None or not session.may_run_late(task.kept_until, self._now):
             return ""
-        return session.endpoint_id
+        full = session.usable(self._now) and not session.room.fits(task.step)
+        return "" if full and task.step.long_running else session.endpoint_id
 
     def _unsent_runs(self, progress):
         return sum(s.unsent_runs(progress.submission_id) for s in self._usable)
--- a/magnoliapier/service/endpoint_lease.py
+++ b/magnoliapier/service/endpoint_lease.py
@@ -18,7 +18,7 @@
     knows keeps the deadline on the endpoint's clock. Calls of former holders, and those
     that reach an incarnation which is not known, may have extended the lease as far as
     endpoints allow, counted from when they are carried out. ``listed`` is whether the
-    directory lists the endpoint: one that has ended carries nothing out late.
+    directory lists the endpoint: one without an entry is taken as gone.
     ``longest_s`` is the longest lease on the slowest clock. Times are seconds on the
     monotonic clock; ``now`` is the time at which the session began.
     """
--- a/magnoliapier/service/fencing.py
+++ b/magnoliapier/service/fencing.py
@@ -29,9 +29,9 @@
     def __init__(self, first_token, last_token):
         self._token = first_token
         self._last_token = last_token
-        self._last_bound = self._listed = first_token - 1
-        self._required = first_token
-        self._acknowledging = None
+        self._last_bound = self._answered_token = first_token - 1
+        self._required_token = first_token
+        self._acknowledging_token = None
 
     @property
     def token(self):
@@ -41,7 +41,7 @@
     @property
     def pending(self):
         """Return whether calls for another incarnation may still be carried out."""
-        return self._listed < self._required
+        return self._answered_token < self._required_token
 
     def bind(self):
         """Return the token for a call that is meant for the known incarnation only."""
@@ -55,8 +55,8 @@
 
     def bind_acknowledgement(self):
         """Return the token of a bound call that acknowledges ends."""
-        self._acknowledging = self.bind()
-        return self._acknowledging
+        self._acknowledging_token = self.bind()
+        return self._acknowledging_token
 
     def bind_start(self):
         """
@@ -65,7 +65,7 @@
         An incarnation that carries it out refuses an acknowledgement that is under way,
         which may be meant for another one and would make it forget an end unread.
         """
-        if self._acknowledging == self._token:
+        if self._acknowledging_token == self._token:
             self.outdate_calls()
         return self.bind()
 
@@ -76,18 +76,18 @@
     def expect_restart(self):
         """Require a listing that is requested from now on."""
         self.outdate_calls()
-        self._required = max(self._token, self._last_bound + 1)
+        self._required_token = max(self._token, self._last_bound + 1)
 
     def begin_incarnation(self):
         """Require a listing that outdates what was meant for other incarnations."""
-        self._listed = -1
-        self._required = self._last_bound + 1
-        if self._token < self._required:
+        self._answered_token = -1
+        self._required_token = self._last_bound + 1
+        if self._token < self._required_token:
             self.outdate_calls()
 
     def record_listing(self, token):
         """Record that the known incarnation has answered a listing with ``token``."""
-        self._listed = max(self._listed, token)
+        self._answered_token = max(self._answered_token, token)
 
     def is_outdated(self, token):
         """Return whether this holder itself has outdated a call with ``token``."""
--- a/magnoliapier/service/session.py
+++ b/magnoliapier/service/session.py
@@ -394,7 +394,8 @@
         Return whether the start of a run may be sent now.
 
         Its placement holds for the incarnation that was known then: another one may be
-        of another kind. Successors take it for sent within ``START_SENDING_LIMIT_S``.
+        of another kind. A successor assumes that it was sent, if at all, within
+        ``START_SENDING_LIMIT_S``.
         """
         placed_s_ago = self._clock() - live.run.ordered_at
         return (
@@ -600,7 +601,7 @@
             can_wait = self.live and self.opened and deadline_ms
             wait_ms = INSPECT_WAIT_MS if can_wait else 0
         acknowledged = self._end_to_acknowledge(sent_at)
-        bound = deadline_ms is not None or acknowledged
+        bound = deadline_ms is not None or acknowledged > 0
         token = self._inspection_token(deadline_ms, acknowledged)
         try:
             inspection = await self._client.inspect(
@@ -629,7 +630,9 @@
         """Return the token of an inspection, which is bound if it changes anything."""
         if acknowledged:
             return self._fencing.bind_acknowledgement()
-        return self._fencing.token if deadline_ms is None else self._fencing.bind()
+        if deadline_ms is not None:
+            return self._fencing.bind()
+        return self._fencing.token
 
     def _log_unanswered_inspection(self, token, deadline_ms, acknowledged):
         """Log a call that may still extend a lease, or make an endpoint forget ends."""
--- a/magnoliapier/submissions/progress.py
+++ b/magnoliapier/submissions/progress.py
@@ -86,8 +86,8 @@
     """
     A task with its attempts and its live runs.
 
-    Until ``kept_until``, it may only start on the endpoint ``kept_on``: a start of
-    before may still be carried out there, by an incarnation that begins later. Times
+    Until ``kept_until``, it may only start on the endpoint ``kept_on``: an earlier
+    start may still be carried out there, by an incarnation that begins later. Times
     are monotonic seconds; ``kept_until_s`` is the same in Unix seconds, for successors.
     """
 
@@ -176,7 +176,8 @@
     ``placed_on`` is the endpoint's incarnation that the run was placed on, and
     ``incarnation`` the one that is known to have confirmed or listed it, or None.
     ``sent_at`` is when the start order was sent, or None if this holder has sent none,
-    and ``late_until`` until when it may still be carried out, 0 if it got an answer.
+    and ``late_until`` until when it may still be carried out, 0 once it was answered or
+    its run listed.
     ``checkpoint`` is the one that it starts from. Times are monotonic seconds.
     """
 
--- a/tests/placement/test_scheduler.py
+++ b/tests/placement/test_scheduler.py
@@ -89,6 +89,16 @@
             starts = self.place(progress, *sessions)
             self.assertEqual([s.endpoint_id for s, _ in starts], ["e1"])
 
+    def test_lasting_task_does_not_wait_for_room_where_it_stays(self):
+        """Guards against a lasting task that is away beside free room (LOST)."""
+        for lasts in (True, False):
+            sessions = FakeSession("e1"), FakeSession("e2")
+            sessions[1].room.cpu_millicores = 0
+            progress = make_progress(step(1, long_running=lasts))
+            next(progress.tasks()).keep_on("e2", 15.0, 0)
+            starts = self.place(progress, *sessions)
+            self.assertEqual([s.endpoint_id for s, _ in starts], ["e1"] * lasts)
+
     def test_gang_waits_for_a_member_that_stays(self):
         """Guards against a gang of which one member has no place."""
         progress = make_progress(step(2, gang=True))
--- a/tests/service/test_session.py
+++ b/tests/service/test_session.py
@@ -552,6 +552,27 @@
         self.assertEqual(self.owner.gone_reasons, ["not_sent"])
         self.assertFalse(self.session.usable(self.clock()))
 
+    async def test_start_waits_for_a_listing_while_a_restart_is_suspected(self):
+        """Guards against runs that are given up for a suspicion without cause."""
+        await self.session._inspect()
+        listings = self.endpoint.listings
+        self.session._suspect_restart("test")
+        await self.session._start(self.live)
+        self.assertEqual(self.endpoint.listings, listings + 1)
+        self.assertEqual(len(self.endpoint.starts), 1)
+
+    async def test_nothing_is_started_if_a_restart_is_suspected_meanwhile(self):
+        """Guards against a start by a listing that outdates no former call (TWICE)."""
+        inspect = self.endpoints.inspect
+
+        async def inspect_and_suspect(*call):
+            self.session._suspect_restart("test")
+            return await inspect(*call)
+
+        self.endpoints.inspect = inspect_and_suspect
+        await self.session._start(self.live)
+        self.assertEqual(self.endpoint.starts, [])
+
     async def test_failing_endpoint_gets_no_start(self):
         """Guards against a start beside a call that has just failed."""
         await self.session._inspect()
