--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,4 +1,4 @@
-"""Two members of a gang are cut off when they end; one of their runners crashes."""
+"""A gang that needs more machines at once than its pool has kept through a lull."""
 
 import asyncio
 import os
@@ -6,6 +6,7 @@
 import time
 
 from review.rig.cluster import Cluster
+from review.rig.runners import CAPACITY
 
 ROUTE = {
     "name": "photo-wire",
@@ -21,68 +22,80 @@
 CONFIG = {
     "version": 3,
     "routes": [ROUTE],
-    "services": [{"name": "padma-desk", "rejects_overload": True}],
+    "services": [
+        {"name": "padma-desk", "rejects_overload": True},
+        {"name": "common-desk", "rejects_overload": True, "standby": True},
+    ],
+}
+POOLS = {"padma-desk": 8, "common-desk": 2}
+STEP = {
+    "count": 24,
+    "cpu": 6000,
+    "mem_mb": 14_000,
+    "gang": True,
+    "estimated_ms": 700,
+    "work_s": 0.7,
 }
-GANG = [
-    {
-        "count": 2,
-        "cpu": 20_000,
-        "mem_mb": 14_000,
-        "gang": True,
-        "estimated_ms": 4000,
-        "work_s": 4.0,
-    }
-]
 ID = "5c0e7a21d94b36f8"
-CUT_AFTER_S = 1.0  # of the gang's work
-CUT_S = 6.3
-CRASH_AFTER_S = 4.5  # of the cut
-DOWN_S = 2.0
-WATCH_S = 60.0  # after the cut; finish_s is 14
+LULL_S = 30.0
+FINISH_S = 14.0
+WATCH_S = 45.0
 WAIT_S = 3.0  # LOST: for 3 s
 
 
-async def cut_off(cluster, runners, crash):
-    """Cut runners off, crash the second meanwhile if asked, and heal the cut."""
-    for runner in runners:
-        runner.cut()
-    cluster.record.write("cut", runners=[runner.name for runner in runners])
-    await asyncio.sleep(CRASH_AFTER_S)
-    if crash:
-        machine = cluster.machines.machines[runners[1].machine]
-        cluster.record.write("crash", machine=machine.name)
-        asyncio.get_running_loop().create_task(
-            cluster.machines.reboot(machine, DOWN_S)
-        )
-    await asyncio.sleep(CUT_S - CRASH_AFTER_S)
-    for runner in runners:
-        runner.heal()
-    cluster.record.write("healed")
+class Watch:
+    """Measures for how long a subtask has waited beside free capacity."""
+
+    def __init__(self, cluster):
+        self._cluster = cluster
+        self._since = None
+        self.longest_s = 0.0
+
+    def sample(self):
+        """Look at the runners of the service."""
+        now = time.monotonic()
+        runners = self._cluster.machines.runners_of("padma-desk")
+        used = sum(run.step["cpu"] for r in runners for run in r.running.values())
+        total = len(runners) * CAPACITY["cpu"]
+        waits = used == 0 and total - used >= 2 * STEP["cpu"] and used * 2 < total
+        if not waits:
+            self._since = None
+            return
+        self._since = self._since or now
+        self.longest_s = max(self.longest_s, now - self._since)
 
 
 async def run(trouble):
-    cluster = Cluster(__file__, {"padma-desk": 4}, CONFIG)
+    cluster = Cluster(__file__, POOLS, CONFIG)
+    step = dict(STEP)
+    if trouble == "plain":  # the same work after the same lull, but no gang
+        del step["gang"]
     try:
         if not await cluster.start():
             return 2
-        await asyncio.sleep(3.0)
-        if not await cluster.submit(ROUTE, ID, GANG):
-            return 2
-        await asyncio.sleep(CUT_AFTER_S)
-        runners = [runner for runner in cluster.world.runners if runner.running]
-        if len(runners) != 2:
-            return 2
         if trouble != "0":
-            await cut_off(cluster, runners, trouble == "1")
-        until = time.monotonic() + WATCH_S
+            await asyncio.sleep(LULL_S)
+        runners = cluster.machines.runners_of("padma-desk")
+        cluster.record.write("pool", runners=len(runners))
+        if not await cluster.submit(ROUTE, ID, [step]):
+            return 2
+        handed_in = time.monotonic()
+        watch = Watch(cluster)
         state = None
-        while time.monotonic() < until and state != "completed":
-            await asyncio.sleep(1.0)
+        while time.monotonic() < handed_in + WATCH_S and state != "completed":
+            await asyncio.sleep(0.5)
             state = await cluster.state(ROUTE, ID)
-        last_end = max(at for at, *_ in cluster.world.ends)
-        idle_s = time.monotonic() - last_end
-        cluster.record.write("result", state=state, nothing_running_for_s=idle_s)
-        return 1 if state != "completed" and idle_s >= WAIT_S else 0
+            if time.monotonic() >= handed_in + FINISH_S:
+                watch.sample()
+        runners = cluster.machines.runners_of("padma-desk")
+        cluster.record.write(
+            "result",
+            state=state,
+            starts=len(cluster.world.starts),
+            pool=len(runners),
+            waited_beside_free_capacity_s=round(watch.longest_s, 1),
+        )
+        return 1 if state != "completed" and watch.longest_s >= WAIT_S else 0
     finally:
         await cluster.close()
 
--- a/review/rig/cluster.py
+++ b/review/rig/cluster.py
@@ -105,17 +105,16 @@
 class Cluster:
     """The project's processes with the stand-ins around them."""
 
-    def __init__(self, case, pools, config, nodes=3, standby=None):
+    def __init__(self, case, pools, config, nodes=3, standby=None, kinds=()):
         self.record = Record(Path(case).resolve().parent / "record.txt")
         self._folder = tempfile.TemporaryDirectory(prefix="case-")
         self.directory = Path(self._folder.name)
         self.store = Store(self.record)
         self.world = World(self.store, self.record)
-        self.machines = Machines(self.world, pools, standby)
+        self.machines = Machines(self.world, pools, standby, kinds)
         self._config = config
         self._node_count = nodes
         self.nodes = []
-        self.key = None  # of the consumers' tenant
         self._turn = 0
 
     async def start(self):
@@ -171,8 +170,8 @@
             self._turn += 1
         url = f"http://{node.front}{route['path_prefix']}{name}"
         headers = {"Host": route["host"], "Content-Type": "application/json"}
-        if self.key is not None:
-            headers["Authorization"] = f"Bearer {self.key}"
+        if route.get("key"):  # of the consumer's tenant
+            headers["Authorization"] = f"Bearer {route['key']}"
         data = json.dumps(body).encode() if body is not None else None
         try:
             async with self.session.request(
--- a/review/rig/runners.py
+++ b/review/rig/runners.py
@@ -95,12 +95,13 @@
 class Runner:
     """One life of a machine that is in the pool of a service."""
 
-    def __init__(self, world, name, machine, service, rack="r1"):
+    def __init__(self, world, name, machine, service, rack="r1", kind="a"):
         self.world = world
         self.name = name
         self.machine = machine
         self.service = service
         self.rack = rack
+        self.kind = kind
         self.running = {}
         self.ended = []
         self.up = False
@@ -183,7 +184,7 @@
                 "cold_remaining_ms": 0,
                 "sequence": self._sequence,
                 "capacity": CAPACITY,
-                "labels": ["a", self.rack],
+                "labels": [self.kind, self.rack],
                 "machine": self.machine,
                 "born": self._born,
             },
@@ -318,27 +319,35 @@
 class Machine:
     """A machine of the fleet; its state is as in the platform's list."""
 
-    def __init__(self, name, pool):
+    def __init__(self, name, pool, kind="a"):
         self.name = name
         self.pool = pool
+        self.kind = kind
         self.state = "up"
         self.boots = 0
         self.runner = None
 
 
 class Machines:
-    """The platform's list of machines, and the moves and upkeeps that it carries out."""
+    """
+    The platform's list of machines, and the moves and upkeeps that it carries out.
+
+    ``kinds`` maps pools to the kind of their machines, "a" by default; a machine can't
+    be moved to a pool of other machines.
+    """
 
-    def __init__(self, world, pools, standby=None):
+    def __init__(self, world, pools, standby=None, kinds=()):
         self.world = world
         self.machines = {}
         self._standby = standby
+        self._kinds = dict(kinds)
         self._tasks = set()
         self._server = HttpServer(self._answer)
         for pool, count in pools.items():
             for _ in range(count):
                 name = f"m{len(self.machines)}"
-                self.machines[name] = Machine(name, pool)
+                kind = self._kinds.get(pool, "a")
+                self.machines[name] = Machine(name, pool, kind)
 
     async def start(self):
         """Start the runners and listen; return the address."""
@@ -368,7 +377,9 @@
         machine.boots += 1
         name = f"i-{machine.name}-{machine.boots}"
         rack = f"r{int(machine.name[1:]) // 4}"
-        machine.runner = Runner(self.world, name, machine.name, machine.pool, rack)
+        machine.runner = Runner(
+            self.world, name, machine.name, machine.pool, rack, machine.kind
+        )
         await machine.runner.start()
 
     async def reboot(self, machine, down_s):
@@ -388,6 +399,11 @@
         if machine.state != "up":
             return answer({"reason": "busy"}, 409)
         if request.path == "/machine-move":
+            if self._kinds.get(data["pool"], "a") != machine.kind:
+                self.world.record.write(
+                    "move_400", machine=machine.name, to=data["pool"], of=machine.pool
+                )
+                return answer({"error": "a pool of other machines"}, 400)
             if machine.pool != data["pool"]:
                 self.world.record.write(
                     "moved", machine=machine.name, to=data["pool"], of=machine.pool
@@ -417,7 +433,7 @@
             "pool": machine.pool,
             "state": machine.state,
             "zone": "zone-1",
-            "labels": ["a", f"r{int(machine.name[1:]) // 4}"],
+            "labels": [machine.kind, f"r{int(machine.name[1:]) // 4}"],
             "capacity": CAPACITY,
         }
         if machine.runner is not None:
