--- a/review/rig/cluster.py
+++ b/review/rig/cluster.py
@@ -37,6 +37,10 @@
 CALL_TIMEOUT_S = 3.0  # the time limit on the sheets
 
 
+def _exit(number, frame):
+    raise SystemExit(2)
+
+
 class Node:
     """One process of the project on an address of its own."""
 
@@ -106,6 +110,8 @@
     """The project's processes with the stand-ins around them."""
 
     def __init__(self, case, pools, config, nodes=3, standby=None, kinds=()):
+        # So that the processes are ended if the script's time limit ends the case.
+        signal.signal(signal.SIGTERM, _exit)
         self.record = Record(Path(case).resolve().parent / "record.txt")
         self._folder = tempfile.TemporaryDirectory(prefix="case-")
         self.directory = Path(self._folder.name)
