Tell a refused host order from a platform that is away

Logs and metrics called both a host order that the platform refuses (400, 409) and one that it didn't take (429, 503, no connection) refused, so that from outside nothing told a host that can't be moved from an interface that is down. They are two outcomes now: host_order_refused and host_order_unavailable, host_orders_total{outcome}. Both are still handled alike.

test_outcomes expected REFUSED for a 429; it now expects UNAVAILABLE, which is stricter.

--- a/magnoliapier/service/fleet.py
+++ b/magnoliapier/service/fleet.py
@@ -213,7 +213,7 @@
     async def _send_order(self, order):
         outcome = await self._sender.send(order)
         self._record_order_end(order)
-        if outcome == HostOrderOutcome.REFUSED:
+        if outcome in (HostOrderOutcome.REFUSED, HostOrderOutcome.UNAVAILABLE):
             self._planner.record_refusal(order)
         elif outcome == HostOrderOutcome.DONE and isinstance(order, Maintain):
             self._planner.record_maintenance_start(order)
--- a/magnoliapier/service/host_orders.py
+++ b/magnoliapier/service/host_orders.py
@@ -28,7 +28,8 @@
     """The outcome of an order for a host."""
 
     DONE = "done"
-    REFUSED = "refused"  # it had no effect and will have none
+    REFUSED = "refused"  # by the platform; it had no effect and will have none
+    UNAVAILABLE = "unavailable"  # not sent or not taken; it will have no effect
     UNANSWERED = "unanswered"  # it may have been carried out
 
 
@@ -70,11 +71,18 @@
         started_at = self._clock()
         try:
             await self._call(order, started_at)
-        except (HostOrderRefusedError, StoreUnavailableError) as error:
+        except HostOrderRefusedError as error:
             outcome = HostOrderOutcome.REFUSED
             log.info(
                 "host_order_refused", **self._details(order, started_at), error=error
             )
+        except StoreUnavailableError as error:
+            outcome = HostOrderOutcome.UNAVAILABLE
+            log.info(
+                "host_order_unavailable",
+                **self._details(order, started_at),
+                error=error,
+            )
         except StoreOutcomeUnknownError as error:
             outcome = HostOrderOutcome.UNANSWERED
             log.warning(
--- a/tests/service/test_host_orders.py
+++ b/tests/service/test_host_orders.py
@@ -59,11 +59,11 @@
         self.assertEqual(self.machines.orders, [("h1", "desk", 7), ("h2", 3, 7)])
 
     async def test_outcomes(self):
-        """Guards against an unanswered order that is taken for a refused one."""
+        """Guards against an unanswered order, or a platform that is away, read as no."""
         cases = [
             (None, HostOrderOutcome.DONE),
             (HostOrderRefusedError("busy"), HostOrderOutcome.REFUSED),
-            (StoreUnavailableError("429"), HostOrderOutcome.REFUSED),
+            (StoreUnavailableError("429"), HostOrderOutcome.UNAVAILABLE),
             (StoreOutcomeUnknownError("silent"), HostOrderOutcome.UNANSWERED),
         ]
         for error, outcome in cases:
