Return hosts whose orders the platform refuses, and hold such orders back

Cause: a pool released seven hosts in a lull, and the platform refused to move them to the standby pool (400). A release was returned only where there is no standby pool, so no host_returned followed, and a released endpoint is used again only once it is returned.

Change: orders that took no effect are remembered by host and destination (pools/order_retries.py) and held back for 0.5 s, then twice as long each time, up to 16 s where the platform refuses and 2 s where it is away. A released host that can be ordered nowhere now goes back to its pool, other hosts are offered to the need that lacked it, and the plan names the hosts that can't be moved (kept), so that the pool keeps them or releases others. All of it is stored in the plan on the table's clock, so that a successor holds back the same orders.

On the code before, test_host_of_a_refused_order_goes_back_to_its_pool and test_refused_order_is_not_repeated_in_every_cycle fail (no return; 120 orders in 20 s).

--- a/magnoliapier/pools/planner.py
+++ b/magnoliapier/pools/planner.py
@@ -4,12 +4,16 @@
 Hosts in the standby pool cost nothing, so pools release hosts that they do not need and
 get hosts back on request. Maintenance starts with the hosts that are free, and asks
 pools to empty the others a few at a time.
+
+An order that takes no effect is held back for a while. Its host goes back to the pool
+that released it, and the others are ordered meanwhile.
 """
 
 import msgspec
 
 from magnoliapier.pools.crashes import CrashDetector
 from magnoliapier.pools.hosts import HostState
+from magnoliapier.pools.order_retries import OrderRetries
 
 ORDER_TIMEOUT_S = 6.0  # after this an order is assumed to have had no effect
 MAX_EMPTYING_PER_POOL = 2  # hosts of one pool that are emptied at once
@@ -23,6 +27,11 @@
     host: str
     service: str
 
+    @property
+    def destination(self):
+        """Return the name under which the order's failures are recorded."""
+        return f"pool/{self.service}"
+
 
 class Maintain(msgspec.Struct, frozen=True):
     """Take a host down for its maintenance in a wave."""
@@ -30,6 +39,11 @@
     host: str
     wave: int
 
+    @property
+    def destination(self):
+        """Return the name under which the order's failures are recorded."""
+        return f"wave/{self.wave}"
+
 
 class PendingOrder(msgspec.Struct):
     """An order whose effect does not show in the host list yet."""
@@ -45,16 +59,17 @@
 
     Does no I/O and reads no clock; times are seconds on a monotonic clock.
 
-    ``maintained`` and ``returned`` are those of the FleetPlan. A release that was
-    returned once is never used, nor is an earlier one, whatever the age of the report
-    that lists it.
+    ``maintained`` and ``returned`` are those of the FleetPlan, and ``retries`` are the
+    OrderRetries of this holder and of former ones. A release that was returned once is
+    never used, nor is an earlier one, whatever the age of the report that lists it.
     """
 
-    def __init__(self, maintained=None, returned=None):
+    def __init__(self, maintained=None, returned=None, retries=None):
         self.maintained = {
             wave: set(hosts) for wave, hosts in (maintained or {}).items()
         }
         self.returned = dict(returned or {})
+        self._retries = retries or OrderRetries()
         self._crashes = CrashDetector()
         self._pending = {}
         self._hosts = {}
@@ -62,6 +77,7 @@
         self._waves = ()
         self._standby = None
         self._barred = ()
+        self._now = 0.0
 
     def update(self, hosts, reports, waves, standby, now, barred=(), listed_ms=0):
         """
@@ -77,12 +93,14 @@
         self._waves = waves
         self._standby = standby
         self._barred = barred
+        self._now = now
         for name, pending in list(self._pending.items()):
             host = self._hosts.get(name)
             if host is not None:
                 self._record_seen_maintenance(host, pending.order)
             if host is None or self._is_settled(host, pending, now):
                 del self._pending[name]
+        self._retries.forget(self._hosts, now)
         self._forget_returned()
 
     def _forget_returned(self):
@@ -117,9 +135,18 @@
         host = self._hosts[order.host]
         self._pending[order.host] = PendingOrder(order, host.endpoint_id, now)
 
-    def record_refusal(self, order):
-        """Record that an order had no effect and is not pending any more."""
+    def withdraw(self, order):
+        """Record that an order was not sent and is not pending any more."""
+        self._pending.pop(order.host, None)
+
+    def record_failure(self, order, now, table_ms, max_delay_s):
+        """
+        Record that an order had no effect; hold it back for ``max_delay_s`` at most.
+
+        ``table_ms`` is an upper bound of the present time on the table's clock.
+        """
         self._pending.pop(order.host, None)
+        self._retries.record_failure(order, now, table_ms, max_delay_s)
 
     def record_maintenance_start(self, order):
         """Record that the platform has accepted the maintenance of a host."""
@@ -172,6 +199,9 @@
         returned = self.returned.get(host.endpoint_id, NOT_RETURNED)
         return release is not None and release > returned
 
+    def _may_send(self, order):
+        return not self._retries.holds_back(order, self._now)
+
     def _release_number(self, host):
         """Return the number of a host's release by its pool, or None."""
         report = self._reports.get(host.service)
@@ -182,8 +212,9 @@
         for wave in self._waves:
             allowed = wave.max_down - self._down_count(wave)
             for host in self.due_hosts(wave):
-                if allowed > 0 and self._is_free(host):
-                    orders.append(Maintain(host.name, wave.number))
+                order = Maintain(host.name, wave.number)
+                if allowed > 0 and self._is_free(host) and self._may_send(order):
+                    orders.append(order)
                     allowed -= 1
         return orders
 
@@ -218,20 +249,21 @@
                 orders += self._take(free, service, lacking, need)
             wanted = self._reports[service].wanted - self._count_arriving(service)
             orders += self._take(free, service, wanted)
-        if self._standby is not None:
-            orders.extend(
-                Move(host.name, self._standby)
-                for host in free
-                if host.service != self._standby and host.name not in due
-            )
-        else:
-            self._return_unwanted(host for host in free if host.name not in due)
+        orders += self._give_up(host for host in free if host.name not in due)
         return orders
 
-    def _return_unwanted(self, hosts):
-        """Return hosts to their pools that no pool wants and no standby pool takes."""
+    def _give_up(self, hosts):
+        """Return moves to the standby pool; return other hosts to their pools."""
+        orders = []
         for host in hosts:
-            self.returned[host.endpoint_id] = self._release_number(host)
+            order = Move(host.name, self._standby)
+            if host.service == self._standby:
+                continue
+            if self._standby is not None and self._may_send(order):
+                orders.append(order)
+            else:
+                self.returned[host.endpoint_id] = self._release_number(host)
+        return orders
 
     def _take(self, free, service, count, need=None):
         """
@@ -242,7 +274,9 @@
         taken = [
             host
             for host in free
-            if host.service != service and (need is None or need.is_met_by(host))
+            if host.service != service
+            and (need is None or need.is_met_by(host))
+            and self._may_send(Move(host.name, service))
         ][: max(0, count)]
         for host in taken:
             free.remove(host)
@@ -266,6 +300,33 @@
             for name, pending in self._pending.items()
         )
 
+    def failed_orders(self):
+        """Return the FailedOrders that a successor must know, by host."""
+        return self._retries.to_store()
+
+    def kept(self):
+        """Return the endpoints whose hosts can be moved to no pool now, sorted."""
+        return tuple(
+            sorted(
+                host.endpoint_id
+                for host in map(self._hosts.get, self._retries.hosts)
+                if host is not None and host.endpoint_id and self._is_kept(host)
+            )
+        )
+
+    def _is_kept(self, host):
+        pools = [service for service in self._reports if self._wants(service, host)]
+        if self._standby is not None:
+            pools.append(self._standby)
+        moves = [Move(host.name, pool) for pool in pools if pool != host.service]
+        return bool(moves) and not any(map(self._may_send, moves))
+
+    def _wants(self, service, host):
+        """Return whether a pool could use a host."""
+        report = self._reports[service]
+        needs = report.further_needs
+        return report.wanted > 0 or any(need.is_met_by(host) for need in needs)
+
     def hosts_to_empty(self):
         """Return the names of hosts that pools should empty for maintenance now."""
         chosen = []
--- a/magnoliapier/pools/report.py
+++ b/magnoliapier/pools/report.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from magnoliapier.pools.need import HostNeed
+from magnoliapier.pools.order_retries import FailedOrder
 from magnoliapier.state.decoding import decode_stored
 
 REPORT_KEY = "pool"
@@ -48,7 +49,9 @@
     used: no order is or will be sent for these hosts before their pool releases them
     under a higher number, so that it may use them until then. ``last_up_ms`` maps the
     crashed endpoints to when the host list last showed them up, in ms on the table's
-    clock, 0 if unknown; their incarnations of that time have ended.
+    clock, 0 if unknown; their incarnations of that time have ended. ``failed`` has the
+    orders that took no effect, by host and destination. ``kept`` holds the endpoints
+    whose hosts can be moved to no pool now, so that their pools keep them in use.
     """
 
     to_maintain: tuple[str, ...] = ()
@@ -57,6 +60,8 @@
     ordered: dict[str, int] = {}
     returned: dict[str, int] = {}
     last_up_ms: dict[str, int] = {}
+    failed: dict[str, dict[str, FailedOrder]] = {}
+    kept: tuple[str, ...] = ()
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/magnoliapier/service/fleet.py
+++ b/magnoliapier/service/fleet.py
@@ -13,6 +13,11 @@
 from magnoliapier.exceptions import FencedError, MessageError, PlatformError
 from magnoliapier.logs import get_logger
 from magnoliapier.pools.handover import END_UNKNOWN, RecentHostOrders
+from magnoliapier.pools.order_retries import (
+    MAX_AWAY_DELAY_S,
+    MAX_DELAY_S,
+    OrderRetries,
+)
 from magnoliapier.pools.planner import FleetPlanner, Maintain
 from magnoliapier.pools.report import PLAN_KEY, FleetPlan, decode_plan, encode
 from magnoliapier.service.allowance_writer import AllowanceWriter
@@ -131,9 +136,15 @@
             except (PlatformError, MessageError) as error:
                 log.info("fleet_load_failed", error=error)
                 await asyncio.sleep(RETRY_DELAY_S)
-        self._planner = FleetPlanner(self._plan.maintained, self._plan.returned)
+        now = self._clock()
+        table_ms = self._store.table_clock.latest_ms(now)
+        self._planner = FleetPlanner(
+            self._plan.maintained,
+            self._plan.returned,
+            OrderRetries(self._plan.failed, now, table_ms),
+        )
         self._recent_orders = RecentHostOrders(
-            self._plan.ordered, self._clock(), self._order_gap_s
+            self._plan.ordered, now, self._order_gap_s
         )
         log.info("fleet_loaded", barred=len(self._plan.ordered))
 
@@ -191,7 +202,7 @@
 
     def _withdraw(self, orders):
         for order in orders:
-            self._planner.record_refusal(order)
+            self._planner.withdraw(order)
             self._record_order_end(order)
 
     def _record_order_end(self, order):
@@ -213,11 +224,18 @@
     async def _send_order(self, order):
         outcome = await self._sender.send(order)
         self._record_order_end(order)
-        if outcome in (HostOrderOutcome.REFUSED, HostOrderOutcome.UNAVAILABLE):
-            self._planner.record_refusal(order)
+        if outcome == HostOrderOutcome.REFUSED:
+            self._record_failure(order, MAX_DELAY_S)
+        elif outcome == HostOrderOutcome.UNAVAILABLE:
+            self._record_failure(order, MAX_AWAY_DELAY_S)
         elif outcome == HostOrderOutcome.DONE and isinstance(order, Maintain):
             self._planner.record_maintenance_start(order)
 
+    def _record_failure(self, order, max_delay_s):
+        now = self._clock()
+        table_ms = self._store.table_clock.latest_ms(now)
+        self._planner.record_failure(order, now, table_ms, max_delay_s)
+
     async def _commit_plan(self):
         now = self._clock()
         plan = FleetPlan(
@@ -232,6 +250,8 @@
             ),
             dict(self._planner.returned),
             self._planner.last_up_ms,
+            self._planner.failed_orders(),
+            self._planner.kept(),
         )
         puts = []
         if plan != self._plan:
@@ -239,6 +259,8 @@
             self._log_changes(plan)
         await self._commit(puts)
         self._plan = plan
+        self._metrics.gauge("host_orders_failing", sum(map(len, plan.failed.values())))
+        self._metrics.gauge("hosts_kept", len(plan.kept))
 
     def _log_changes(self, plan):
         for endpoint_id in set(plan.crashed) - set(self._plan.crashed):
@@ -247,6 +269,8 @@
                 endpoint=endpoint_id,
                 last_up_ms=plan.last_up_ms.get(endpoint_id),
             )
+        for endpoint_id in set(plan.kept) - set(self._plan.kept):
+            log.info("host_kept", endpoint=endpoint_id)
         for endpoint_id, release in plan.returned.items():
             if release != self._plan.returned.get(endpoint_id):
                 log.info("host_returned", endpoint=endpoint_id, release=release)
--- a/magnoliapier/service/pool.py
+++ b/magnoliapier/service/pool.py
@@ -72,6 +72,7 @@
         self._needs_in_turn = NeedsInTurn()
         self._need = None
         self._limits = NO_LIMITS
+        self._kept = frozenset()
 
     def restore(self, report):
         """Restore the released endpoints from the report of an earlier holder."""
@@ -143,15 +144,18 @@
         wanted_by_others,
         now,
         limits=NO_LIMITS,
+        kept=(),
     ):
         """
         Mark endpoints as leaving or released; return those to evacuate for maintenance.
 
         ``sessions`` are those of listed endpoints, ``to_maintain`` holds host names.
         ``wanted_by_others`` is how many hosts the other pools want. ``limits`` are
-        those of the scheduling pass that follows.
+        those of the scheduling pass that follows. ``kept`` holds the ids of endpoints
+        whose hosts no other pool can get now.
         """
         self._limits = limits
+        self._kept = frozenset(kept)
         self._track_released(sessions, now)
         staying = []
         evacuating = []
@@ -255,7 +259,9 @@
         movable = [
             s
             for s in staying
-            if not s.has_long_running and not self._returned_lately(s, now)
+            if not s.has_long_running
+            and s.endpoint_id not in self._kept
+            and not self._returned_lately(s, now)
         ]
         movable.sort(key=lambda s: len(s.live))
         chosen = movable[:surplus]
--- a/magnoliapier/service/shard.py
+++ b/magnoliapier/service/shard.py
@@ -356,6 +356,7 @@
             self._deps.fleet.hosts_wanted(self.service),
             now,
             limits,
+            self._deps.fleet.plan.kept,
         )
         draining = [s for s in sessions if s.draining and s.has_long_running]
         if not evacuating and not draining:
--- a/tests/pools/test_planner.py
+++ b/tests/pools/test_planner.py
@@ -2,6 +2,7 @@
 
 from magnoliapier.pools.hosts import Host, HostState, Wave
 from magnoliapier.pools.need import HostNeed
+from magnoliapier.pools.order_retries import MAX_DELAY_S
 from magnoliapier.pools.planner import FleetPlanner, Maintain, Move
 from magnoliapier.pools.report import PoolReport
 from magnoliapier.submissions.model import Resources
@@ -159,6 +160,63 @@
         self.assertEqual(self.planner.orders(), [])
 
 
+class FailedOrderTests(unittest.TestCase):
+    """Orders that take no effect, whatever the reason."""
+
+    def setUp(self):
+        self.planner = FleetPlanner()
+
+    def orders(self, hosts, reports, now=0.0):
+        self.planner.update(hosts, reports, (), STANDBY, now)
+        return self.planner.orders()
+
+    def fail(self, order, now=0.0):
+        self.planner.record_order(order, now)
+        self.planner.record_failure(order, now, 0, MAX_DELAY_S)
+
+    def test_need_gets_another_host_than_the_one_refused(self):
+        """Guards against a need that waits for a host which can't be moved."""
+        hosts = [host(1, STANDBY), host(2, STANDBY)]
+        reports = {"a": PoolReport(wanted=1)}
+        [order] = self.orders(hosts, reports)
+        self.fail(order)
+        [other] = self.orders(hosts, reports, now=0.1)
+        self.assertNotEqual(other.host, order.host)
+
+    def test_host_that_one_pool_can_not_get_goes_to_another(self):
+        """Guards against a released host that is returned though others want it."""
+        hosts = [host(1, "a")]
+        reports = {"a": PoolReport({"e1": "h1"})}
+        [order] = self.orders(hosts, reports)
+        self.fail(order)
+        reports["b"] = PoolReport(wanted=1)
+        self.assertEqual(self.orders(hosts, reports, now=0.1), [Move("h1", "b")])
+        self.assertEqual(self.planner.kept(), ())
+
+    def test_pool_keeps_a_host_that_can_be_moved_nowhere(self):
+        """Guards against a host that is released and returned in turn."""
+        hosts = [host(1, "a"), host(2, "a")]
+        reports = {"a": PoolReport({"e1": "h1"})}
+        [order] = self.orders(hosts, reports)
+        self.fail(order)
+        self.assertEqual(self.orders(hosts, reports, now=0.1), [])
+        self.assertEqual(self.planner.kept(), ("e1",))
+        self.orders(hosts, reports, now=1.0)
+        self.assertEqual(self.planner.kept(), ())
+
+    def test_need_that_a_host_does_not_meet_does_not_free_it(self):
+        """Guards against the same while another pool wants hosts of another kind."""
+        need = HostNeed("fast", Resources(), 1)
+        reports = {
+            "a": PoolReport({"e1": "h1"}),
+            "b": PoolReport(further_needs=(need,)),
+        }
+        [order] = self.orders([host(1, "a")], reports)
+        self.fail(order)
+        self.orders([host(1, "a")], reports, now=0.1)
+        self.assertEqual(self.planner.kept(), ("e1",))
+
+
 class WithoutStandbyTests(unittest.TestCase):
     """A fleet without a standby pool, whose hosts all belong to pools with queues."""
 
--- a/tests/service/test_fleet.py
+++ b/tests/service/test_fleet.py
@@ -3,6 +3,7 @@
 from magnoliapier.exceptions import HostOrderRefusedError, MessageError
 from magnoliapier.organisations.usage import KnownLimits
 from magnoliapier.pools.hosts import Host, HostState, Wave
+from magnoliapier.pools.order_retries import MAX_DELAY_S
 from magnoliapier.pools.report import PLAN_KEY, PoolReport, decode_plan
 from magnoliapier.service.fleet import FleetController
 from magnoliapier.service.leases import FLEET_SHARD
@@ -35,12 +36,14 @@
     """
     The platform's interface for hosts, whose list never changes.
 
-    ``orders`` holds host, token and time of each order.
+    ``orders`` holds host, token and time of each order, and ``refusals`` those of each
+    order that was refused as ``refuses`` is set.
     """
 
     def __init__(self, clock, hosts):
         self.listed = hosts
         self.orders = []
+        self.refusals = []
         self.unreadable_lists = 0
         self.refuses = False
         self._clock = clock
@@ -58,6 +61,7 @@
     async def move(self, host, service, token, guard):
         guard.check()
         if self.refuses:
+            self.refusals.append((host, token, self._clock()))
             raise HostOrderRefusedError("busy")
         self.orders.append((host, token, self._clock()))
         await asyncio.sleep(0)
@@ -68,11 +72,14 @@
 
     def __init__(self):
         self.released = {}
+        self.number = 0  # of the releases
         self.requested_waves = []
         self.ticks = 0
 
     def reports(self):
-        return {"desk": PoolReport(dict(self.released))}
+        numbers = dict.fromkeys(self.released, self.number)
+        report = PoolReport(dict(self.released), release_numbers=numbers)
+        return {"desk": report}
 
     def waves(self):
         return self.requested_waves
@@ -279,3 +286,44 @@
         self.view.released = {}
         await self.pass_time(HOST_ORDER_GAP_S + 1.0)
         self.assertEqual(self.stored_plan().ordered, {})
+
+
+class RefusedOrderTests(FleetTestCase):
+    """The platform refuses every order, as after a 400: a pool of other machines."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.machines.refuses = True
+
+    async def test_host_of_a_refused_order_goes_back_to_its_pool(self):
+        """Guards against work that waits beside hosts that nobody can move (LOST)."""
+        await self.start_holder(1)
+        await self.release_hosts("h1")
+        await self.pass_time(1.0)
+        self.assertEqual(self.stored_plan().returned, {"e1": 0})
+
+    async def test_refused_order_is_not_repeated_in_every_cycle(self):
+        """Guards against refused orders that use up what the platform accepts."""
+        await self.start_holder(1)
+        for number in range(40):
+            self.view.number = number  # its pool releases it again
+            await self.release_hosts("h1")
+        self.assertLess(len(self.machines.refusals), 7)
+        self.assertGreater(len(self.machines.refusals), 3)
+
+    async def test_successor_holds_the_order_back_as_well(self):
+        """Guards against a host that is ordered in vain anew by each holder."""
+        await self.start_holder(1)
+        for number in range(16):
+            self.view.number = number
+            await self.release_hosts("h1")
+        [failed] = self.stored_plan().failed["h1"].values()
+        await self.start_holder(2)
+        self.view.number += 1
+        await self.pass_time(HOST_ORDER_GAP_S + 1.0)
+        self.assertEqual({token for _, token, _ in self.machines.refusals}, {1})
+        self.assertEqual(list(self.stored_plan().failed["h1"].values()), [failed])
+        for _ in range(round(MAX_DELAY_S / STEP_S)):
+            self.view.number += 1
+            await self.pass_time(STEP_S)
+        self.assertEqual([token for _, token, _ in self.machines.refusals][-2:], [1, 2])
--- a/tests/service/test_host_orders.py
+++ b/tests/service/test_host_orders.py
@@ -59,7 +59,7 @@
         self.assertEqual(self.machines.orders, [("h1", "desk", 7), ("h2", 3, 7)])
 
     async def test_outcomes(self):
-        """Guards against an unanswered order, or a platform that is away, read as no."""
+        """Guards against a lost answer, or a platform that is away, read as a no."""
         cases = [
             (None, HostOrderOutcome.DONE),
             (HostOrderRefusedError("busy"), HostOrderOutcome.REFUSED),
--- a/tests/service/test_pool.py
+++ b/tests/service/test_pool.py
@@ -179,6 +179,19 @@
         self.assertIn(endpoint_id, later.released)
 
 
+class KeptEndpointTests(unittest.TestCase):
+    """The hosts of some endpoints can be moved to no other pool now."""
+
+    def test_other_hosts_are_released_in_their_place(self):
+        """Guards against surplus that nobody gets, and hosts that are idle in vain."""
+        pool = PoolManager(SERVICE, DurationModel(), True, lambda: True)
+        sessions = [make_session(f"e{number}") for number in range(4)]
+        for now in range(30):
+            pool.update(sessions, [], (), 0, float(now), kept=("e0", "e1"))
+        self.assertEqual(sorted(pool.report().released), ["e2", "e3"])
+        self.assertTrue(sessions[0].usable(30.0))
+
+
 class AcceleratorTests(unittest.TestCase):
     def test_pool_asks_for_hosts_for_tasks_that_only_need_accelerators(self):
         """Guards against tasks that wait for good beside idle hosts in standby."""
