Return released hosts while the platform does not list them

A released host was returned only by a cycle that had read the host list and found it there, up and with the released endpoint. So hosts stayed out of use for as long as the platform's interface for machines was away, and for good if their entry had no or another endpoint id or could not be read. Hosts of a wave were emptied for as long as well.

Change: a release has its time on the table's clock, and the controller returns one that no order has followed for 1.5 s, whether or not hosts are listed; a release that was made before a takeover doesn't begin anew. While hosts are not listed, the plan says so (paused): pools release nothing and empty nothing for a wave. Hosts that wait for their maintenance stay released unless their pool wants hosts.

--- a/magnoliapier/pools/order_retries.py
+++ b/magnoliapier/pools/order_retries.py
@@ -42,21 +42,23 @@
     The orders that took no effect, by host and destination.
 
     ``stored`` holds the FailedOrders that were known when the lease was taken, at
-    ``now`` and at ``table_ms`` on the table's clock. Local times are in seconds.
+    ``now``. ``table_ms(now)`` returns a value that the table's clock has not passed at
+    ``now``, 0 if unknown. Local times are in seconds.
 
     Example::
 
         retries = OrderRetries()
-        retries.record_failure(Move("h1", "a"), now=10.0, table_ms=7000)
+        retries.record_failure(Move("h1", "a"), now=10.0)
         assert retries.holds_back(Move("h1", "a"), now=10.4)
         assert not retries.holds_back(Move("h2", "a"), now=10.4)
         assert not retries.holds_back(Move("h1", "a"), now=10.5)
     """
 
-    def __init__(self, stored=None, now=0.0, table_ms=0):
+    def __init__(self, stored=None, now=0.0, table_ms=lambda now: 0):
+        self._table_ms = table_ms
         self._retries = {
             host: {
-                destination: _restore(failed, now, table_ms)
+                destination: _restore(failed, now, table_ms(now))
                 for destination, failed in failures.items()
             }
             for host, failures in (stored or {}).items()
@@ -67,13 +69,9 @@
         """Return the names of the hosts with an order that took no effect."""
         return list(self._retries)
 
-    def record_failure(self, order, now, table_ms, max_delay_s=MAX_DELAY_S):
-        """
-        Record that an order took no effect, and hold it back.
-
-        ``table_ms`` is an upper bound of the present time on the table's clock, 0 if
-        unknown.
-        """
+    def record_failure(self, order, now, max_delay_s=MAX_DELAY_S):
+        """Record that an order took no effect, and hold it back."""
+        table_ms = self._table_ms(now)
         before = self._find(order)
         failures = before.stored.failures if before else 0
         delay_s = min(max_delay_s, FIRST_DELAY_S * 2 ** min(failures, 10))
--- a/magnoliapier/pools/planner.py
+++ b/magnoliapier/pools/planner.py
@@ -17,6 +17,7 @@
 
 ORDER_TIMEOUT_S = 6.0  # after this an order is assumed to have had no effect
 MAX_EMPTYING_PER_POOL = 2  # hosts of one pool that are emptied at once
+RELEASE_LIMIT_S = 1.5  # a release without an order for so long is returned
 NOT_RETURNED = -1  # below the number of any release
 MAYBE_MAINTAINED = (HostState.UPKEEP, HostState.UNKNOWN)
 
@@ -100,8 +101,9 @@
                 self._record_seen_maintenance(host, pending.order)
             if host is None or self._is_settled(host, pending, now):
                 del self._pending[name]
-        self._retries.forget(self._hosts, now)
-        self._forget_returned()
+        if hosts:
+            self._retries.forget(self._hosts, now)
+            self._forget_returned()
 
     def _forget_returned(self):
         """Forget the returned releases of endpoints that have left."""
@@ -139,14 +141,10 @@
         """Record that an order was not sent and is not pending any more."""
         self._pending.pop(order.host, None)
 
-    def record_failure(self, order, now, table_ms, max_delay_s):
-        """
-        Record that an order had no effect; hold it back for ``max_delay_s`` at most.
-
-        ``table_ms`` is an upper bound of the present time on the table's clock.
-        """
+    def record_failure(self, order, now, max_delay_s):
+        """Record that an order had no effect; hold it back, ``max_delay_s`` at most."""
         self._pending.pop(order.host, None)
-        self._retries.record_failure(order, now, table_ms, max_delay_s)
+        self._retries.record_failure(order, now, max_delay_s)
 
     def record_maintenance_start(self, order):
         """Record that the platform has accepted the maintenance of a host."""
@@ -265,6 +263,26 @@
                 self.returned[host.endpoint_id] = self._release_number(host)
         return orders
 
+    def return_overdue(self, table_ms):
+        """
+        Return releases that no order has followed, also of hosts that are not listed.
+
+        ``table_ms`` is a lower bound of the present time on the table's clock, 0 if
+        unknown. Hosts that wait for their maintenance stay released unless their pool
+        wants hosts.
+        """
+        awaiting = {host.name for wave in self._waves for host in self.due_hosts(wave)}
+        for service, report in self._reports.items():
+            may_wait = () if self._wants_hosts(service) else awaiting
+            for endpoint_id, name in report.released.items():
+                age_ms = table_ms - report.released_ms.get(endpoint_id, table_ms)
+                if age_ms < RELEASE_LIMIT_S * 1000 or name in may_wait:
+                    continue
+                if name not in self._pending and name not in self._barred:
+                    number = report.release_number(endpoint_id)
+                    before = self.returned.get(endpoint_id, NOT_RETURNED)
+                    self.returned[endpoint_id] = max(before, number)
+
     def _take(self, free, service, count, need=None):
         """
         Remove up to ``count`` hosts of other pools from ``free``; return their moves.
@@ -284,13 +302,13 @@
 
     def _services_wanting_hosts(self):
         """Return the services that want hosts, those with the fewest hosts first."""
-        wanting = [
-            service
-            for service, report in self._reports.items()
-            if report.wanted > 0 or report.further_needs
-        ]
+        wanting = [service for service in self._reports if self._wants_hosts(service)]
         return sorted(wanting, key=lambda s: self._reports[s].hosts)
 
+    def _wants_hosts(self, service):
+        report = self._reports[service]
+        return report.wanted > 0 or bool(report.further_needs)
+
     def _count_arriving(self, service, need=None):
         """Return how many hosts move to a pool, with a HostNeed those that meet it."""
         return sum(
--- a/magnoliapier/pools/report.py
+++ b/magnoliapier/pools/report.py
@@ -19,7 +19,8 @@
     that the pool could use now, whatever their kind, and ``hosts`` the number that it
     keeps in use. ``further_needs`` tells which hosts of a kind it could use as well.
     ``release_numbers`` tells the releases of an endpoint apart: the numbers of a pool
-    increase, up to ``last_release``.
+    increase, up to ``last_release``. ``released_ms`` maps the endpoints to when they
+    were released, in ms on the table's clock, 0 if unknown.
     """
 
     released: dict[str, str] = {}
@@ -28,6 +29,7 @@
     further_needs: tuple[HostNeed, ...] = ()
     release_numbers: dict[str, int] = {}
     last_release: int = 0
+    released_ms: dict[str, int] = {}
 
     def release_number(self, endpoint_id):
         """Return the number of an endpoint's release, or None if it is not released."""
@@ -52,6 +54,7 @@
     clock, 0 if unknown; their incarnations of that time have ended. ``failed`` has the
     orders that took no effect, by host and destination. ``kept`` holds the endpoints
     whose hosts can be moved to no pool now, so that their pools keep them in use.
+    ``paused`` is whether that holds for all, as the platform does not list its hosts.
     """
 
     to_maintain: tuple[str, ...] = ()
@@ -62,6 +65,11 @@
     last_up_ms: dict[str, int] = {}
     failed: dict[str, dict[str, FailedOrder]] = {}
     kept: tuple[str, ...] = ()
+    paused: bool = False
+
+    def keeps(self, endpoint_id):
+        """Return whether a pool should keep an endpoint, even if it is surplus."""
+        return self.paused or endpoint_id in self.kept
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/magnoliapier/service/fleet.py
+++ b/magnoliapier/service/fleet.py
@@ -32,6 +32,7 @@
 TICK_INTERVAL_S = 0.1
 BUSY_LIST_INTERVAL_S = 0.4
 IDLE_LIST_INTERVAL_S = 1.0
+UNLISTED_LIMIT_S = 1.0  # without a list for so long, hosts stay in their pools
 RETRY_DELAY_S = 0.2
 ORDER_SETTLE_S = 0.5  # an order may still arrive this long after its call has ended
 MAX_CONCURRENT_ORDERS = 16  # a quarter of what the platform accepts in a second
@@ -74,6 +75,7 @@
         self._plan = FleetPlan()
         self._listed_at = None
         self._listed_ms = 0
+        self._unlisted_since = None
         self._hosts = []
         self._lost = False
         self._task = None
@@ -137,11 +139,10 @@
                 log.info("fleet_load_failed", error=error)
                 await asyncio.sleep(RETRY_DELAY_S)
         now = self._clock()
-        table_ms = self._store.table_clock.latest_ms(now)
         self._planner = FleetPlanner(
             self._plan.maintained,
             self._plan.returned,
-            OrderRetries(self._plan.failed, now, table_ms),
+            OrderRetries(self._plan.failed, now, self._store.table_clock.latest_ms),
         )
         self._recent_orders = RecentHostOrders(
             self._plan.ordered, now, self._order_gap_s
@@ -166,7 +167,7 @@
         # A plan whose commit got no answer is written again before it can change;
         # otherwise self._plan could differ from the stored plan.
         await self._commit_plan()
-        await self._refresh_hosts()
+        listed = await self._refresh_hosts()
         now = self._clock()
         self._planner.update(
             self._hosts,
@@ -178,10 +179,12 @@
             self._listed_ms,
         )
         await self._commit_plan()
-        orders = self._planner.orders()
+        orders = self._planner.orders() if listed else []
         if orders:
             await self._record_and_send(orders)
-            await self._commit_plan()
+        now = self._clock()
+        self._planner.return_overdue(self._store.table_clock.earliest_ms(now))
+        await self._commit_plan()
         await self._write_wave_states()
 
     async def _record_and_send(self, orders):
@@ -212,34 +215,51 @@
         )
 
     async def _refresh_hosts(self):
+        """Read the host list if it is due; return whether the platform lists it now."""
         now = self._clock()
         busy = self._planner.has_pending or self._view.active()
         interval_s = BUSY_LIST_INTERVAL_S if busy else IDLE_LIST_INTERVAL_S
         if self._listed_at is not None and now - self._listed_at < interval_s:
-            return
+            return True
+        self._listed_at = None
         listed_ms = self._store.table_clock.earliest_ms(now)
-        self._hosts = await self._machines.hosts()
+        try:
+            self._hosts = await self._machines.hosts()
+        except (PlatformError, MessageError) as error:
+            self._record_unlisted(error)
+            return False
         self._listed_at, self._listed_ms = now, listed_ms
+        if self._unlisted_since is not None:
+            log.info("hosts_listed_again", hosts=len(self._hosts))
+            self._unlisted_since = None
+        return True
+
+    def _is_paused(self, now):
+        """Return whether the platform has not listed its hosts for too long."""
+        since = self._unlisted_since
+        return since is not None and now - since >= UNLISTED_LIMIT_S
+
+    def _record_unlisted(self, error):
+        if self._unlisted_since is None:
+            log.warning("hosts_not_listed", error=error)
+            self._unlisted_since = self._clock()
 
     async def _send_order(self, order):
         outcome = await self._sender.send(order)
         self._record_order_end(order)
+        now = self._clock()
         if outcome == HostOrderOutcome.REFUSED:
-            self._record_failure(order, MAX_DELAY_S)
+            self._planner.record_failure(order, now, MAX_DELAY_S)
         elif outcome == HostOrderOutcome.UNAVAILABLE:
-            self._record_failure(order, MAX_AWAY_DELAY_S)
+            self._planner.record_failure(order, now, MAX_AWAY_DELAY_S)
         elif outcome == HostOrderOutcome.DONE and isinstance(order, Maintain):
             self._planner.record_maintenance_start(order)
 
-    def _record_failure(self, order, max_delay_s):
-        now = self._clock()
-        table_ms = self._store.table_clock.latest_ms(now)
-        self._planner.record_failure(order, now, table_ms, max_delay_s)
-
     async def _commit_plan(self):
         now = self._clock()
+        paused = self._is_paused(now)
         plan = FleetPlan(
-            self._planner.hosts_to_empty(),
+            () if paused else self._planner.hosts_to_empty(),
             {
                 wave: tuple(sorted(hosts))
                 for wave, hosts in self._planner.maintained.items()
@@ -252,6 +272,7 @@
             self._planner.last_up_ms,
             self._planner.failed_orders(),
             self._planner.kept(),
+            paused,
         )
         puts = []
         if plan != self._plan:
--- a/magnoliapier/service/pool.py
+++ b/magnoliapier/service/pool.py
@@ -29,10 +29,15 @@
 
 
 class Release(msgspec.Struct, frozen=True):
-    """The release of an endpoint's host, under a number that the pool uses once."""
+    """
+    The release of an endpoint's host, under a number that the pool uses once.
+
+    ``at_ms`` is when it was made, in ms on the table's clock, 0 if unknown.
+    """
 
     host: str
     number: int
+    at_ms: int = 0
 
 
 class UnlistedRelease(msgspec.Struct, frozen=True):
@@ -51,13 +56,17 @@
     pool, which takes every host that is released. ``released`` maps the ids of listed
     endpoints to their Releases; such an endpoint is used again only once the fleet
     controller has returned it, because it may act on its host at any moment until then.
+    ``table_ms(now)`` returns a value that the table's clock has not passed at ``now``.
     """
 
-    def __init__(self, service, durations, first_holder, has_standby):
+    def __init__(
+        self, service, durations, first_holder, has_standby, table_ms=lambda now: 0
+    ):
         self._settling_s = FIRST_SETTLING_S if first_holder else SETTLING_S
         self._service = service
         self._durations = durations
         self._has_standby = has_standby
+        self._table_ms = table_ms
         self._need_window = SlidingMaximum()
         self._arrivals = ArrivalRate()
         self._host_capacity = None
@@ -72,13 +81,16 @@
         self._needs_in_turn = NeedsInTurn()
         self._need = None
         self._limits = NO_LIMITS
-        self._kept = frozenset()
 
     def restore(self, report):
         """Restore the released endpoints from the report of an earlier holder."""
         self._last_release = report.last_release
         self.released = {
-            endpoint_id: Release(host, report.release_number(endpoint_id))
+            endpoint_id: Release(
+                host,
+                report.release_number(endpoint_id),
+                report.released_ms.get(endpoint_id, 0),
+            )
             for endpoint_id, host in report.released.items()
         }
 
@@ -91,6 +103,7 @@
             self._further_needs,
             {endpoint_id: r.number for endpoint_id, r in self.released.items()},
             self._last_release,
+            {endpoint_id: r.at_ms for endpoint_id, r in self.released.items()},
         )
 
     def take_back(self, returned, now):
@@ -144,18 +157,17 @@
         wanted_by_others,
         now,
         limits=NO_LIMITS,
-        kept=(),
+        keeps=lambda endpoint_id: False,
     ):
         """
         Mark endpoints as leaving or released; return those to evacuate for maintenance.
 
         ``sessions`` are those of listed endpoints, ``to_maintain`` holds host names.
         ``wanted_by_others`` is how many hosts the other pools want. ``limits`` are
-        those of the scheduling pass that follows. ``kept`` holds the ids of endpoints
-        whose hosts no other pool can get now.
+        those of the scheduling pass that follows. ``keeps(endpoint_id)`` returns
+        whether no other pool can get the endpoint's host now.
         """
         self._limits = limits
-        self._kept = frozenset(kept)
         self._track_released(sessions, now)
         staying = []
         evacuating = []
@@ -176,7 +188,10 @@
         self._wanted = max(0, need - len(staying))
         self._hosts = len(staying)
         min_kept = self._min_kept(staying, wanted_by_others, now)
-        self._release_idle([*evacuating, *self._choose_surplus(staying, min_kept, now)])
+        movable = [s for s in staying if not keeps(s.endpoint_id)]
+        surplus = len(staying) - max(min_kept, self._need_window.highest)
+        chosen = self._choose_surplus(movable, surplus, now)
+        self._release_idle([*evacuating, *chosen], now)
         return evacuating
 
     def _min_kept(self, staying, wanted_by_others, now):
@@ -251,17 +266,14 @@
         returned_at = self._returned_at.get(session.endpoint_id)
         return returned_at is not None and now - returned_at < RETURNED_KEEP_S
 
-    def _choose_surplus(self, staying, min_kept, now):
+    def _choose_surplus(self, movable, surplus, now):
         """Mark surplus endpoints with the fewest runs as leaving and return them."""
-        surplus = len(staying) - max(min_kept, self._need_window.highest)
         if surplus <= 0:
             return []
         movable = [
             s
-            for s in staying
-            if not s.has_long_running
-            and s.endpoint_id not in self._kept
-            and not self._returned_lately(s, now)
+            for s in movable
+            if not s.has_long_running and not self._returned_lately(s, now)
         ]
         movable.sort(key=lambda s: len(s.live))
         chosen = movable[:surplus]
@@ -269,13 +281,13 @@
             session.leaving = True
         return chosen
 
-    def _release_idle(self, leaving):
+    def _release_idle(self, leaving, now):
         for session in leaving:
             if not session.live and session.opened and session.record.host:
                 session.released = True
                 self._last_release += 1
                 self.released[session.endpoint_id] = Release(
-                    session.record.host, self._last_release
+                    session.record.host, self._last_release, self._table_ms(now)
                 )
                 log.info(
                     "endpoint_released",
--- a/magnoliapier/service/shard.py
+++ b/magnoliapier/service/shard.py
@@ -94,6 +94,7 @@
             self._durations,
             lease.token == FIRST_TOKEN,
             lambda: deps.fleet.standby() is not None,
+            deps.store.table_clock.latest_ms,
         )
         self._start_delays = StartDelays(service, deps.metrics)
         self._last_report = None
@@ -356,7 +357,7 @@
             self._deps.fleet.hosts_wanted(self.service),
             now,
             limits,
-            self._deps.fleet.plan.kept,
+            self._deps.fleet.plan.keeps,
         )
         draining = [s for s in sessions if s.draining and s.has_long_running]
         if not evacuating and not draining:
--- a/tests/pools/test_planner.py
+++ b/tests/pools/test_planner.py
@@ -172,7 +172,7 @@
 
     def fail(self, order, now=0.0):
         self.planner.record_order(order, now)
-        self.planner.record_failure(order, now, 0, MAX_DELAY_S)
+        self.planner.record_failure(order, now, MAX_DELAY_S)
 
     def test_need_gets_another_host_than_the_one_refused(self):
         """Guards against a need that waits for a host which can't be moved."""
--- a/tests/service/test_fleet.py
+++ b/tests/service/test_fleet.py
@@ -1,9 +1,14 @@
 import asyncio
 
-from magnoliapier.exceptions import HostOrderRefusedError, MessageError
+from magnoliapier.exceptions import (
+    HostOrderRefusedError,
+    MessageError,
+    StoreUnavailableError,
+)
 from magnoliapier.organisations.usage import KnownLimits
 from magnoliapier.pools.hosts import Host, HostState, Wave
 from magnoliapier.pools.order_retries import MAX_DELAY_S
+from magnoliapier.pools.planner import RELEASE_LIMIT_S
 from magnoliapier.pools.report import PLAN_KEY, PoolReport, decode_plan
 from magnoliapier.service.fleet import FleetController
 from magnoliapier.service.leases import FLEET_SHARD
@@ -46,6 +51,7 @@
         self.refusals = []
         self.unreadable_lists = 0
         self.refuses = False
+        self.is_away = False
         self._clock = clock
 
     def tokens(self, host):
@@ -53,6 +59,8 @@
         return [token for name, token, _ in self.orders if name == host]
 
     async def hosts(self):
+        if self.is_away:
+            raise StoreUnavailableError("503")
         if self.unreadable_lists:
             self.unreadable_lists -= 1
             raise MessageError("no JSON")
@@ -72,13 +80,16 @@
 
     def __init__(self):
         self.released = {}
+        self.released_ms = {}
         self.number = 0  # of the releases
         self.requested_waves = []
         self.ticks = 0
 
     def reports(self):
         numbers = dict.fromkeys(self.released, self.number)
-        report = PoolReport(dict(self.released), release_numbers=numbers)
+        report = PoolReport(
+            dict(self.released), release_numbers=numbers, released_ms=self.released_ms
+        )
         return {"desk": report}
 
     def waves(self):
@@ -130,9 +141,15 @@
 
     async def release_hosts(self, *hosts):
         """Let the pool release hosts, and wait until the controllers have seen it."""
-        self.view.released = {f"e{name[1:]}": name for name in hosts}
+        self.release(*hosts)
         await self.pass_time(0.5)
 
+    def release(self, *hosts):
+        """Let the pool release hosts."""
+        self.view.released = {f"e{name[1:]}": name for name in hosts}
+        now_ms = round(self.clock() * 1000)
+        self.view.released_ms = dict.fromkeys(self.view.released, now_ms)
+
     async def pass_time(self, seconds):
         """Advance the monotonic clock in steps that are shorter than a lease."""
         for _ in range(round(seconds / STEP_S)):
@@ -327,3 +344,49 @@
             self.view.number += 1
             await self.pass_time(STEP_S)
         self.assertEqual([token for _, token, _ in self.machines.refusals][-2:], [1, 2])
+
+
+class UnlistedHostTests(FleetTestCase):
+    """The platform's interface for hosts is away, or lists something else."""
+
+    async def test_released_host_goes_back_while_no_host_is_listed(self):
+        """Guards against hosts out of use for as long as the interface is away."""
+        await self.start_holder(1)
+        await self.pass_time(1.0)
+        self.machines.is_away = True
+        await self.release_hosts("h1")
+        await self.pass_time(RELEASE_LIMIT_S)
+        self.assertEqual(self.stored_plan().returned, {"e1": 0})
+        self.assertTrue(self.stored_plan().keeps("e2"))
+        self.machines.is_away = False
+        await self.pass_time(1.0)
+        self.assertFalse(self.stored_plan().keeps("e2"))
+
+    async def test_takeovers_do_not_prolong_a_release(self):
+        """Guards against the same where hosts of ours restart in turn."""
+        self.machines.is_away = True
+        self.release("h1")
+        for token in (1, 2, 3):
+            holder = await self.start_holder(token)
+            await self.pass_time(RELEASE_LIMIT_S / 3)
+            await holder.close()
+        self.assertEqual(self.stored_plan().returned, {"e1": 0})
+
+    async def test_host_listed_with_another_endpoint_goes_back(self):
+        """Guards against a host out of use as its release matches no listed host."""
+        self.machines.listed[0].endpoint_id = ""
+        await self.start_holder(1)
+        await self.release_hosts("h1")
+        await self.pass_time(RELEASE_LIMIT_S + 1.0)
+        self.assertEqual(self.machines.orders, [])
+        self.assertEqual(self.stored_plan().returned, {"e1": 0})
+
+    async def test_plan_for_maintenance_waits_for_the_interface(self):
+        """Guards against hosts that are emptied for as long as it is away."""
+        self.view.requested_waves = [Wave(1, ("h1",), 20.0, 1)]
+        await self.start_holder(1)
+        await self.pass_time(1.0)
+        self.assertEqual(self.stored_plan().to_maintain, ("h1",))
+        self.machines.is_away = True
+        await self.pass_time(2.0)
+        self.assertEqual(self.stored_plan().to_maintain, ())
--- a/tests/service/test_pool.py
+++ b/tests/service/test_pool.py
@@ -168,6 +168,16 @@
         report = self.update(11.0, wanted=2)
         self.assertEqual(sorted(report.release_numbers.values()), [1, 2])
 
+    def test_release_keeps_its_time_after_a_takeover(self):
+        """Guards against a release that never ends where hosts of ours restart."""
+        pool = PoolManager(SERVICE, DurationModel(), True, lambda: True, lambda now: 7)
+        pool.update(self.sessions, [], (), 3, now=10.0)
+        report = pool.report()
+        self.assertEqual(set(report.released_ms.values()), {7})
+        successor = PoolManager(SERVICE, DurationModel(), False, lambda: True)
+        successor.restore(report)
+        self.assertEqual(successor.report().released_ms, report.released_ms)
+
     def test_returned_endpoint_is_kept_for_a_while(self):
         """Guards against a host that is released and returned in turn."""
         report, endpoint_id = self.release(now=10.0)
@@ -187,7 +197,9 @@
         pool = PoolManager(SERVICE, DurationModel(), True, lambda: True)
         sessions = [make_session(f"e{number}") for number in range(4)]
         for now in range(30):
-            pool.update(sessions, [], (), 0, float(now), kept=("e0", "e1"))
+            pool.update(
+                sessions, [], (), 0, float(now), keeps={"e0", "e1"}.__contains__
+            )
         self.assertEqual(sorted(pool.report().released), ["e2", "e3"])
         self.assertTrue(sessions[0].usable(30.0))
 
--- a/tests/service/test_release_protocol.py
+++ b/tests/service/test_release_protocol.py
@@ -5,6 +5,7 @@
 
 from magnoliapier.placement.durations import DurationModel
 from magnoliapier.pools.hosts import Host, HostState
+from magnoliapier.pools.order_retries import MAX_DELAY_S, OrderRetries
 from magnoliapier.pools.planner import FleetPlanner
 from magnoliapier.pools.report import FleetPlan, PoolReport
 from magnoliapier.service.pool import PoolManager
@@ -16,6 +17,11 @@
 STEP_S = 0.5
 
 
+def to_ms(now):
+    """Return the time on the table's clock, which all read without delay here."""
+    return round(now * 1000)
+
+
 class Rows:
     """The stored values of one row, of which hosts read an older one at times."""
 
@@ -53,14 +59,15 @@
 
     def take_pool(self):
         """Let another host take the pool's shard; it reads the newest report."""
-        self.pool = PoolManager(SERVICE, DurationModel(), False, lambda: False)
+        self.pool = PoolManager(SERVICE, DurationModel(), False, lambda: False, to_ms)
         self.pool.restore(self.reports.newest)
         self.plan_read = 0
 
     def take_fleet(self):
         """Let another host take the fleet; its view of the reports may be old."""
         plan = self.plans.newest
-        self.planner = FleetPlanner(plan.maintained, plan.returned)
+        retries = OrderRetries(plan.failed, self.now, to_ms)
+        self.planner = FleetPlanner(plan.maintained, plan.returned, retries)
         self.report_read = 0
 
     def act_as_pool(self):
@@ -78,10 +85,17 @@
             "other": PoolReport(wanted=self.rng.choice((0, 0, 1))),
         }
         self.planner.update(self.hosts, reports, (), None, self.now)
-        orders = self.planner.orders()
-        self.plans.write(FleetPlan(returned=dict(self.planner.returned)))
+        # At times the platform does not list its hosts, so that nothing is ordered.
+        orders = self.planner.orders() if self.rng.random() < 0.8 else []
         for order in orders:
-            self.moved.append(order.host)
+            self.planner.record_order(order, self.now)
+            if self.rng.random() < 0.5:
+                self.planner.record_failure(order, self.now, MAX_DELAY_S)
+            else:
+                self.moved.append(order.host)
+        self.planner.return_overdue(to_ms(self.now))
+        returned, failed = dict(self.planner.returned), self.planner.failed_orders()
+        self.plans.write(FleetPlan(returned=returned, failed=failed))
 
     def used(self):
         """Return the hosts on which the pool would start work now."""
@@ -113,7 +127,8 @@
         """
         Guards against a move that ends work on a host which was returned.
 
-        Reports and plans are read late, and each side is taken over at any moment.
+        Reports and plans are read late, each side is taken over at any moment, and
+        orders are refused or can't be sent.
         """
         moves = 0
         for seed in SEEDS:
