Let a wave go on without a host whose order takes no effect

Change: an empty host waits 2 s for a repeated order. After that its pool uses it again until the order may be repeated, the next ones of the wave are emptied and ordered meanwhile, and it comes back in its turn.

test_wave_goes_on_without_a_host_whose_order_fails fails on the code before (the other hosts of its pool are never ordered in 20 s).

--- a/magnoliapier/pools/planner.py
+++ b/magnoliapier/pools/planner.py
@@ -17,6 +17,9 @@
 
 ORDER_TIMEOUT_S = 6.0  # after this an order is assumed to have had no effect
 MAX_EMPTYING_PER_POOL = 2  # hosts of one pool that are emptied at once
+# A host that is empty waits so long for a repeated order, as emptying it again takes
+# longer, and is then used again until the next attempt.
+EMPTY_HOST_WAIT_S = 2.0
 RELEASE_LIMIT_S = 1.5  # a release without an order for so long is returned
 NOT_RETURNED = -1  # below the number of any release
 MAYBE_MAINTAINED = (HostState.UPKEEP, HostState.UNKNOWN)
@@ -174,6 +177,25 @@
             if name in self._hosts and name not in started
         ]
 
+    def _hosts_in_turn(self, wave):
+        """
+        Return the due hosts of a wave that may be emptied for it now.
+
+        A host whose order keeps failing is left out until the order may be repeated, so
+        that its pool can use it and others come before it.
+        """
+        in_turn = []
+        for host in self.due_hosts(wave):
+            order = Maintain(host.name, wave.number)
+            failing_s = self._retries.failing_for_s(order, self._now)
+            if self._may_send(order) or failing_s < EMPTY_HOST_WAIT_S:
+                in_turn.append(host)
+        return in_turn
+
+    def _awaiting_maintenance(self):
+        """Return the names of the hosts that may be emptied for a wave now."""
+        return {host.name for wave in self._waves for host in self._hosts_in_turn(wave)}
+
     def wave_completed(self, wave):
         """Return whether the maintenance of every listed host has started."""
         return bool(self._hosts) and not self.due_hosts(wave)
@@ -238,7 +260,7 @@
             for host in self._hosts.values()
             if host.name not in ordered_hosts and self._is_free(host)
         ]
-        due = {host.name for wave in self._waves for host in self.due_hosts(wave)}
+        due = self._awaiting_maintenance()
         free.sort(key=lambda host: (host.name in due, host.service == self._standby))
         orders = []
         for service in self._services_wanting_hosts():
@@ -271,7 +293,7 @@
         unknown. Hosts that wait for their maintenance stay released unless their pool
         wants hosts.
         """
-        awaiting = {host.name for wave in self._waves for host in self.due_hosts(wave)}
+        awaiting = self._awaiting_maintenance()
         for service, report in self._reports.items():
             may_wait = () if self._wants_hosts(service) else awaiting
             for endpoint_id, name in report.released.items():
@@ -351,7 +373,7 @@
         for wave in self._waves:
             allowed = wave.max_down
             per_pool = {}
-            for host in self.due_hosts(wave):
+            for host in self._hosts_in_turn(wave):
                 if allowed <= 0:
                     break
                 if host.service == self._standby or host.state != HostState.UP:
--- a/magnoliapier/service/fleet.py
+++ b/magnoliapier/service/fleet.py
@@ -251,7 +251,10 @@
         if outcome == HostOrderOutcome.REFUSED:
             self._planner.record_failure(order, now, MAX_DELAY_S)
         elif outcome == HostOrderOutcome.UNAVAILABLE:
-            self._planner.record_failure(order, now, MAX_AWAY_DELAY_S)
+            # Emptying a host again costs its pool more than a late repetition.
+            maintains = isinstance(order, Maintain)
+            max_delay_s = MAX_DELAY_S if maintains else MAX_AWAY_DELAY_S
+            self._planner.record_failure(order, now, max_delay_s)
         elif outcome == HostOrderOutcome.DONE and isinstance(order, Maintain):
             self._planner.record_maintenance_start(order)
 
--- a/tests/pools/test_planner.py
+++ b/tests/pools/test_planner.py
@@ -170,7 +170,7 @@
         self.planner.update(hosts, reports, (), STANDBY, now)
         return self.planner.orders()
 
-    def fail(self, order, now=0.0):
+    def fail_order(self, order, now=0.0):
         self.planner.record_order(order, now)
         self.planner.record_failure(order, now, MAX_DELAY_S)
 
@@ -179,7 +179,7 @@
         hosts = [host(1, STANDBY), host(2, STANDBY)]
         reports = {"a": PoolReport(wanted=1)}
         [order] = self.orders(hosts, reports)
-        self.fail(order)
+        self.fail_order(order)
         [other] = self.orders(hosts, reports, now=0.1)
         self.assertNotEqual(other.host, order.host)
 
@@ -188,7 +188,7 @@
         hosts = [host(1, "a")]
         reports = {"a": PoolReport({"e1": "h1"})}
         [order] = self.orders(hosts, reports)
-        self.fail(order)
+        self.fail_order(order)
         reports["b"] = PoolReport(wanted=1)
         self.assertEqual(self.orders(hosts, reports, now=0.1), [Move("h1", "b")])
         self.assertEqual(self.planner.kept(), ())
@@ -198,12 +198,49 @@
         hosts = [host(1, "a"), host(2, "a")]
         reports = {"a": PoolReport({"e1": "h1"})}
         [order] = self.orders(hosts, reports)
-        self.fail(order)
+        self.fail_order(order)
         self.assertEqual(self.orders(hosts, reports, now=0.1), [])
         self.assertEqual(self.planner.kept(), ("e1",))
         self.orders(hosts, reports, now=1.0)
         self.assertEqual(self.planner.kept(), ())
 
+    def test_wave_goes_on_without_a_host_whose_order_fails(self):
+        """Guards against a wave that waits for one host, which is kept empty."""
+        wave = Wave(1, ("h1", "h2", "h3"), 20.0, 1)
+        hosts = [host(1, "a"), host(2, "a"), host(3, "a")]
+        ordered = set()
+        used_at = []
+        for tenth in range(200):
+            now = tenth / 10
+            # The pool releases the hosts that it is asked to empty.
+            released = {f"e{name[1:]}": name for name in self.planner.hosts_to_empty()}
+            numbers = dict.fromkeys(released, tenth)
+            reports = {"a": PoolReport(released, release_numbers=numbers)}
+            self.planner.update(hosts, reports, [wave], None, now)
+            for order in self.planner.orders():
+                ordered.add(order.host)
+                if order.host == "h1":
+                    self.fail_order(order, now)
+                else:
+                    self.planner.record_maintenance_start(order)
+            if "h1" not in self.planner.hosts_to_empty():
+                used_at.append(now)
+        self.assertEqual(ordered, {"h1", "h2", "h3"})
+        self.assertGreater(len(used_at), 150)
+
+    def test_empty_host_waits_for_an_order_that_is_repeated_soon(self):
+        """Guards against a host that is emptied twice after one refusal."""
+        wave = Wave(1, ("h1",), 20.0, 1)
+        reports = {"a": PoolReport({"e1": "h1"})}
+        self.planner.update([host(1, "a")], reports, [wave], None, 0.0)
+        [order] = self.planner.orders()
+        self.fail_order(order)
+        self.planner.update([host(1, "a")], reports, [wave], None, 0.1)
+        self.assertEqual(self.planner.orders(), [])
+        self.assertEqual(self.planner.hosts_to_empty(), ("h1",))
+        self.planner.update([host(1, "a")], reports, [wave], None, 0.6)
+        self.assertEqual(self.planner.orders(), [order])
+
     def test_need_that_a_host_does_not_meet_does_not_free_it(self):
         """Guards against the same while another pool wants hosts of another kind."""
         need = HostNeed("fast", Resources(), 1)
@@ -212,7 +249,7 @@
             "b": PoolReport(further_needs=(need,)),
         }
         [order] = self.orders([host(1, "a")], reports)
-        self.fail(order)
+        self.fail_order(order)
         self.orders([host(1, "a")], reports, now=0.1)
         self.assertEqual(self.planner.kept(), ("e1",))
 
