Give up a move without an answer once the host list shows no effect

Change: a move without an answer has had no effect once a list that was requested 0.5 s or more after its call shows the host as before; handovers count on the same 0.5 s. An order for maintenance still counts for 6 s, since one that is carried out late would be one host more than the wave allows. Either is held back like a refused order, and so is one that was answered without effect; an order that takes effect ends the count.

With the new condition taken out test_need_gets_another_host_once_an_order_is_lost fails.

--- a/magnoliapier/pools/planner.py
+++ b/magnoliapier/pools/planner.py
@@ -13,9 +13,14 @@
 
 from magnoliapier.pools.crashes import CrashDetector
 from magnoliapier.pools.hosts import HostState
-from magnoliapier.pools.order_retries import OrderRetries
+from magnoliapier.pools.order_retries import (
+    MAX_AWAY_DELAY_S,
+    MAX_DELAY_S,
+    OrderRetries,
+)
 
 ORDER_TIMEOUT_S = 6.0  # after this an order is assumed to have had no effect
+ORDER_SETTLE_S = 0.5  # an order may still arrive this long after its call has ended
 MAX_EMPTYING_PER_POOL = 2  # hosts of one pool that are emptied at once
 # A host that is empty waits so long for a repeated order, as emptying it again takes
 # longer, and is then used again until the next attempt.
@@ -50,11 +55,35 @@
 
 
 class PendingOrder(msgspec.Struct):
-    """An order whose effect does not show in the host list yet."""
+    """
+    An order whose effect does not show in the host list yet.
+
+    ``unanswered_at`` is when its call ended without an answer, None if it did not.
+    """
 
     order: Move | Maintain
     endpoint_id: str  # of the endpoint on the host when the order was recorded
     ordered_at: float
+    unanswered_at: float | None = None
+
+    def took_effect_on(self, host):
+        """Return whether a listed host shows that the order was carried out."""
+        if host.state != HostState.UP:
+            return False
+        if isinstance(self.order, Move):
+            return host.service == self.order.service
+        return host.endpoint_id != self.endpoint_id
+
+    def had_no_effect(self, listed_at):
+        """
+        Return whether a host that is listed as before shows that the order is lost.
+
+        An order for maintenance is given its full time: one that is carried out late
+        would be one more than the wave allows.
+        """
+        if self.unanswered_at is None or isinstance(self.order, Maintain):
+            return False
+        return listed_at >= self.unanswered_at + ORDER_SETTLE_S
 
 
 class FleetPlanner:
@@ -83,13 +112,24 @@
         self._barred = ()
         self._now = 0.0
 
-    def update(self, hosts, reports, waves, standby, now, barred=(), listed_ms=0):
+    def update(
+        self,
+        hosts,
+        reports,
+        waves,
+        standby,
+        now,
+        barred=(),
+        listed_ms=0,
+        listed_at=None,
+    ):
         """
         Replace the known state and drop pending orders that took effect or timed out.
 
         ``reports`` maps services to their pools' reports, ``standby`` names the standby
         pool, and ``barred`` names hosts for which no order may be sent yet.
-        ``listed_ms`` is a time on the table's clock before the list was requested.
+        ``listed_ms`` is a time on the table's clock before the list was requested, at
+        ``listed_at``, by default ``now``.
         """
         self._crashes.update(hosts, self._pending, now, listed_ms)
         self._hosts = {host.name: host for host in hosts}
@@ -98,15 +138,19 @@
         self._standby = standby
         self._barred = barred
         self._now = now
+        self._settle_orders(now if listed_at is None else listed_at)
+        if hosts:
+            self._retries.forget(self._hosts, now)
+            self._forget_returned()
+
+    def _settle_orders(self, listed_at):
+        """Drop the pending orders that took effect, or had none."""
         for name, pending in list(self._pending.items()):
             host = self._hosts.get(name)
             if host is not None:
                 self._record_seen_maintenance(host, pending.order)
-            if host is None or self._is_settled(host, pending, now):
+            if host is None or self._is_settled(host, pending, listed_at):
                 del self._pending[name]
-        if hosts:
-            self._retries.forget(self._hosts, now)
-            self._forget_returned()
 
     def _forget_returned(self):
         """Forget the returned releases of endpoints that have left."""
@@ -126,14 +170,32 @@
         if host.state == HostState.UPKEEP and isinstance(order, Maintain):
             self.record_maintenance_start(order)
 
-    def _is_settled(self, host, pending, now):
-        if now - pending.ordered_at > ORDER_TIMEOUT_S:
+    def _is_settled(self, host, pending, listed_at):
+        if pending.took_effect_on(host):
+            self._retries.record_effect(pending.order)
             return True
-        if host.state != HostState.UP:
+        timed_out = self._now - pending.ordered_at > ORDER_TIMEOUT_S
+        is_as_before = (
+            host.state == HostState.UP and host.endpoint_id == pending.endpoint_id
+        )
+        if not is_as_before or self._is_maintained(pending.order):
+            return timed_out
+        if not timed_out and not pending.had_no_effect(listed_at):
+            return False
+        self._hold_back(pending.order, pending.unanswered_at is not None, self._now)
+        return True
+
+    def _is_maintained(self, order):
+        """Return whether an order's host is known to be maintained in its wave."""
+        if not isinstance(order, Maintain):
             return False
-        if isinstance(pending.order, Move):
-            return host.service == pending.order.service
-        return host.endpoint_id != pending.endpoint_id
+        return order.host in self.maintained.get(order.wave, ())
+
+    def _hold_back(self, order, away, now):
+        # Emptying a host again costs its pool more than a late repetition.
+        soon = away and isinstance(order, Move)
+        max_delay_s = MAX_AWAY_DELAY_S if soon else MAX_DELAY_S
+        self._retries.record_failure(order, now, max_delay_s)
 
     def record_order(self, order, now):
         """Record an order as pending, whether or not it gets a response."""
@@ -144,10 +206,20 @@
         """Record that an order was not sent and is not pending any more."""
         self._pending.pop(order.host, None)
 
-    def record_failure(self, order, now, max_delay_s):
-        """Record that an order had no effect; hold it back, ``max_delay_s`` at most."""
+    def record_failure(self, order, now, away=False):
+        """
+        Record that an order had no effect, and hold it back.
+
+        ``away`` is whether the platform did not take it and may at any moment.
+        """
         self._pending.pop(order.host, None)
-        self._retries.record_failure(order, now, max_delay_s)
+        self._hold_back(order, away, now)
+
+    def record_unanswered(self, order, now):
+        """Record that the call of an order ended without an answer."""
+        pending = self._pending.get(order.host)
+        if pending is not None:
+            pending.unanswered_at = now
 
     def record_maintenance_start(self, order):
         """Record that the platform has accepted the maintenance of a host."""
--- a/magnoliapier/service/fleet.py
+++ b/magnoliapier/service/fleet.py
@@ -13,12 +13,8 @@
 from magnoliapier.exceptions import FencedError, MessageError, PlatformError
 from magnoliapier.logs import get_logger
 from magnoliapier.pools.handover import END_UNKNOWN, RecentHostOrders
-from magnoliapier.pools.order_retries import (
-    MAX_AWAY_DELAY_S,
-    MAX_DELAY_S,
-    OrderRetries,
-)
-from magnoliapier.pools.planner import FleetPlanner, Maintain
+from magnoliapier.pools.order_retries import OrderRetries
+from magnoliapier.pools.planner import ORDER_SETTLE_S, FleetPlanner, Maintain
 from magnoliapier.pools.report import PLAN_KEY, FleetPlan, decode_plan, encode
 from magnoliapier.service.allowance_writer import AllowanceWriter
 from magnoliapier.service.background import cancel_tasks, supervise
@@ -34,7 +30,6 @@
 IDLE_LIST_INTERVAL_S = 1.0
 UNLISTED_LIMIT_S = 1.0  # without a list for so long, hosts stay in their pools
 RETRY_DELAY_S = 0.2
-ORDER_SETTLE_S = 0.5  # an order may still arrive this long after its call has ended
 MAX_CONCURRENT_ORDERS = 16  # a quarter of what the platform accepts in a second
 
 log = get_logger(__name__)
@@ -73,7 +68,8 @@
         self._planner = FleetPlanner()
         self._recent_orders = RecentHostOrders()
         self._plan = FleetPlan()
-        self._listed_at = None
+        self._list_outdated = True
+        self._listed_at = 0.0
         self._listed_ms = 0
         self._unlisted_since = None
         self._hosts = []
@@ -177,6 +173,7 @@
             now,
             self._recent_orders.barred(now, self._store.table_clock.earliest_ms(now)),
             self._listed_ms,
+            self._listed_at,
         )
         await self._commit_plan()
         orders = self._planner.orders() if listed else []
@@ -190,7 +187,7 @@
     async def _record_and_send(self, orders):
         """Record the hosts of orders, then send the orders that the lease covers."""
         now = self._clock()
-        self._listed_at = None
+        self._list_outdated = True
         for order in orders:
             self._planner.record_order(order, now)
             self._recent_orders.record_start(order.host)
@@ -219,15 +216,16 @@
         now = self._clock()
         busy = self._planner.has_pending or self._view.active()
         interval_s = BUSY_LIST_INTERVAL_S if busy else IDLE_LIST_INTERVAL_S
-        if self._listed_at is not None and now - self._listed_at < interval_s:
+        if not self._list_outdated and now - self._listed_at < interval_s:
             return True
-        self._listed_at = None
+        self._list_outdated = True
         listed_ms = self._store.table_clock.earliest_ms(now)
         try:
             self._hosts = await self._machines.hosts()
         except (PlatformError, MessageError) as error:
             self._record_unlisted(error)
             return False
+        self._list_outdated = False
         self._listed_at, self._listed_ms = now, listed_ms
         if self._unlisted_since is not None:
             log.info("hosts_listed_again", hosts=len(self._hosts))
@@ -248,13 +246,11 @@
         outcome = await self._sender.send(order)
         self._record_order_end(order)
         now = self._clock()
-        if outcome == HostOrderOutcome.REFUSED:
-            self._planner.record_failure(order, now, MAX_DELAY_S)
-        elif outcome == HostOrderOutcome.UNAVAILABLE:
-            # Emptying a host again costs its pool more than a late repetition.
-            maintains = isinstance(order, Maintain)
-            max_delay_s = MAX_DELAY_S if maintains else MAX_AWAY_DELAY_S
-            self._planner.record_failure(order, now, max_delay_s)
+        if outcome in (HostOrderOutcome.REFUSED, HostOrderOutcome.UNAVAILABLE):
+            away = outcome == HostOrderOutcome.UNAVAILABLE
+            self._planner.record_failure(order, now, away)
+        elif outcome == HostOrderOutcome.UNANSWERED:
+            self._planner.record_unanswered(order, now)
         elif outcome == HostOrderOutcome.DONE and isinstance(order, Maintain):
             self._planner.record_maintenance_start(order)
 
--- a/tests/pools/test_planner.py
+++ b/tests/pools/test_planner.py
@@ -2,8 +2,12 @@
 
 from magnoliapier.pools.hosts import Host, HostState, Wave
 from magnoliapier.pools.need import HostNeed
-from magnoliapier.pools.order_retries import MAX_DELAY_S
-from magnoliapier.pools.planner import FleetPlanner, Maintain, Move
+from magnoliapier.pools.planner import (
+    ORDER_TIMEOUT_S,
+    FleetPlanner,
+    Maintain,
+    Move,
+)
 from magnoliapier.pools.report import PoolReport
 from magnoliapier.submissions.model import Resources
 
@@ -172,7 +176,7 @@
 
     def fail_order(self, order, now=0.0):
         self.planner.record_order(order, now)
-        self.planner.record_failure(order, now, MAX_DELAY_S)
+        self.planner.record_failure(order, now)
 
     def test_need_gets_another_host_than_the_one_refused(self):
         """Guards against a need that waits for a host which can't be moved."""
@@ -204,6 +208,55 @@
         self.orders(hosts, reports, now=1.0)
         self.assertEqual(self.planner.kept(), ())
 
+    def order_without_answer(self, hosts, reports, waves=()):
+        """Send the only order, whose call ends after 1 s without an answer."""
+        self.planner.update(hosts, reports, waves, STANDBY, 0.0)
+        [order] = self.planner.orders()
+        self.planner.record_order(order, 0.0)
+        self.planner.record_unanswered(order, 1.0)
+        return order
+
+    def test_need_gets_another_host_once_an_order_is_lost(self):
+        """Guards against a need that waits for an order that shows no effect."""
+        hosts = [host(1, STANDBY), host(2, STANDBY)]
+        reports = {"a": PoolReport(wanted=1)}
+        order = self.order_without_answer(hosts, reports)
+        self.planner.update(hosts, reports, (), STANDBY, 1.6, listed_at=1.4)
+        self.assertEqual(self.planner.orders(), [])
+        self.planner.update(hosts, reports, (), STANDBY, 1.7, listed_at=1.6)
+        [other] = self.planner.orders()
+        self.assertNotEqual(other.host, order.host)
+
+    def test_lost_order_for_maintenance_counts_for_its_full_time(self):
+        """Guards against more hosts down than a wave allows, by a late order."""
+        wave = Wave(1, ("h1", "h2"), 20.0, 1)
+        hosts = [host(1, STANDBY), host(2, STANDBY)]
+        self.order_without_answer(hosts, {}, [wave])
+        self.planner.update(hosts, {}, [wave], STANDBY, ORDER_TIMEOUT_S)
+        self.assertEqual(self.planner.orders(), [])
+        self.planner.update(hosts, {}, [wave], STANDBY, ORDER_TIMEOUT_S + 0.1)
+        self.assertEqual(self.planner.orders(), [Maintain("h2", 1)])
+
+    def test_order_that_is_answered_without_effect_is_held_back(self):
+        """Guards against a host that is ordered in vain for good."""
+        reports = {"a": PoolReport({"e1": "h1"})}
+        [order] = self.orders([host(1, "a")], reports)
+        self.planner.record_order(order, 0.0)
+        self.assertEqual(self.orders([host(1, "a")], reports, ORDER_TIMEOUT_S), [])
+        after_s = ORDER_TIMEOUT_S + 0.1
+        self.assertEqual(self.orders([host(1, "a")], reports, after_s), [])
+        self.assertEqual(self.planner.returned, {"e1": 0})
+
+    def test_order_that_takes_effect_is_not_held_back_later(self):
+        """Guards against a delay that outlasts its cause."""
+        reports = {"a": PoolReport({"e1": "h1"})}
+        [order] = self.orders([host(1, "a")], reports)
+        self.fail_order(order)
+        [order] = self.orders([host(1, "a")], {"a": PoolReport({"e1": "h1"})}, 0.6)
+        self.planner.record_order(order, 0.6)
+        self.orders([Host("h1", STANDBY, HostState.UP, endpoint_id="e2")], reports, 2.0)
+        self.assertEqual(self.planner.failed_orders(), {})
+
     def test_wave_goes_on_without_a_host_whose_order_fails(self):
         """Guards against a wave that waits for one host, which is kept empty."""
         wave = Wave(1, ("h1", "h2", "h3"), 20.0, 1)
--- a/tests/service/test_release_protocol.py
+++ b/tests/service/test_release_protocol.py
@@ -5,7 +5,7 @@
 
 from magnoliapier.placement.durations import DurationModel
 from magnoliapier.pools.hosts import Host, HostState
-from magnoliapier.pools.order_retries import MAX_DELAY_S, OrderRetries
+from magnoliapier.pools.order_retries import OrderRetries
 from magnoliapier.pools.planner import FleetPlanner
 from magnoliapier.pools.report import FleetPlan, PoolReport
 from magnoliapier.service.pool import PoolManager
@@ -90,7 +90,7 @@
         for order in orders:
             self.planner.record_order(order, self.now)
             if self.rng.random() < 0.5:
-                self.planner.record_failure(order, self.now, MAX_DELAY_S)
+                self.planner.record_failure(order, self.now)
             else:
                 self.moved.append(order.host)
         self.planner.return_overdue(to_ms(self.now))
