Send no more host orders in a second than the platform accepts

What is beyond it is answered 429, whichever order that is.

Orders that failed come after those that did not.

test_orders_keep_the_rate_that_the_platform_accepts fails on the controller before (100 orders in one cycle, 20 allowed).

--- a/magnoliapier/platform/boot.py
+++ b/magnoliapier/platform/boot.py
@@ -41,6 +41,7 @@
     """Where the platform serves its interface for machines, the product's hosts."""
 
     address: str
+    duty_per_s: float = 64.0  # orders that it accepts in a second
 
 
 class Limits(msgspec.Struct, frozen=True):
--- a/magnoliapier/platform/program.py
+++ b/magnoliapier/platform/program.py
@@ -57,8 +57,9 @@
     """
     The settings of a node.
 
-    ``final_retention_s`` is how long final states of submissions are kept, and
-    ``host_order_gap_s`` the minimum time between two holders' orders for one host.
+    ``final_retention_s`` is how long final states of submissions are kept,
+    ``host_order_gap_s`` the minimum time between two holders' orders for one host, and
+    ``host_orders_per_s`` how many orders the platform accepts from all of them.
     """
 
     name: str
@@ -67,6 +68,7 @@
     final_retention_s: float
     low_capacity: bool
     host_order_gap_s: float
+    host_orders_per_s: float
 
 
 def decode_endpoint(endpoint_id, data):
@@ -118,6 +120,7 @@
             final_retention_s=boot.bounds.status_s * FINAL_RETENTION_FACTOR,
             low_capacity=boot.limits.low_capacity,
             host_order_gap_s=boot.bounds.lease_ms / 1000,
+            host_orders_per_s=boot.cloud_api.duty_per_s,
         )
         self._node = Node(clients, settings, self._metrics)
         self._operator = TableWatcher(
--- a/magnoliapier/pools/planner.py
+++ b/magnoliapier/pools/planner.py
@@ -273,11 +273,15 @@
         return bool(self._hosts) and not self.due_hosts(wave)
 
     def orders(self):
-        """Return the orders to send now, maintenance first."""
+        """
+        Return the orders to send now, those first that failed least.
+
+        Among equals maintenance comes first.
+        """
         orders = self._maintenance_orders()
         ordered_hosts = {order.host for order in orders}
         orders.extend(self._move_orders(ordered_hosts))
-        return orders
+        return sorted(orders, key=self._retries.failures)
 
     def _is_free(self, host):
         """Return whether a host may be ordered now and no task runs on it."""
--- a/magnoliapier/service/fleet.py
+++ b/magnoliapier/service/fleet.py
@@ -13,6 +13,7 @@
 from magnoliapier.exceptions import FencedError, MessageError, PlatformError
 from magnoliapier.logs import get_logger
 from magnoliapier.pools.handover import END_UNKNOWN, RecentHostOrders
+from magnoliapier.pools.order_rate import OrderRate
 from magnoliapier.pools.order_retries import OrderRetries
 from magnoliapier.pools.planner import ORDER_SETTLE_S, FleetPlanner, Maintain
 from magnoliapier.pools.report import PLAN_KEY, FleetPlan, decode_plan, encode
@@ -30,7 +31,7 @@
 IDLE_LIST_INTERVAL_S = 1.0
 UNLISTED_LIMIT_S = 1.0  # without a list for so long, hosts stay in their pools
 RETRY_DELAY_S = 0.2
-MAX_CONCURRENT_ORDERS = 16  # a quarter of what the platform accepts in a second
+MAX_CONCURRENT_ORDERS = 16
 
 log = get_logger(__name__)
 
@@ -65,6 +66,7 @@
             deps.store, view, self._commit, deps.boottime, deps.metrics
         )
         self._order_gap_s = deps.host_order_gap_s + ORDER_SETTLE_S
+        self._order_rate = OrderRate(deps.host_orders_per_s)
         self._planner = FleetPlanner()
         self._recent_orders = RecentHostOrders()
         self._plan = FleetPlan()
@@ -177,6 +179,8 @@
         )
         await self._commit_plan()
         orders = self._planner.orders() if listed else []
+        # The others are chosen anew by a later cycle.
+        orders = orders[: self._order_rate.available(now)]
         if orders:
             await self._record_and_send(orders)
         now = self._clock()
@@ -198,6 +202,7 @@
             raise
         for start in range(0, len(orders), MAX_CONCURRENT_ORDERS):
             batch = orders[start : start + MAX_CONCURRENT_ORDERS]
+            self._order_rate.record(len(batch), self._clock())
             await asyncio.gather(*(self._send_order(order) for order in batch))
 
     def _withdraw(self, orders):
--- a/magnoliapier/service/node.py
+++ b/magnoliapier/service/node.py
@@ -91,7 +91,8 @@
 
     ``wave_status(number, completed)`` returns the Put of the row in which operators
     read a wave's state. ``host_order_gap_s`` is the minimum time between two holders'
-    orders for one host.
+    orders for one host, and ``host_orders_per_s`` how many orders the platform accepts
+    from all of them.
     """
 
     store: object
@@ -100,6 +101,7 @@
     metrics: object
     wave_status: object
     host_order_gap_s: float
+    host_orders_per_s: float
 
 
 class Node:
@@ -186,6 +188,7 @@
             metrics,
             clients.wave_status,
             settings.host_order_gap_s,
+            settings.host_orders_per_s,
         )
 
     async def start(self):
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -19,7 +19,7 @@
     "listen": {"front": "127.0.0.1:1", "ready_address": "127.0.0.1:2"},
     "internal_ports": [7060, 7075],
     "platform": {"address": "127.0.0.1:3"},
-    "cloud_api": {"address": "127.0.0.1:4"},
+    "cloud_api": {"address": "127.0.0.1:4", "duty_per_s": 12},
     "bounds": {"lease_ms": 2500},
 }
 
@@ -51,6 +51,11 @@
         _, settings, _ = self.Node.call_args.args
         self.assertEqual(settings.host_order_gap_s, 2.5)
 
+    def test_rate_of_host_orders_comes_from_the_settings(self):
+        """Guards against orders that the platform refuses as too many."""
+        _, settings, _ = self.Node.call_args.args
+        self.assertEqual(settings.host_orders_per_s, 12.0)
+
 
 class ShutdownTests(unittest.IsolatedAsyncioTestCase):
     """Stops a program while a caller's request waits for a probe of the store."""
--- a/tests/service/test_fleet.py
+++ b/tests/service/test_fleet.py
@@ -27,6 +27,7 @@
 
 STANDBY = "standby"
 HOST_ORDER_GAP_S = 3.0
+HOST_ORDERS_PER_S = 20.0
 ORDER_SETTLE_S = 0.5  # as the platform's design page says
 STEP_S = 0.5  # longer than the host list is kept, shorter than a lease
 TEST_TIMEOUT_S = 10.0
@@ -133,6 +134,7 @@
             metrics(),
             wave_status,
             HOST_ORDER_GAP_S,
+            HOST_ORDERS_PER_S,
         )
         controller = FleetController(lease, deps, self.view, self.lost.append)
         controller.start()
@@ -345,6 +347,22 @@
             await self.pass_time(STEP_S)
         self.assertEqual([token for _, token, _ in self.machines.refusals][-2:], [1, 2])
 
+    async def test_orders_keep_the_rate_that_the_platform_accepts(self):
+        """Guards against orders that are refused as too many, whichever they are."""
+        self.machines.refuses = False
+        numbers = range(1, 101)
+        self.machines.listed = [
+            Host(f"h{n}", "desk", HostState.UP, endpoint_id=f"e{n}") for n in numbers
+        ]
+        self.release(*(f"h{n}" for n in numbers))
+        await self.start_holder(1)
+        await self.pass_time(1.0)
+        sent_at = [at for _, _, at in self.machines.orders]
+        self.assertGreater(len(sent_at), 0)
+        for start in sent_at:
+            count = sum(start <= at < start + 1.0 for at in sent_at)
+            self.assertLessEqual(count, HOST_ORDERS_PER_S)
+
 
 class UnlistedHostTests(FleetTestCase):
     """The platform's interface for hosts is away, or lists something else."""
--- a/tests/service/test_node.py
+++ b/tests/service/test_node.py
@@ -37,6 +37,7 @@
         final_retention_s=240.0,
         low_capacity=False,
         host_order_gap_s=3.0,
+        host_orders_per_s=64.0,
     )
     return Node(clients, settings, metrics())
 
--- a/tests/service/test_organisation_limits.py
+++ b/tests/service/test_organisation_limits.py
@@ -133,7 +133,7 @@
     def _controller(self, shard, lease, view):
         if shard == FLEET_SHARD:
             deps = FleetDependencies(
-                self.store, NoMachines(), self.loop.time, self.metrics, None, 3.0
+                self.store, NoMachines(), self.loop.time, self.metrics, None, 3.0, 64.0
             )
             return FleetController(lease, deps, view, lambda _: None)
         deps = ShardDependencies(
