Begin the wait for a former holder's orders once, not with each takeover

Change: an order of unknown end has ended when its holder's lease was taken. That time is recorded on the table's clock, so that further successors wait from it.

With the change taken out test_takeovers_in_a_row_do_not_prolong_the_wait fails.

--- a/magnoliapier/pools/handover.py
+++ b/magnoliapier/pools/handover.py
@@ -26,8 +26,11 @@
 
     ``former`` maps the hosts that were recorded when the lease was taken, at ``now``,
     to the ends of their orders. ``gap_s`` is the minimum time between the end of a
-    holder's order for a host and the first order of its successor. Local times are in
-    seconds; times on the table's clock are in milliseconds, 0 if unknown.
+    holder's order for a host and the first order of its successor. ``taken_ms`` is an
+    upper bound of the time on the table's clock when the lease was taken; orders of
+    unknown end have ended by then, so that a further takeover does not begin their wait
+    anew. Local times are in seconds; times on the table's clock are in milliseconds, 0
+    if unknown.
 
     Example::
 
@@ -36,8 +39,11 @@
         assert orders.barred(4.0, table_ms=16_000) == set()
     """
 
-    def __init__(self, former=None, now=0.0, gap_s=0.0):
-        self._former = dict(former or {})
+    def __init__(self, former=None, now=0.0, gap_s=0.0, taken_ms=END_UNKNOWN):
+        self._former = {
+            host: taken_ms if ended_ms == END_UNKNOWN else ended_ms
+            for host, ended_ms in (former or {}).items()
+        }
         self._taken_at = now
         self._gap_s = gap_s
         self._own = {}
--- a/magnoliapier/service/fleet.py
+++ b/magnoliapier/service/fleet.py
@@ -137,13 +137,14 @@
                 log.info("fleet_load_failed", error=error)
                 await asyncio.sleep(RETRY_DELAY_S)
         now = self._clock()
+        table_ms = self._store.table_clock.latest_ms
         self._planner = FleetPlanner(
             self._plan.maintained,
             self._plan.returned,
-            OrderRetries(self._plan.failed, now, self._store.table_clock.latest_ms),
+            OrderRetries(self._plan.failed, now, table_ms),
         )
         self._recent_orders = RecentHostOrders(
-            self._plan.ordered, now, self._order_gap_s
+            self._plan.ordered, now, self._order_gap_s, table_ms(now)
         )
         log.info("fleet_loaded", barred=len(self._plan.ordered))
 
--- a/tests/pools/test_handover.py
+++ b/tests/pools/test_handover.py
@@ -30,6 +30,17 @@
         self.assertEqual(orders.barred(10.1, UNKNOWN_TABLE_MS), {"h1"})
         self.assertEqual(orders.barred(10.0 + GAP_S, UNKNOWN_TABLE_MS), set())
 
+    def test_takeovers_in_a_row_do_not_prolong_the_wait(self):
+        """Guards against a host that is never ordered while hosts of ours restart."""
+        former = {"h1": END_UNKNOWN}
+        for taken_at in (10.0, 12.0, 13.0):
+            table_ms = round(taken_at * 1000)
+            orders = RecentHostOrders(former, taken_at, GAP_S, taken_ms=table_ms)
+            self.assertEqual(orders.barred(taken_at, table_ms), {"h1"})
+            former = orders.hosts_to_record(taken_at, table_ms)
+        self.assertEqual(orders.barred(13.9, 13_900), {"h1"})
+        self.assertEqual(orders.barred(14.0, 14_000), set())
+
     def test_barred_hosts_stay_recorded(self):
         """Guards against lost records if a holder loses the lease before it orders."""
         orders = RecentHostOrders(
