Let a former holder's decisions stand until hosts are listed

Pools used hosts again that were being emptied, or released hosts that can't be moved, for as long as the list took.

Change: until a list is read, the plan keeps what the former holder decided, and a pause for an interface that is away goes on. What is remembered of endpoints is forgotten by a new list only, not by an old one that stands while the platform lists nothing.

test_decisions_stand_until_a_successor_lists_hosts fails on the code before.

--- a/magnoliapier/pools/planner.py
+++ b/magnoliapier/pools/planner.py
@@ -126,20 +126,22 @@
         """
         Replace the known state and drop pending orders that took effect or timed out.
 
-        ``reports`` maps services to their pools' reports, ``standby`` names the standby
-        pool, and ``barred`` names hosts for which no order may be sent yet.
+        ``hosts`` is None while the platform does not list them; the last list stands
+        then. ``reports`` maps services to their pools' reports, ``standby`` names the
+        standby pool, and ``barred`` names hosts for which no order may be sent yet.
         ``listed_ms`` is a time on the table's clock before the list was requested, at
         ``listed_at``, by default ``now``.
         """
-        self._crashes.update(hosts, self._pending, now, listed_ms)
-        self._hosts = {host.name: host for host in hosts}
+        if hosts is not None:
+            self._crashes.update(hosts, self._pending, now, listed_ms)
+            self._hosts = {host.name: host for host in hosts}
         self._reports = reports
         self._waves = waves
         self._standby = standby
         self._barred = barred
         self._now = now
         self._settle_orders(now if listed_at is None else listed_at)
-        if hosts:
+        if hosts is not None:
             self._retries.forget(self._hosts, now)
             self._forget_returned()
 
--- a/magnoliapier/service/fleet.py
+++ b/magnoliapier/service/fleet.py
@@ -71,7 +71,7 @@
         self._recent_orders = RecentHostOrders()
         self._plan = FleetPlan()
         self._list_outdated = True
-        self._listed_at = 0.0
+        self._listed_at = None
         self._listed_ms = 0
         self._unlisted_since = None
         self._hosts = []
@@ -146,6 +146,8 @@
         self._recent_orders = RecentHostOrders(
             self._plan.ordered, now, self._order_gap_s, table_ms(now)
         )
+        if self._plan.paused:
+            self._unlisted_since = now - UNLISTED_LIMIT_S
         log.info("fleet_loaded", barred=len(self._plan.ordered))
 
     async def _read_plan(self):
@@ -169,7 +171,7 @@
         listed = await self._refresh_hosts()
         now = self._clock()
         self._planner.update(
-            self._hosts,
+            self._hosts if listed else None,
             self._view.reports(),
             self._view.waves(),
             self._view.standby(),
@@ -260,11 +262,16 @@
         elif outcome == HostOrderOutcome.DONE and isinstance(order, Maintain):
             self._planner.record_maintenance_start(order)
 
-    async def _commit_plan(self):
+    def _next_plan(self):
+        """Return the plan to store now."""
         now = self._clock()
         paused = self._is_paused(now)
-        plan = FleetPlan(
-            () if paused else self._planner.hosts_to_empty(),
+        to_maintain, kept = self._planner.hosts_to_empty(), self._planner.kept()
+        if self._listed_at is None:
+            # What the former holder has decided stands until hosts are listed.
+            to_maintain, kept = self._plan.to_maintain, self._plan.kept
+        return FleetPlan(
+            () if paused else to_maintain,
             {
                 wave: tuple(sorted(hosts))
                 for wave, hosts in self._planner.maintained.items()
@@ -276,9 +283,12 @@
             dict(self._planner.returned),
             self._planner.last_up_ms,
             self._planner.failed_orders(),
-            self._planner.kept(),
+            kept,
             paused,
         )
+
+    async def _commit_plan(self):
+        plan = self._next_plan()
         puts = []
         if plan != self._plan:
             puts.append(Put(CONTROL_TABLE, FLEET_SHARD, PLAN_KEY, encode(plan)))
--- a/tests/service/test_fleet.py
+++ b/tests/service/test_fleet.py
@@ -408,3 +408,19 @@
         self.machines.is_away = True
         await self.pass_time(2.0)
         self.assertEqual(self.stored_plan().to_maintain, ())
+
+    async def test_decisions_stand_until_a_successor_lists_hosts(self):
+        """Guards against hosts that are used for a moment while they are emptied."""
+        self.view.requested_waves = [Wave(1, ("h1",), 20.0, 1)]
+        holder = await self.start_holder(1)
+        await self.pass_time(1.0)
+        self.machines.is_away = True
+        await holder.close()
+        await self.start_holder(2)
+        await self.let_controllers_act()
+        self.assertEqual(self.stored_plan().to_maintain, ("h1",))
+        await self.pass_time(1.5)
+        self.assertTrue(self.stored_plan().paused)
+        await self.start_holder(3)
+        await self.let_controllers_act()
+        self.assertTrue(self.stored_plan().paused)
