Do not hold back a host order that the lease did not cover

An order that isn't sent, as the holder's lease may end before it does, says nothing of its host: the next cycle may send it. It is an outcome of its own (withheld) in logs and metrics.

test_order_that_the_lease_does_not_cover_is_not_a_failed_one fails on the code before, which takes it for an interface that is away.

--- a/magnoliapier/service/fleet.py
+++ b/magnoliapier/service/fleet.py
@@ -257,6 +257,8 @@
         if outcome in (HostOrderOutcome.REFUSED, HostOrderOutcome.UNAVAILABLE):
             away = outcome == HostOrderOutcome.UNAVAILABLE
             self._planner.record_failure(order, now, away)
+        elif outcome == HostOrderOutcome.WITHHELD:
+            self._planner.withdraw(order)
         elif outcome == HostOrderOutcome.UNANSWERED:
             self._planner.record_unanswered(order, now)
         elif outcome == HostOrderOutcome.DONE and isinstance(order, Maintain):
--- a/magnoliapier/service/host_orders.py
+++ b/magnoliapier/service/host_orders.py
@@ -30,6 +30,7 @@
     DONE = "done"
     REFUSED = "refused"  # by the platform; it had no effect and will have none
     UNAVAILABLE = "unavailable"  # not sent or not taken; it will have no effect
+    WITHHELD = "withheld"  # not sent, as the lease does not cover it
     UNANSWERED = "unanswered"  # it may have been carried out
 
 
@@ -38,9 +39,11 @@
     Allows one order to be sent while the lease covers it.
 
     ``details()`` returns the fields of the log line that says when it was sent.
+    ``withheld`` is whether the order was not allowed.
     """
 
     def __init__(self, lease, clock, details):
+        self.withheld = False
         self._lease = lease
         self._clock = clock
         self._details = details
@@ -48,6 +51,7 @@
     def check(self):
         """Raise LeaseTooShortError if the order may outlast the lease."""
         if not self._lease.covers_order(self._clock()):
+            self.withheld = True
             raise LeaseTooShortError(
                 "The lease may expire before the order ends; renew it first."
             )
@@ -69,20 +73,21 @@
     async def send(self, order):
         """Send an order if the lease covers it; return its HostOrderOutcome."""
         started_at = self._clock()
+        guard = OrderGuard(
+            self._lease, self._clock, lambda: self._details(order, started_at)
+        )
         try:
-            await self._call(order, started_at)
+            await self._call(order, guard)
         except HostOrderRefusedError as error:
             outcome = HostOrderOutcome.REFUSED
             log.info(
                 "host_order_refused", **self._details(order, started_at), error=error
             )
         except StoreUnavailableError as error:
-            outcome = HostOrderOutcome.UNAVAILABLE
-            log.info(
-                "host_order_unavailable",
-                **self._details(order, started_at),
-                error=error,
-            )
+            outcome, event = HostOrderOutcome.UNAVAILABLE, "host_order_unavailable"
+            if guard.withheld:
+                outcome, event = HostOrderOutcome.WITHHELD, "host_order_withheld"
+            log.info(event, **self._details(order, started_at), error=error)
         except StoreOutcomeUnknownError as error:
             outcome = HostOrderOutcome.UNANSWERED
             log.warning(
@@ -97,11 +102,8 @@
         )
         return outcome
 
-    async def _call(self, order, started_at):
+    async def _call(self, order, guard):
         token = self._lease.token
-        guard = OrderGuard(
-            self._lease, self._clock, lambda: self._details(order, started_at)
-        )
         if isinstance(order, Maintain):
             await self._machines.maintain(order.host, order.wave, token, guard)
         else:
--- a/tests/service/test_host_orders.py
+++ b/tests/service/test_host_orders.py
@@ -26,6 +26,7 @@
 
     def __init__(self, clock):
         self.error = None
+        self.withholds = False  # as the client does: its error hides the guard's
         self.orders = []
         self._clock = clock
 
@@ -36,7 +37,12 @@
         await self._order((host, wave, token), guard)
 
     async def _order(self, order, guard):
-        guard.check()
+        try:
+            guard.check()
+        except LeaseTooShortError as error:
+            if self.withholds:
+                raise StoreUnavailableError("not sent") from error
+            raise
         self.orders.append(order)
         guard.record_sent()
         self._clock.now += ANSWER_S
@@ -83,6 +89,13 @@
             await self.sender.send(Move("h1", "desk"))
         self.assertEqual(self.machines.orders, [])
 
+    async def test_order_that_the_lease_does_not_cover_is_not_a_failed_one(self):
+        """Guards against a host that is held back as the holder's lease was short."""
+        self.machines.withholds = True
+        self.clock.now += LEASE_TTL_S - ORDER_TIME_LIMIT_S + 0.01
+        outcome = await self.sender.send(Move("h1", "desk"))
+        self.assertEqual(outcome, HostOrderOutcome.WITHHELD)
+
     async def test_log_shows_when_an_order_was_sent_and_ended(self):
         """
         Guards against logs that do not show the sequence of two holders' orders.
