Send other host orders while one waits for its answer

Change: orders are sent in the background, 16 at a time; a host with an order under way is not ordered again, and the list is read anew after each end. Calls still end before the lease is released. An unexpected error in one counts as unanswered.

test_other_orders_are_sent_while_one_waits and test_calls_end_with_their_holder fail on the code before: its cycle doesn't go on while a call waits.

--- a/magnoliapier/service/fleet.py
+++ b/magnoliapier/service/fleet.py
@@ -18,7 +18,7 @@
 from magnoliapier.pools.planner import ORDER_SETTLE_S, FleetPlanner, Maintain
 from magnoliapier.pools.report import PLAN_KEY, FleetPlan, decode_plan, encode
 from magnoliapier.service.allowance_writer import AllowanceWriter
-from magnoliapier.service.background import cancel_tasks, supervise
+from magnoliapier.service.background import cancel_tasks, report_failure, supervise
 from magnoliapier.service.host_orders import HostOrderOutcome, HostOrderSender
 from magnoliapier.service.leases import FLEET_SHARD
 from magnoliapier.service.wave_status import WaveStatusWriter
@@ -67,6 +67,8 @@
         )
         self._order_gap_s = deps.host_order_gap_s + ORDER_SETTLE_S
         self._order_rate = OrderRate(deps.host_orders_per_s)
+        self._order_slots = asyncio.Semaphore(MAX_CONCURRENT_ORDERS)
+        self._sending = set()
         self._planner = FleetPlanner()
         self._recent_orders = RecentHostOrders()
         self._plan = FleetPlan()
@@ -89,6 +91,7 @@
     async def close(self):
         """Stop the controller."""
         await cancel_tasks(self._task, self._allowances_task)
+        await cancel_tasks(*self._sending)
 
     def may_act(self):
         """Return whether orders are allowed now."""
@@ -183,7 +186,8 @@
         await self._commit_plan()
         orders = self._planner.orders() if listed else []
         # The others are chosen anew by a later cycle.
-        orders = orders[: self._order_rate.available(now)]
+        may_send = self._order_rate.available(now) - len(self._sending)
+        orders = orders[: max(0, may_send)]
         if orders:
             await self._record_and_send(orders)
         now = self._clock()
@@ -192,9 +196,13 @@
         await self._write_wave_states()
 
     async def _record_and_send(self, orders):
-        """Record the hosts of orders, then send the orders that the lease covers."""
+        """
+        Record the hosts of orders, then send those that the lease covers.
+
+        Returns without waiting for answers, so that one call that hangs holds up
+        neither other orders nor the list.
+        """
         now = self._clock()
-        self._list_outdated = True
         for order in orders:
             self._planner.record_order(order, now)
             self._recent_orders.record_start(order.host)
@@ -203,10 +211,10 @@
         except PlatformError:
             self._withdraw(orders)
             raise
-        for start in range(0, len(orders), MAX_CONCURRENT_ORDERS):
-            batch = orders[start : start + MAX_CONCURRENT_ORDERS]
-            self._order_rate.record(len(batch), self._clock())
-            await asyncio.gather(*(self._send_order(order) for order in batch))
+        for order in orders:
+            task = asyncio.create_task(self._send_order(order), name="host_order")
+            self._sending.add(task)
+            task.add_done_callback(self._sending.discard)
 
     def _withdraw(self, orders):
         for order in orders:
@@ -251,8 +259,11 @@
             self._unlisted_since = self._clock()
 
     async def _send_order(self, order):
-        outcome = await self._sender.send(order)
+        async with self._order_slots:
+            self._order_rate.record(1, self._clock())
+            outcome = await self._call(order)
         self._record_order_end(order)
+        self._list_outdated = True
         now = self._clock()
         if outcome in (HostOrderOutcome.REFUSED, HostOrderOutcome.UNAVAILABLE):
             away = outcome == HostOrderOutcome.UNAVAILABLE
@@ -264,6 +275,14 @@
         elif outcome == HostOrderOutcome.DONE and isinstance(order, Maintain):
             self._planner.record_maintenance_start(order)
 
+    async def _call(self, order):
+        """Send an order; return its HostOrderOutcome, after an error of ours too."""
+        try:
+            return await self._sender.send(order)
+        except Exception as error:
+            report_failure("host_order", error, self._metrics)
+            return HostOrderOutcome.UNANSWERED
+
     def _next_plan(self):
         """Return the plan to store now."""
         now = self._clock()
--- a/tests/service/test_fleet.py
+++ b/tests/service/test_fleet.py
@@ -3,6 +3,7 @@
 from magnoliapier.exceptions import (
     HostOrderRefusedError,
     MessageError,
+    StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
 from magnoliapier.organisations.usage import KnownLimits
@@ -31,6 +32,7 @@
 ORDER_SETTLE_S = 0.5  # as the platform's design page says
 STEP_S = 0.5  # longer than the host list is kept, shorter than a lease
 TEST_TIMEOUT_S = 10.0
+CALL_TIMEOUT_S = 60.0  # far longer than the tests wait
 
 
 def wave_status(number, completed):
@@ -50,9 +52,11 @@
         self.listed = hosts
         self.orders = []
         self.refusals = []
+        self.cancelled = []
         self.unreadable_lists = 0
         self.refuses = False
         self.is_away = False
+        self.silent_hosts = set()
         self._clock = clock
 
     def tokens(self, host):
@@ -73,8 +77,18 @@
             self.refusals.append((host, token, self._clock()))
             raise HostOrderRefusedError("busy")
         self.orders.append((host, token, self._clock()))
+        if host in self.silent_hosts:
+            await self._wait_in_vain(host)
         await asyncio.sleep(0)
 
+    async def _wait_in_vain(self, host):
+        try:
+            await asyncio.sleep(CALL_TIMEOUT_S)
+        except asyncio.CancelledError:
+            self.cancelled.append(host)
+            raise
+        raise StoreOutcomeUnknownError("silent")
+
 
 class FakeView:
     """What a host knows of pools; ``ticks`` counts the ticks of the controllers."""
@@ -424,3 +438,26 @@
         await self.start_holder(3)
         await self.let_controllers_act()
         self.assertTrue(self.stored_plan().paused)
+
+
+class SilentOrderTests(FleetTestCase):
+    """The platform leaves the order for one host without an answer."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.machines.silent_hosts = {"h1"}
+
+    async def test_other_orders_are_sent_while_one_waits(self):
+        """Guards against a need that waits for the end of another order's call."""
+        await self.start_holder(1)
+        await self.release_hosts("h1")
+        self.assertEqual(self.machines.tokens("h1"), [1])
+        await self.release_hosts("h1", "h2")
+        self.assertEqual(self.machines.tokens("h2"), [1])
+
+    async def test_calls_end_with_their_holder(self):
+        """Guards against an order that arrives after the lease was released."""
+        holder = await self.start_holder(1)
+        await self.release_hosts("h1")
+        await holder.close()
+        self.assertEqual(self.machines.cancelled, ["h1"])
