Let orders for hosts take no effect in the fault soak

A fourth series of faults: while it lasts, the orders for half of the hosts are refused (400, 409, 429, 503), get no answer, carried out or not, or are answered with success and ignored. It draws from a stream of its own, so that the other faults of each seed stay the same.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -2,8 +2,8 @@
 The faults that a soak injects, by name. Each ends after a limited time.
 
 ``RESTARTS`` are those in which endpoints start again under their ids. They are a series
-of their own, because the names in ``FAULTS`` determine what each seed injects. So is
-``recut_endpoints``.
+of their own, because the names in ``FAULTS`` determine what each seed injects. So are
+``recut_endpoints`` and ``trouble_orders``.
 """
 
 import asyncio
@@ -14,11 +14,13 @@
 
 from magnoliapier.state.lease import CONTROL_TABLE, LEASE_KEY, decode_lease
 from tests.soak.endpoints import HEARTBEAT_INTERVAL_S
+from tests.soak.machines import OrderTrouble
 from tests.soak.proxy import LinkFault
 from tests.soak.store import DEFAULT_DELAY_S
 
 FAULTS = {}
 RESTARTS = {}
+ORDER_TROUBLES = [trouble for trouble in OrderTrouble if trouble != OrderTrouble.NONE]
 LINK_FAULTS = [fault for fault in LinkFault if fault != LinkFault.NONE]
 TAKEOVER_S = 3.5  # long enough for a successor to take the lease and send orders
 ORDER_WAIT_S = 2.0
@@ -31,6 +33,8 @@
 CUT_RANGE_S = (8.0, 10.0)  # longer than the longest lease
 LONG_TASK_SLOWDOWN = 8.0  # makes tasks last up to 14 s
 RECUT_KILL_SHARE = 0.4
+ORDER_TROUBLE_RANGE_S = (1.0, 6.0)
+ORDER_CALM_RANGE_S = (0.0, 2.0)
 QUIET_S = 3.0  # tasks last up to 1.8 s, and their ends are acknowledged 1.2 s later
 IDLE_POLL_S = 0.05
 RESTART_DELAY_S = 0.3  # until the platform restarts a process that has ended
@@ -377,6 +381,19 @@
     await asyncio.gather(killing, _cut_off(soak, chosen, up, run_on_s, cut_s))
 
 
+async def trouble_orders(soak, rng):
+    """Let orders for half of the hosts take no effect or get no answer for a while."""
+    machines = soak.machines
+    machines.trouble = rng.choice(ORDER_TROUBLES)
+    machines.troubled_hosts = rng.sample(
+        sorted(machines.hosts), len(machines.hosts) // 2
+    )
+    soak.ledger.log_event("order_trouble", kind=machines.trouble)
+    await asyncio.sleep(rng.uniform(*ORDER_TROUBLE_RANGE_S))
+    machines.trouble, machines.troubled_hosts = OrderTrouble.NONE, ()
+    await asyncio.sleep(rng.uniform(*ORDER_CALM_RANGE_S))
+
+
 async def _cut_off(soak, endpoints, slow, after_s, seconds):
     """Silence the links to endpoints; ``slow`` ones are of usual speed from then on."""
     await asyncio.sleep(after_s)
--- a/tests/soak/machines.py
+++ b/tests/soak/machines.py
@@ -1,6 +1,7 @@
 """A stand-in for the platform's machine API and for the hosts that it manages."""
 
 import asyncio
+from enum import StrEnum
 
 import msgspec
 from aiohttp import web
@@ -12,6 +13,28 @@
 HOLDER_HEADER = "X-Magnoliapier-Lease-Holder"
 TOKEN_HEADER = "X-Magnoliapier-Fencing-Token"
 CRASH_OUTAGE_S = 1.0
+SILENCE_S = 2.0  # longer than a holder waits for an answer
+
+
+class OrderTrouble(StrEnum):
+    """What the platform does with orders for some hosts."""
+
+    NONE = "none"
+    REFUSED = "refused"  # 400: as for a pool of other hosts
+    BUSY = "busy"  # 409
+    TOO_MANY = "too_many"  # 429
+    AWAY = "away"  # 503
+    LOST = "lost"  # no answer, and nothing is done
+    UNANSWERED = "unanswered"  # no answer, but the order is carried out
+    IGNORED = "ignored"  # moves are answered with success, and nothing is done
+
+
+STATUSES = {
+    OrderTrouble.REFUSED: 400,
+    OrderTrouble.BUSY: 409,
+    OrderTrouble.TOO_MANY: 429,
+    OrderTrouble.AWAY: 503,
+}
 
 
 class FleetHost(msgspec.Struct):
@@ -36,6 +59,8 @@
         self._tasks = set()
         self._server = HttpServer(self._answer)
         self.last_holder = ""
+        self.trouble = OrderTrouble.NONE
+        self.troubled_hosts = ()
         for pool, count in pools.items():
             for _ in range(count):
                 name = f"host-{len(self.hosts)}"
@@ -125,6 +150,23 @@
         self._ledger.record_order(host.name, self.last_holder, token)
         if host.state != "up":
             return json_answer({"reason": "busy"}, 409)
+        if host.name in self.troubled_hosts:
+            return await self._answer_in_trouble(request, host, body)
+        return await self._carry_out(request, host, body)
+
+    async def _answer_in_trouble(self, request, host, body):
+        self._ledger.count("troubled_orders")
+        if self.trouble in STATUSES:
+            return json_answer({"reason": "busy"}, STATUSES[self.trouble])
+        if self.trouble == OrderTrouble.IGNORED and "pool" in body:
+            return json_answer({})
+        if self.trouble != OrderTrouble.LOST:
+            await self._carry_out(request, host, body)
+        if self.trouble in (OrderTrouble.LOST, OrderTrouble.UNANSWERED):
+            await asyncio.sleep(SILENCE_S)
+        return json_answer({})
+
+    async def _carry_out(self, request, host, body):
         if request.path == "/machine-move":
             return await self._move(host, body["pool"])
         return await self._maintain(host)
--- a/tests/soak/seeds.py
+++ b/tests/soak/seeds.py
@@ -7,7 +7,8 @@
 # injects, so such a change has to find new seeds. Restarts of endpoints under their ids
 # are a series beside it, drawn from random.Random("restarts SEED"), so that they change
 # nothing else that a seed injects. The same rule holds for their names. The endpoints
-# that are cut off after a restart are a third one, from random.Random("recuts SEED").
+# that are cut off after a restart are a third one, from random.Random("recuts SEED"),
+# and orders for hosts that take no effect a fourth, from random.Random("orders SEED").
 REGRESSION_SEEDS = (
     (
         51,
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -9,7 +9,12 @@
 import msgspec
 
 from tests.soak.callers import MAX_ATTEMPTS, Callers
-from tests.soak.faults import FAULTS, RESTARTS, recut_endpoints
+from tests.soak.faults import (
+    FAULTS,
+    RESTARTS,
+    recut_endpoints,
+    trouble_orders,
+)
 from tests.soak.ledger import Ledger
 from tests.soak.machines import MachinesStandIn
 from tests.soak.nodes import Node, wait_until_ready
@@ -144,7 +149,7 @@
         await self.callers.start()
 
     async def _inject_all(self, seconds):
-        """Inject three series of faults; two draw from streams of their own."""
+        """Inject four series of faults; three draw from streams of their own."""
         rng = self._child_rng()
         names = iter(lambda: rng.choice(sorted(FAULTS)), None)
         restart_rng = random.Random(f"restarts {self.seed}")
@@ -152,8 +157,16 @@
             self._inject(FAULTS, names, rng, seconds),
             self._inject(RESTARTS, shuffled_rounds(restart_rng), restart_rng, seconds),
             self._inject_recuts(random.Random(f"recuts {self.seed}"), seconds),
+            self._trouble_orders(random.Random(f"orders {self.seed}"), seconds),
         )
 
+    async def _trouble_orders(self, rng, seconds):
+        """Trouble the orders for some hosts, one time after the other."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        while loop.time() < until:
+            await trouble_orders(self, self._fault_rng(rng))
+
     async def _inject_recuts(self, rng, seconds):
         """Cut restarted endpoints off, one time after the other; each takes 14 s."""
         loop = asyncio.get_running_loop()
