Split the host list and the queue of host orders from the fleet's controller

service/host_list.py reads the list and knows for how long it could not be read; service/host_order_queue.py sends orders in the background within the platform's rate.

--- a/magnoliapier/service/fleet.py
+++ b/magnoliapier/service/fleet.py
@@ -13,12 +13,13 @@
 from magnoliapier.exceptions import FencedError, MessageError, PlatformError
 from magnoliapier.logs import get_logger
 from magnoliapier.pools.handover import END_UNKNOWN, RecentHostOrders
-from magnoliapier.pools.order_rate import OrderRate
 from magnoliapier.pools.order_retries import OrderRetries
 from magnoliapier.pools.planner import ORDER_SETTLE_S, FleetPlanner, Maintain
 from magnoliapier.pools.report import PLAN_KEY, FleetPlan, decode_plan, encode
 from magnoliapier.service.allowance_writer import AllowanceWriter
-from magnoliapier.service.background import cancel_tasks, report_failure, supervise
+from magnoliapier.service.background import cancel_tasks, supervise
+from magnoliapier.service.host_list import HostList
+from magnoliapier.service.host_order_queue import HostOrderQueue
 from magnoliapier.service.host_orders import HostOrderOutcome, HostOrderSender
 from magnoliapier.service.leases import FLEET_SHARD
 from magnoliapier.service.wave_status import WaveStatusWriter
@@ -27,11 +28,7 @@
 from magnoliapier.state.rows import Put
 
 TICK_INTERVAL_S = 0.1
-BUSY_LIST_INTERVAL_S = 0.4
-IDLE_LIST_INTERVAL_S = 1.0
-UNLISTED_LIMIT_S = 1.0  # without a list for so long, hosts stay in their pools
 RETRY_DELAY_S = 0.2
-MAX_CONCURRENT_ORDERS = 16
 
 log = get_logger(__name__)
 
@@ -52,9 +49,6 @@
         self._metrics = deps.metrics
         self._store = deps.store
         self._clock = deps.boottime
-        self._sender = HostOrderSender(
-            deps.machines, lease, deps.boottime, deps.metrics
-        )
         self._wave_status = WaveStatusWriter(deps.store, deps.wave_status)
         self._view = view
         self._on_lost = on_lost
@@ -66,17 +60,17 @@
             deps.store, view, self._commit, deps.boottime, deps.metrics
         )
         self._order_gap_s = deps.host_order_gap_s + ORDER_SETTLE_S
-        self._order_rate = OrderRate(deps.host_orders_per_s)
-        self._order_slots = asyncio.Semaphore(MAX_CONCURRENT_ORDERS)
-        self._sending = set()
+        self._orders = HostOrderQueue(
+            HostOrderSender(deps.machines, lease, deps.boottime, deps.metrics),
+            deps.host_orders_per_s,
+            self._on_order_end,
+            deps.boottime,
+            deps.metrics,
+        )
         self._planner = FleetPlanner()
         self._recent_orders = RecentHostOrders()
         self._plan = FleetPlan()
-        self._list_outdated = True
-        self._listed_at = None
-        self._listed_ms = 0
-        self._unlisted_since = None
-        self._hosts = []
+        self._host_list = HostList(deps.machines, deps.store.table_clock, deps.boottime)
         self._lost = False
         self._task = None
         self._allowances_task = None
@@ -91,7 +85,7 @@
     async def close(self):
         """Stop the controller."""
         await cancel_tasks(self._task, self._allowances_task)
-        await cancel_tasks(*self._sending)
+        await self._orders.close()
 
     def may_act(self):
         """Return whether orders are allowed now."""
@@ -149,8 +143,7 @@
         self._recent_orders = RecentHostOrders(
             self._plan.ordered, now, self._order_gap_s, table_ms(now)
         )
-        if self._plan.paused:
-            self._unlisted_since = now - UNLISTED_LIMIT_S
+        self._host_list.reset(self._plan.paused)
         log.info("fleet_loaded", barred=len(self._plan.ordered))
 
     async def _read_plan(self):
@@ -171,23 +164,23 @@
         # A plan whose commit got no answer is written again before it can change;
         # otherwise self._plan could differ from the stored plan.
         await self._commit_plan()
-        listed = await self._refresh_hosts()
+        busy = self._planner.has_pending or self._view.active()
+        listed = await self._host_list.refresh(busy)
         now = self._clock()
         self._planner.update(
-            self._hosts if listed else None,
+            self._host_list.hosts if listed else None,
             self._view.reports(),
             self._view.waves(),
             self._view.standby(),
             now,
             self._recent_orders.barred(now, self._store.table_clock.earliest_ms(now)),
-            self._listed_ms,
-            self._listed_at,
+            self._host_list.listed_ms,
+            self._host_list.listed_at,
         )
         await self._commit_plan()
         orders = self._planner.orders() if listed else []
         # The others are chosen anew by a later cycle.
-        may_send = self._order_rate.available(now) - len(self._sending)
-        orders = orders[: max(0, may_send)]
+        orders = orders[: self._orders.capacity()]
         if orders:
             await self._record_and_send(orders)
         now = self._clock()
@@ -196,12 +189,7 @@
         await self._write_wave_states()
 
     async def _record_and_send(self, orders):
-        """
-        Record the hosts of orders, then send those that the lease covers.
-
-        Returns without waiting for answers, so that one call that hangs holds up
-        neither other orders nor the list.
-        """
+        """Record the hosts of orders, then send them without waiting for answers."""
         now = self._clock()
         for order in orders:
             self._planner.record_order(order, now)
@@ -211,10 +199,7 @@
         except PlatformError:
             self._withdraw(orders)
             raise
-        for order in orders:
-            task = asyncio.create_task(self._send_order(order), name="host_order")
-            self._sending.add(task)
-            task.add_done_callback(self._sending.discard)
+        self._orders.send(orders)
 
     def _withdraw(self, orders):
         for order in orders:
@@ -227,43 +212,9 @@
             order.host, now, self._store.table_clock.latest_ms(now)
         )
 
-    async def _refresh_hosts(self):
-        """Read the host list if it is due; return whether the platform lists it now."""
-        now = self._clock()
-        busy = self._planner.has_pending or self._view.active()
-        interval_s = BUSY_LIST_INTERVAL_S if busy else IDLE_LIST_INTERVAL_S
-        if not self._list_outdated and now - self._listed_at < interval_s:
-            return True
-        self._list_outdated = True
-        listed_ms = self._store.table_clock.earliest_ms(now)
-        try:
-            self._hosts = await self._machines.hosts()
-        except (PlatformError, MessageError) as error:
-            self._record_unlisted(error)
-            return False
-        self._list_outdated = False
-        self._listed_at, self._listed_ms = now, listed_ms
-        if self._unlisted_since is not None:
-            log.info("hosts_listed_again", hosts=len(self._hosts))
-            self._unlisted_since = None
-        return True
-
-    def _is_paused(self, now):
-        """Return whether the platform has not listed its hosts for too long."""
-        since = self._unlisted_since
-        return since is not None and now - since >= UNLISTED_LIMIT_S
-
-    def _record_unlisted(self, error):
-        if self._unlisted_since is None:
-            log.warning("hosts_not_listed", error=error)
-            self._unlisted_since = self._clock()
-
-    async def _send_order(self, order):
-        async with self._order_slots:
-            self._order_rate.record(1, self._clock())
-            outcome = await self._call(order)
+    def _on_order_end(self, order, outcome):
         self._record_order_end(order)
-        self._list_outdated = True
+        self._host_list.mark_outdated()
         now = self._clock()
         if outcome in (HostOrderOutcome.REFUSED, HostOrderOutcome.UNAVAILABLE):
             away = outcome == HostOrderOutcome.UNAVAILABLE
@@ -275,20 +226,12 @@
         elif outcome == HostOrderOutcome.DONE and isinstance(order, Maintain):
             self._planner.record_maintenance_start(order)
 
-    async def _call(self, order):
-        """Send an order; return its HostOrderOutcome, after an error of ours too."""
-        try:
-            return await self._sender.send(order)
-        except Exception as error:
-            report_failure("host_order", error, self._metrics)
-            return HostOrderOutcome.UNANSWERED
-
     def _next_plan(self):
         """Return the plan to store now."""
         now = self._clock()
-        paused = self._is_paused(now)
+        paused = self._host_list.is_away(now)
         to_maintain, kept = self._planner.hosts_to_empty(), self._planner.kept()
-        if self._listed_at is None:
+        if self._host_list.listed_at is None:
             # What the former holder has decided stands until hosts are listed.
             to_maintain, kept = self._plan.to_maintain, self._plan.kept
         return FleetPlan(
