--- a/magnoliapier/service/fleet.py
+++ b/magnoliapier/service/fleet.py
@@ -14,7 +14,8 @@
 from magnoliapier.logs import get_logger
 from magnoliapier.pools.handover import END_UNKNOWN, RecentHostOrders
 from magnoliapier.pools.order_retries import OrderRetries
-from magnoliapier.pools.planner import ORDER_SETTLE_S, FleetPlanner, Maintain
+from magnoliapier.pools.orders import ORDER_SETTLE_S, Maintain
+from magnoliapier.pools.planner import FleetPlanner
 from magnoliapier.pools.report import PLAN_KEY, FleetPlan, decode_plan, encode
 from magnoliapier.service.allowance_writer import AllowanceWriter
 from magnoliapier.service.background import cancel_tasks, supervise
--- a/magnoliapier/service/host_orders.py
+++ b/magnoliapier/service/host_orders.py
@@ -19,7 +19,7 @@
     StoreUnavailableError,
 )
 from magnoliapier.logs import get_logger
-from magnoliapier.pools.planner import Maintain
+from magnoliapier.pools.orders import Maintain
 
 log = get_logger(__name__)
 
--- a/tests/pools/test_order_retries.py
+++ b/tests/pools/test_order_retries.py
@@ -9,7 +9,7 @@
     MAX_STORED,
     OrderRetries,
 )
-from magnoliapier.pools.planner import Maintain, Move
+from magnoliapier.pools.orders import Maintain, Move
 
 MOVE = Move("h1", "desk")
 
--- a/tests/pools/test_planner.py
+++ b/tests/pools/test_planner.py
@@ -3,13 +3,8 @@
 from magnoliapier.pools.hosts import Host, HostState, Wave
 from magnoliapier.pools.need import HostNeed
 from magnoliapier.pools.order_retries import OrderRetries
-from magnoliapier.pools.planner import (
-    EMPTYING_TURN_S,
-    ORDER_TIMEOUT_S,
-    FleetPlanner,
-    Maintain,
-    Move,
-)
+from magnoliapier.pools.orders import ORDER_TIMEOUT_S, Maintain, Move
+from magnoliapier.pools.planner import EMPTYING_TURN_S, FleetPlanner
 from magnoliapier.pools.report import PoolReport
 from magnoliapier.submissions.model import Resources
 
--- a/tests/service/test_host_order_queue.py
+++ b/tests/service/test_host_order_queue.py
@@ -1,6 +1,6 @@
 import asyncio
 
-from magnoliapier.pools.planner import Move
+from magnoliapier.pools.orders import Move
 from magnoliapier.service.host_order_queue import HostOrderQueue
 from magnoliapier.service.host_orders import HostOrderOutcome
 from tests.service.fakes import FakeClock, metrics
--- a/tests/service/test_host_orders.py
+++ b/tests/service/test_host_orders.py
@@ -7,7 +7,7 @@
     StoreUnavailableError,
 )
 from magnoliapier.metrics import Metrics
-from magnoliapier.pools.planner import Maintain, Move
+from magnoliapier.pools.orders import Maintain, Move
 from magnoliapier.service.host_orders import HostOrderOutcome, HostOrderSender
 from magnoliapier.state.lease import (
     LEASE_TTL_S,
