--- a/magnoliapier/pools/planner.py
+++ b/magnoliapier/pools/planner.py
@@ -19,14 +19,13 @@
     OrderRetries,
 )
 from magnoliapier.pools.orders import ORDER_TIMEOUT_S, Maintain, Move, PendingOrder
+from magnoliapier.pools.releases import Releases
 
 MAX_EMPTYING_PER_POOL = 2  # hosts of one pool that are emptied at once
 EMPTYING_TURN_S = 20.0  # long enough for the tasks of most hosts to end or to move
 # A host that is empty waits so long for a repeated order, as emptying it again takes
 # longer, and is then used again until the next attempt.
 EMPTY_HOST_WAIT_S = 2.0
-RELEASE_LIMIT_S = 1.5  # a release without an order for so long is returned
-NOT_RETURNED = -1  # below the number of any release
 MAYBE_MAINTAINED = (HostState.UPKEEP, HostState.UNKNOWN)
 
 
@@ -37,15 +36,14 @@
     Does no I/O and reads no clock; times are seconds on a monotonic clock.
 
     ``maintained`` and ``returned`` are those of the FleetPlan, and ``retries`` are the
-    OrderRetries of this holder and of former ones. A release that was returned once is
-    never used, nor is an earlier one, whatever the age of the report that lists it.
+    OrderRetries of this holder and of former ones.
     """
 
     def __init__(self, maintained=None, returned=None, retries=None):
         self.maintained = {
             wave: set(hosts) for wave, hosts in (maintained or {}).items()
         }
-        self.returned = dict(returned or {})
+        self._releases = Releases(returned)
         self._retries = retries or OrderRetries()
         self._crashes = CrashDetector()
         self._pending = {}
@@ -81,6 +79,7 @@
             self._crashes.update(hosts, self._pending, now, listed_ms)
             self._hosts = {host.name: host for host in hosts}
         self._reports = reports
+        self._releases.update(reports)
         self._waves = waves
         self._standby = standby
         self._barred = barred
@@ -88,7 +87,7 @@
         self._settle_orders(now if listed_at is None else listed_at)
         if hosts is not None:
             self._retries.forget(self._hosts, now)
-            self._forget_returned()
+            self._releases.forget(host.endpoint_id for host in hosts)
         self._end_turns()
 
     def _end_turns(self):
@@ -115,14 +114,6 @@
             if host is None or self._is_settled(host, pending, listed_at):
                 del self._pending[name]
 
-    def _forget_returned(self):
-        """Forget the returned releases of endpoints that have left."""
-        known = {host.endpoint_id for host in self._hosts.values()}
-        for report in self._reports.values():
-            known.update(report.released)
-        for endpoint_id in self.returned.keys() - known:
-            del self.returned[endpoint_id]
-
     def _record_seen_maintenance(self, host, order):
         """
         Count the maintenance of a host as started if the host list shows it.
@@ -189,6 +180,11 @@
         self.maintained.setdefault(order.wave, set()).add(order.host)
         self._retries.record_effect(order)
 
+    @property
+    def returned(self):
+        """Return the numbers of the returned releases, by endpoint."""
+        return self._releases.returned
+
     @property
     def has_pending(self):
         """Return whether any order is pending."""
@@ -255,18 +251,11 @@
             return False
         if host.service == self._standby:
             return True
-        release = self._release_number(host)
-        returned = self.returned.get(host.endpoint_id, NOT_RETURNED)
-        return release is not None and release > returned
+        return self._releases.is_open(host)
 
     def _may_send(self, order):
         return not self._retries.holds_back(order, self._now)
 
-    def _release_number(self, host):
-        """Return the number of a host's release by its pool, or None."""
-        report = self._reports.get(host.service)
-        return report.release_number(host.endpoint_id) if report else None
-
     def _maintenance_orders(self):
         orders = []
         for wave in self._waves:
@@ -322,7 +311,7 @@
             if self._standby is not None and self._may_send(order):
                 orders.append(order)
             else:
-                self.returned[host.endpoint_id] = self._release_number(host)
+                self._releases.give_back(host)
         return orders
 
     def return_overdue(self, table_ms):
@@ -334,16 +323,13 @@
         wants hosts.
         """
         awaiting = self._awaiting_maintenance()
-        for service, report in self._reports.items():
-            may_wait = () if self._wants_hosts(service) else awaiting
-            for endpoint_id, name in report.released.items():
-                age_ms = table_ms - report.released_ms.get(endpoint_id, table_ms)
-                if age_ms < RELEASE_LIMIT_S * 1000 or name in may_wait:
-                    continue
-                if name not in self._pending and name not in self._barred:
-                    number = report.release_number(endpoint_id)
-                    before = self.returned.get(endpoint_id, NOT_RETURNED)
-                    self.returned[endpoint_id] = max(before, number)
+
+        def may_wait(service, host):
+            if host in self._pending or host in self._barred:
+                return True
+            return host in awaiting and not self._wants_hosts(service)
+
+        self._releases.give_back_overdue(table_ms, may_wait)
 
     def _take(self, free, service, count, need=None):
         """
--- a/tests/service/test_fleet.py
+++ b/tests/service/test_fleet.py
@@ -9,7 +9,7 @@
 from magnoliapier.organisations.usage import KnownLimits
 from magnoliapier.pools.hosts import Host, HostState, Wave
 from magnoliapier.pools.order_retries import MAX_DELAY_S
-from magnoliapier.pools.planner import RELEASE_LIMIT_S
+from magnoliapier.pools.releases import RELEASE_LIMIT_S
 from magnoliapier.pools.report import PLAN_KEY, PoolReport, decode_plan
 from magnoliapier.service.fleet import FleetController
 from magnoliapier.service.leases import FLEET_SHARD
