--- a/magnoliapier/pools/planner.py
+++ b/magnoliapier/pools/planner.py
@@ -302,13 +302,19 @@
         return orders
 
     def _give_up(self, hosts):
-        """Return moves to the standby pool; return other hosts to their pools."""
+        """
+        Return moves to the standby pool; return other hosts to their pools.
+
+        A host whose maintenance is held back may have been released for that only.
+        """
+        due = {host.name for wave in self._waves for host in self.due_hosts(wave)}
         orders = []
         for host in hosts:
             order = Move(host.name, self._standby)
             if host.service == self._standby:
                 continue
-            if self._standby is not None and self._may_send(order):
+            may_move = self._standby is not None and self._may_send(order)
+            if may_move and host.name not in due:
                 orders.append(order)
             else:
                 self._releases.give_back(host)
--- a/tests/pools/test_planner.py
+++ b/tests/pools/test_planner.py
@@ -296,6 +296,20 @@
         self.assertEqual(ordered, {"h1", "h2", "h3"})
         self.assertGreater(len(used_at), 150)
 
+    def test_host_that_was_emptied_in_vain_goes_back_to_its_pool(self):
+        """Guards against a host that goes to standby though its pool needs it."""
+        wave = Wave(1, ("h1",), 20.0, 1)
+        hosts = [host(1, "a")]
+        orders = set()
+        for tenth in range(60):
+            reports = {"a": PoolReport({"e1": "h1"}, release_numbers={"e1": tenth})}
+            self.planner.update(hosts, reports, [wave], STANDBY, tenth / 10)
+            for order in self.planner.orders():
+                orders.add(order)
+                self.fail_order(order, tenth / 10)
+        self.assertEqual(orders, {Maintain("h1", 1)})
+        self.assertIn("e1", self.planner.returned)
+
     def test_empty_host_waits_for_an_order_that_is_repeated_soon(self):
         """Guards against a host that is emptied twice after one refusal."""
         wave = Wave(1, ("h1",), 20.0, 1)
