Store the fleet's plan again after a commit without an answer, whatever it is now

Orders now end at any moment, so that the plan could change back to the one stored last between a commit that got no answer and the next one, which then wrote nothing and left the other plan stored.

--- a/magnoliapier/service/fleet.py
+++ b/magnoliapier/service/fleet.py
@@ -71,6 +71,7 @@
         self._planner = FleetPlanner()
         self._recent_orders = RecentHostOrders()
         self._plan = FleetPlan()
+        self._plan_stored = True
         self._host_list = HostList(deps.machines, deps.store.table_clock, deps.boottime)
         self._lost = False
         self._task = None
@@ -162,8 +163,6 @@
         return FleetPlan(ordered={host.name: END_UNKNOWN for host in hosts})
 
     async def _tick(self):
-        # A plan whose commit got no answer is written again before it can change;
-        # otherwise self._plan could differ from the stored plan.
         await self._commit_plan()
         busy = self._planner.has_pending or self._view.active()
         listed = await self._host_list.refresh(busy)
@@ -255,11 +254,14 @@
     async def _commit_plan(self):
         plan = self._next_plan()
         puts = []
-        if plan != self._plan:
+        # After a commit without an answer, self._plan may differ from the stored plan.
+        if plan != self._plan or not self._plan_stored:
             puts.append(Put(CONTROL_TABLE, FLEET_SHARD, PLAN_KEY, encode(plan)))
             self._log_changes(plan)
+        if puts:
+            self._plan_stored = False
         await self._commit(puts)
-        self._plan = plan
+        self._plan, self._plan_stored = plan, True
         self._metrics.gauge("host_orders_failing", sum(map(len, plan.failed.values())))
         self._metrics.gauge("hosts_kept", len(plan.kept))
 
--- a/magnoliapier/specifications/host_orders.py
+++ b/magnoliapier/specifications/host_orders.py
@@ -38,9 +38,9 @@
 several hosts or concurrent orders of one holder to the same host, orders that the
 platform executes some time after they arrived, a lease row that is removed, a machine
 that fails without resetting its connections, and the shorter wait of a successor that
-finds the end of an order recorded on the table's clock. The rules do not depend on the
-content of answers to orders. At most one commit of a holder waits for its answer at a
-time.
+finds the end of an order recorded on the table's clock, which may also be the takeover
+of the holder before it. The rules do not depend on the content of answers to orders. At
+most one commit of a holder waits for its answer at a time.
 """
 
 from typing import NamedTuple
