Return no endpoint that has left with its host

Traced: the pool's hosts had been moved to standby 0.6 s after their release, their endpoints' rows stayed for 3 s more, and the release without an order for 1.5 s was returned (host_returned endpoint=host-2-1, host-8-3, host-0-2, host-9-4 at once). The pool counted on four endpoints that had ended and wanted no other host; another submission's start went to one of them and waited for its lease.

Change: a release is not returned while its host is listed as moved, moving, in maintenance or down, or with another endpoint.

test_endpoint_that_left_with_its_host_is_not_returned fails on the code before.

--- a/magnoliapier/pools/planner.py
+++ b/magnoliapier/pools/planner.py
@@ -330,13 +330,24 @@
         """
         awaiting = self._awaiting_maintenance()
 
-        def may_wait(service, host):
+        def may_wait(service, endpoint_id, host):
             if host in self._pending or host in self._barred:
                 return True
+            if self._has_left(service, endpoint_id, host):
+                return True
             return host in awaiting and not self._wants_hosts(service)
 
         self._releases.give_back_overdue(table_ms, may_wait)
 
+    def _has_left(self, service, endpoint_id, name):
+        """Return whether a host is listed as one on which the endpoint has ended."""
+        host = self._hosts.get(name)
+        if host is None or host.state == HostState.UNKNOWN:
+            return False
+        if host.state != HostState.UP or host.service != service:
+            return True
+        return host.endpoint_id not in ("", endpoint_id)
+
     def _take(self, free, service, count, need=None):
         """
         Remove up to ``count`` hosts of other pools from ``free``; return their moves.
--- a/magnoliapier/pools/releases.py
+++ b/magnoliapier/pools/releases.py
@@ -41,12 +41,15 @@
         Return the releases that no order has followed in time.
 
         ``table_ms`` is a lower bound of the present time on the table's clock, 0 if
-        unknown. ``may_wait(service, host)`` returns whether a host stays released.
+        unknown. ``may_wait(service, endpoint_id, host)`` returns whether a host stays
+        released.
         """
         for service, report in self._reports.items():
             for endpoint_id, host in report.released.items():
                 age_ms = table_ms - report.released_ms.get(endpoint_id, table_ms)
-                if age_ms < RELEASE_LIMIT_S * 1000 or may_wait(service, host):
+                if age_ms < RELEASE_LIMIT_S * 1000:
+                    continue
+                if may_wait(service, endpoint_id, host):
                     continue
                 number = report.release_number(endpoint_id)
                 before = self._returned_number(endpoint_id)
--- a/tests/pools/test_planner.py
+++ b/tests/pools/test_planner.py
@@ -262,6 +262,23 @@
         self.assertEqual(self.orders([host(1, "a")], reports, after_s), [])
         self.assertEqual(self.planner.returned, {"e1": 0})
 
+    def test_endpoint_that_left_with_its_host_is_not_returned(self):
+        """Guards against work on an endpoint that ended, whose row is still there."""
+        released = PoolReport({"e1": "h1"}, released_ms={"e1": 1000})
+        left = [
+            Host("h1", "a", HostState.MOVING),
+            Host("h1", "a", HostState.DOWN, endpoint_id="e1"),
+            Host("h1", STANDBY, HostState.UP),
+            Host("h1", "a", HostState.UP, endpoint_id="e2"),
+        ]
+        for now, listed in enumerate(left):
+            self.planner.update([listed], {"a": released}, (), STANDBY, float(now))
+            self.planner.return_overdue(9000)
+            self.assertEqual(self.planner.returned, {})
+        self.planner.update([host(1, "a")], {"a": released}, (), STANDBY, 9.0)
+        self.planner.return_overdue(9000)
+        self.assertEqual(self.planner.returned, {"e1": 0})
+
     def test_order_that_takes_effect_is_not_held_back_later(self):
         """Guards against a delay that outlasts its cause."""
         reports = {"a": PoolReport({"e1": "h1"})}
