--- a/magnoliapier/service/pool.py
+++ b/magnoliapier/service/pool.py
@@ -53,7 +53,7 @@
 
     ``durations`` estimates how long tasks take. ``first_holder`` is whether no other
     host has held the shard before. ``has_standby()`` returns whether there is a standby
-    pool, which takes every host that is released. ``released`` maps the ids of listed
+    pool, to which all released hosts are offered. ``released`` maps the ids of listed
     endpoints to their Releases; such an endpoint is used again only once the fleet
     controller has returned it, because it may act on its host at any moment until then.
     ``table_ms(now)`` returns a value that the table's clock has not passed at ``now``.
