--- a/tests/service/test_fleet.py
+++ b/tests/service/test_fleet.py
@@ -1,4 +1,5 @@
 import asyncio
+import unittest
 
 from magnoliapier.exceptions import (
     HostOrderRefusedError,
@@ -440,6 +441,23 @@
         self.assertTrue(self.stored_plan().paused)
 
 
+class CrashReportTests(FleetTestCase):
+    """The host of an endpoint went down before another holder takes the fleet."""
+
+    @unittest.expectedFailure  # KNOWN-RED.txt
+    async def test_crash_is_still_reported_after_a_takeover(self):
+        """Guards against tasks that wait for the lease of an endpoint that crashed."""
+        holder = await self.start_holder(1)
+        await self.pass_time(1.0)
+        self.machines.listed[0].state = HostState.DOWN
+        await self.pass_time(1.0)
+        self.assertEqual(self.stored_plan().crashed, ("e1",))
+        await holder.close()
+        await self.start_holder(2)
+        await self.pass_time(1.0)
+        self.assertEqual(self.stored_plan().crashed, ("e1",))
+
+
 class SilentOrderTests(FleetTestCase):
     """The platform leaves the order for one host without an answer."""
 
