--- a/tests/service/test_fleet.py
+++ b/tests/service/test_fleet.py
@@ -396,7 +396,7 @@
         self.assertFalse(self.stored_plan().keeps("e2"))
 
     async def test_takeovers_do_not_prolong_a_release(self):
-        """Guards against the same where hosts of ours restart in turn."""
+        """Guards against a release that ends later with each holder of the fleet."""
         self.machines.is_away = True
         self.release("h1")
         for token in (1, 2, 3):
@@ -405,7 +405,7 @@
             await holder.close()
         self.assertEqual(self.stored_plan().returned, {"e1": 0})
 
-    async def test_host_listed_with_another_endpoint_goes_back(self):
+    async def test_host_listed_without_its_endpoint_goes_back(self):
         """Guards against a host out of use as its release matches no listed host."""
         self.machines.listed[0].endpoint_id = ""
         await self.start_holder(1)
